Add the design page, the workspace, and the base and wire packages

Cause: the repository was empty. Change: docs/design.md states requirements, modules, state, messages and failure handling; base holds time, ids, typed errors, the field codec (CBOR and JSON from one field list), the bounded ring, INI files with located faults, hashes and logs; wire holds every message between processes.

--- /dev/null
+++ b/cmake/camphorcleat-config.cmake
@@ -0,0 +1,12 @@
+# Package configuration for find_package(camphorcleat COMPONENTS base wire agreement ...).
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(Qt6 COMPONENTS Core Network HttpServer Scxml)
+find_dependency(Boost 1.81)
+include(${CMAKE_CURRENT_LIST_DIR}/camphorcleat-targets.cmake)
+foreach(component IN LISTS camphorcleat_FIND_COMPONENTS)
+  if(NOT TARGET camphorcleat::${component})
+    set(camphorcleat_FOUND FALSE)
+    set(camphorcleat_NOT_FOUND_MESSAGE "camphorcleat has no component '${component}'")
+  endif()
+endforeach()
--- /dev/null
+++ b/packages/base/Codec.h
@@ -0,0 +1,510 @@
+// Encodes structs as CBOR and JSON from one list of fields per struct, on Qt's QCborValue.
+//
+// A struct takes part by listing its fields once:
+//
+//   struct Credit {
+//     RequestId request;
+//     std::uint32_t bytes = 0;
+//     static constexpr auto fields() {
+//       return std::make_tuple(field("request", &Credit::request), field("bytes", &Credit::bytes));
+//     }
+//   };
+//
+// Rules, the same for both formats: unknown fields are skipped, a missing field is an error unless
+// its type is std::optional, numbers outside the member's range are errors. Enums are written by
+// the names of their EnumNames table. A std::variant is written as {"type": kName, "body": {...}},
+// where kName is a constant of the alternative. Nesting is bounded by QCborValue (1,024 levels) and
+// input size by the caller, so decoding can't exhaust the stack or memory.
+
+#ifndef CAMPHORCLEAT_BASE_CODEC_H_
+#define CAMPHORCLEAT_BASE_CODEC_H_
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+
+#include "base/Bytes.h"
+#include "base/EnumNames.h"
+#include "base/Errors.h"
+#include "base/Ids.h"
+#include "base/Time.h"
+
+namespace camphorcleat {
+
+template<class S, class M>
+struct Field
+{
+  const char* name;
+  M S::*member;
+};
+
+template<class S, class M>
+constexpr Field<S, M> field(const char* aName, M S::*aMember)
+{
+  return { aName, aMember };
+}
+
+namespace detail {
+
+inline constexpr const char* kVariantType = "type";
+inline constexpr const char* kVariantBody = "body";
+
+/// Failure of a decode in progress: the path grows while the recursion unwinds.
+struct DecodeFailure
+{
+  std::string path;
+  std::string reason;
+};
+
+using DecodeStatus = std::optional<DecodeFailure>;
+
+inline DecodeStatus decodeFailure(std::string aReason)
+{
+  return DecodeFailure{ std::string(), std::move(aReason) };
+}
+
+inline DecodeStatus inField(DecodeStatus aStatus, const std::string& aName)
+{
+  if (aStatus) {
+    aStatus->path = aStatus->path.empty() ? aName : aName + "." + aStatus->path;
+  }
+  return aStatus;
+}
+
+template<class T, class = void>
+struct HasFields : std::false_type
+{
+};
+template<class T>
+struct HasFields<T, std::void_t<decltype(T::fields())>> : std::true_type
+{
+};
+
+template<class T, class = void>
+struct Coder;
+
+template<>
+struct Coder<bool>
+{
+  static QCborValue write(bool aValue) { return QCborValue(aValue); }
+  static DecodeStatus read(const QCborValue& aValue, bool& aOut)
+  {
+    if (!aValue.isBool()) {
+      return decodeFailure("expected a boolean");
+    }
+    aOut = aValue.toBool();
+    return std::nullopt;
+  }
+};
+
+template<class T>
+struct Coder<T, std::enable_if_t<std::is_integral_v<T> && !std::is_same_v<T, bool>>>
+{
+  static QCborValue write(T aValue) { return QCborValue(static_cast<qint64>(aValue)); }
+  static DecodeStatus read(const QCborValue& aValue, T& aOut)
+  {
+    // JSON readers may give whole numbers as doubles.
+    const qint64 n = aValue.toInteger();
+    const bool isWholeDouble = aValue.isDouble() && aValue.toDouble() == static_cast<double>(n);
+    if (!aValue.isInteger() && !isWholeDouble) {
+      return decodeFailure("expected an integer");
+    }
+    if constexpr (std::is_unsigned_v<T>) {
+      if (n < 0) {
+        return decodeFailure("expected a number that is not negative");
+      }
+    }
+    if constexpr (sizeof(T) < sizeof(qint64)) {
+      if (n < static_cast<qint64>(std::numeric_limits<T>::min()) ||
+          n > static_cast<qint64>(std::numeric_limits<T>::max())) {
+        return decodeFailure("number " + std::to_string(n) + " is out of range");
+      }
+    }
+    aOut = static_cast<T>(n);
+    return std::nullopt;
+  }
+};
+
+template<>
+struct Coder<double>
+{
+  static QCborValue write(double aValue) { return QCborValue(aValue); }
+  static DecodeStatus read(const QCborValue& aValue, double& aOut)
+  {
+    if (!aValue.isDouble() && !aValue.isInteger()) {
+      return decodeFailure("expected a number");
+    }
+    aOut = aValue.toDouble();
+    return std::nullopt;
+  }
+};
+
+template<>
+struct Coder<std::string>
+{
+  static QCborValue write(const std::string& aValue)
+  {
+    return QCborValue(QString::fromUtf8(aValue.data(), static_cast<qsizetype>(aValue.size())));
+  }
+  static DecodeStatus read(const QCborValue& aValue, std::string& aOut)
+  {
+    if (!aValue.isString()) {
+      return decodeFailure("expected a text");
+    }
+    aOut = aValue.toString().toStdString();
+    return std::nullopt;
+  }
+};
+
+template<>
+struct Coder<Bytes>
+{
+  static QCborValue write(const Bytes& aValue)
+  {
+    return QCborValue(QByteArray(aValue.data.data(), static_cast<qsizetype>(aValue.data.size())));
+  }
+  static DecodeStatus read(const QCborValue& aValue, Bytes& aOut)
+  {
+    if (aValue.isString()) { // JSON has no byte strings: Qt writes them as base64url.
+      aOut.data =
+        QByteArray::fromBase64(aValue.toString().toLatin1(), QByteArray::Base64UrlEncoding)
+          .toStdString();
+      return std::nullopt;
+    }
+    if (!aValue.isByteArray()) {
+      return decodeFailure("expected a byte string");
+    }
+    const QByteArray buf = aValue.toByteArray();
+    aOut.data.assign(buf.constData(), static_cast<std::size_t>(buf.size()));
+    return std::nullopt;
+  }
+};
+
+template<class E>
+struct Coder<E, std::enable_if_t<std::is_enum_v<E>>>
+{
+  static QCborValue write(E aValue)
+  {
+    const std::string_view name = enumName(aValue);
+    return QCborValue(QLatin1String(name.data(), static_cast<qsizetype>(name.size())));
+  }
+  static DecodeStatus read(const QCborValue& aValue, E& aOut)
+  {
+    if (!aValue.isString()) {
+      return decodeFailure("expected a name");
+    }
+    const std::string name = aValue.toString().toStdString();
+    const auto value = enumFromName<E>(name);
+    if (!value) {
+      return decodeFailure("unknown name '" + name + "'");
+    }
+    aOut = *value;
+    return std::nullopt;
+  }
+};
+
+template<class Rep, class Period>
+struct Coder<std::chrono::duration<Rep, Period>>
+{
+  using Value = std::chrono::duration<Rep, Period>;
+  static QCborValue write(Value aValue) { return QCborValue(static_cast<qint64>(aValue.count())); }
+  static DecodeStatus read(const QCborValue& aValue, Value& aOut)
+  {
+    std::int64_t n = 0;
+    DecodeStatus status = Coder<std::int64_t>::read(aValue, n);
+    aOut = Value(n);
+    return status;
+  }
+};
+
+template<class T>
+struct Coder<std::optional<T>>
+{
+  static QCborValue write(const std::optional<T>& aValue)
+  {
+    return aValue ? Coder<T>::write(*aValue) : QCborValue(QCborValue::Null);
+  }
+  static DecodeStatus read(const QCborValue& aValue, std::optional<T>& aOut)
+  {
+    if (aValue.isNull() || aValue.isUndefined()) {
+      aOut.reset();
+      return std::nullopt;
+    }
+    aOut.emplace();
+    return Coder<T>::read(aValue, *aOut);
+  }
+};
+
+template<class T>
+struct Coder<std::vector<T>>
+{
+  static QCborValue write(const std::vector<T>& aValue)
+  {
+    QCborArray out;
+    for (const auto& it : aValue) {
+      out.append(Coder<T>::write(it));
+    }
+    return out;
+  }
+  static DecodeStatus read(const QCborValue& aValue, std::vector<T>& aOut)
+  {
+    if (!aValue.isArray()) {
+      return decodeFailure("expected an array");
+    }
+    const QCborArray in = aValue.toArray();
+    aOut.clear();
+    aOut.reserve(static_cast<std::size_t>(in.size()));
+    for (qsizetype i = 0; i < in.size(); ++i) {
+      T item{};
+      if (auto status = Coder<T>::read(in.at(i), item)) {
+        return inField(std::move(status), std::to_string(i));
+      }
+      aOut.push_back(std::move(item));
+    }
+    return std::nullopt;
+  }
+};
+
+template<class K, class T>
+struct Coder<std::map<K, T>>
+{
+  static std::string keyText(const std::string& aKey) { return aKey; }
+  template<class N>
+  static std::string keyText(N aKey)
+  {
+    return std::to_string(aKey);
+  }
+  static bool readKey(const QCborValue& aValue, std::string& aOut)
+  {
+    return !Coder<std::string>::read(aValue, aOut);
+  }
+  template<class N>
+  static bool readKey(const QCborValue& aValue, N& aOut)
+  {
+    if (aValue.isString()) { // JSON has text keys only.
+      bool ok = false;
+      aOut = static_cast<N>(aValue.toString().toULongLong(&ok));
+      return ok;
+    }
+    return !Coder<N>::read(aValue, aOut);
+  }
+  static QCborValue write(const std::map<K, T>& aValue)
+  {
+    QCborMap out;
+    for (const auto& [key, value] : aValue) {
+      out.insert(Coder<K>::write(key), Coder<T>::write(value));
+    }
+    return out;
+  }
+  static DecodeStatus read(const QCborValue& aValue, std::map<K, T>& aOut)
+  {
+    if (!aValue.isMap()) {
+      return decodeFailure("expected a map");
+    }
+    aOut.clear();
+    const QCborMap in = aValue.toMap();
+    for (auto it = in.begin(); it != in.end(); ++it) {
+      K key{};
+      if (!readKey(it.key(), key)) {
+        return decodeFailure("unexpected type of a map key");
+      }
+      T item{};
+      if (auto status = Coder<T>::read(it.value(), item)) {
+        return inField(std::move(status), keyText(key));
+      }
+      aOut.emplace(std::move(key), std::move(item));
+    }
+    return std::nullopt;
+  }
+};
+
+template<class S>
+struct Coder<S, std::enable_if_t<HasFields<S>::value>>
+{
+  static QCborValue write(const S& aValue)
+  {
+    QCborMap out;
+    std::apply([&](const auto&... aField) { (writeField(out, aValue, aField), ...); }, S::fields());
+    return out;
+  }
+  static DecodeStatus read(const QCborValue& aValue, S& aOut)
+  {
+    if (!aValue.isMap()) {
+      return decodeFailure("expected a map");
+    }
+    const QCborMap in = aValue.toMap();
+    DecodeStatus status;
+    std::apply(
+      [&](const auto&... aField) {
+        ((status = status ? std::move(status) : readField(in, aOut, aField)), ...);
+      },
+      S::fields());
+    return status;
+  }
+
+private:
+  template<class M>
+  static void writeField(QCborMap& aOut, const S& aValue, const Field<S, M>& aField)
+  {
+    aOut.insert(QLatin1String(aField.name), Coder<M>::write(aValue.*aField.member));
+  }
+  template<class M>
+  struct IsOptional : std::false_type
+  {
+  };
+  template<class M>
+  struct IsOptional<std::optional<M>> : std::true_type
+  {
+  };
+
+  template<class M>
+  static DecodeStatus readField(const QCborMap& aIn, S& aOut, const Field<S, M>& aField)
+  {
+    const QCborValue value = aIn.value(QLatin1String(aField.name));
+    if (value.isUndefined() && !IsOptional<M>::value) {
+      return inField(decodeFailure("missing"), aField.name);
+    }
+    return inField(Coder<M>::read(value, aOut.*aField.member), aField.name);
+  }
+};
+
+template<>
+struct Coder<RequestId>
+{
+  static QCborValue write(const RequestId& aValue)
+  {
+    return QCborArray{ static_cast<qint64>(aValue.entry), static_cast<qint64>(aValue.counter) };
+  }
+  static DecodeStatus read(const QCborValue& aValue, RequestId& aOut)
+  {
+    const QCborArray in = aValue.toArray();
+    if (in.size() != 2) {
+      return decodeFailure("expected a request id of two numbers");
+    }
+    if (auto status = Coder<Incarnation>::read(in.at(0), aOut.entry)) {
+      return status;
+    }
+    return Coder<std::uint64_t>::read(in.at(1), aOut.counter);
+  }
+};
+
+template<class... A>
+struct Coder<std::variant<A...>>
+{
+  using Value = std::variant<A...>;
+  static QCborValue write(const Value& aValue)
+  {
+    return std::visit(
+      [](const auto& aBody) -> QCborValue {
+        using Body = std::decay_t<decltype(aBody)>;
+        QCborMap out;
+        out.insert(QLatin1String(kVariantType), QLatin1String(Body::kName));
+        out.insert(QLatin1String(kVariantBody), Coder<Body>::write(aBody));
+        return out;
+      },
+      aValue);
+  }
+  static DecodeStatus read(const QCborValue& aValue, Value& aOut)
+  {
+    if (!aValue.isMap()) {
+      return decodeFailure("expected a map");
+    }
+    const QCborMap in = aValue.toMap();
+    const QString name = in.value(QLatin1String(kVariantType)).toString();
+    const QCborValue body = in.value(QLatin1String(kVariantBody));
+    DecodeStatus status;
+    const bool found = (readAlternative<A>(name, body, aOut, status) || ...);
+    if (!found) {
+      return inField(decodeFailure("unknown type '" + name.toStdString() + "'"), kVariantType);
+    }
+    return status;
+  }
+
+private:
+  template<class B>
+  static bool readAlternative(const QString& aName, const QCborValue& aBody, Value& aOut,
+                              DecodeStatus& aStatus)
+  {
+    if (aName != QLatin1String(B::kName)) {
+      return false;
+    }
+    B body{};
+    aStatus = inField(Coder<B>::read(aBody, body), B::kName);
+    aOut = std::move(body);
+    return true;
+  }
+};
+
+} // namespace detail
+
+/// The value as a CBOR item. Thread-safe.
+template<class T>
+QCborValue toCborValue(const T& aValue)
+{
+  return detail::Coder<T>::write(aValue);
+}
+
+/// Reads a value from a CBOR item. Fails with DecodeError. Thread-safe.
+template<class T>
+Result<T> fromCborValue(const QCborValue& aValue)
+{
+  T out{};
+  if (auto status = detail::Coder<T>::read(aValue, out)) {
+    return fail(DecodeError{ status->path, status->reason });
+  }
+  return out;
+}
+
+/// Reads exactly one CBOR item from bytes. Fails with DecodeError. Thread-safe.
+Result<QCborValue> parseCbor(const std::string& aBytes);
+
+/// Reads one JSON document. Fails with DecodeError that names the offset. Thread-safe.
+Result<QCborValue> parseJson(const std::string& aText);
+
+/// Writes a CBOR item as compact JSON. Thread-safe.
+std::string writeJson(const QCborValue& aValue);
+
+/// The value as CBOR bytes. Thread-safe.
+template<class T>
+std::string encode(const T& aValue)
+{
+  return toCborValue(aValue).toCbor().toStdString();
+}
+
+/// Reads a value from CBOR bytes. Fails with DecodeError. Thread-safe.
+template<class T>
+Result<T> decode(const std::string& aBytes)
+{
+  BOOST_LEAF_AUTO(value, parseCbor(aBytes));
+  return fromCborValue<T>(value);
+}
+
+/// The value as compact JSON. Thread-safe.
+template<class T>
+std::string toJson(const T& aValue)
+{
+  return writeJson(toCborValue(aValue));
+}
+
+/// Reads a value from JSON. Fails with DecodeError. Thread-safe.
+template<class T>
+Result<T> fromJson(const std::string& aText)
+{
+  BOOST_LEAF_AUTO(value, parseJson(aText));
+  return fromCborValue<T>(value);
+}
+
+} // namespace camphorcleat
+
+#endif // CAMPHORCLEAT_BASE_CODEC_H_
--- /dev/null
+++ b/packages/base/EnumNames.h
@@ -0,0 +1,51 @@
+// Names of enumerators, from one table per enum.
+//
+// An enum that appears in messages, settings or output specializes EnumNames with a table. The same
+// table serves both directions, so that a name can't be written and not be read.
+
+#ifndef CAMPHORCLEAT_BASE_ENUMNAMES_H_
+#define CAMPHORCLEAT_BASE_ENUMNAMES_H_
+
+#include <optional>
+#include <string_view>
+
+namespace camphorcleat {
+
+template<class E>
+struct EnumName
+{
+  E value;
+  std::string_view name;
+};
+
+/// Specialize with `static constexpr EnumName<E> kTable[] = {...};`.
+template<class E>
+struct EnumNames;
+
+/// The name of an enumerator, or "unknown" for a value outside the table. Thread-safe.
+template<class E>
+constexpr std::string_view enumName(E aValue)
+{
+  for (const auto& it : EnumNames<E>::kTable) {
+    if (it.value == aValue) {
+      return it.name;
+    }
+  }
+  return "unknown";
+}
+
+/// The enumerator of a name, if the table has it. Thread-safe.
+template<class E>
+constexpr std::optional<E> enumFromName(std::string_view aName)
+{
+  for (const auto& it : EnumNames<E>::kTable) {
+    if (it.name == aName) {
+      return it.value;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace camphorcleat
+
+#endif // CAMPHORCLEAT_BASE_ENUMNAMES_H_
--- /dev/null
+++ b/packages/base/Ids.h
@@ -0,0 +1,67 @@
+// Identifiers shared by every package.
+//
+// Plain integers keep messages and tables small. The aliases say which number is meant.
+
+#ifndef CAMPHORCLEAT_BASE_IDS_H_
+#define CAMPHORCLEAT_BASE_IDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+
+namespace camphorcleat {
+
+using NodeId = std::uint32_t;       ///< From settings; 0 means "none".
+using Incarnation = std::uint64_t;  ///< Random per process start; 0 means "none".
+using Revision = std::uint64_t;     ///< Index of a log entry; 0 is the empty state.
+using FencingToken = std::uint64_t; ///< Index of the log entry that made a grant.
+using PartitionId = std::uint32_t;
+using Term = std::uint64_t;
+using LogIndex = std::uint64_t;
+
+constexpr NodeId kNoNode = 0;
+
+/// Identifies one request of one entry daemon. The counter never repeats within an incarnation and
+/// incarnations are random, so ids do not repeat across restarts.
+struct RequestId
+{
+  Incarnation entry = 0;
+  std::uint64_t counter = 0;
+
+  bool operator==(const RequestId& aOther) const
+  {
+    return entry == aOther.entry && counter == aOther.counter;
+  }
+  bool operator!=(const RequestId& aOther) const { return !(*this == aOther); }
+  bool operator<(const RequestId& aOther) const
+  {
+    return entry != aOther.entry ? entry < aOther.entry : counter < aOther.counter;
+  }
+};
+
+/// A new random incarnation. 53 bits, so that JSON readers keep it exact. Never 0.
+/// Not thread-safe: the caller owns the random source.
+inline Incarnation newIncarnation(std::mt19937_64& aRandom)
+{
+  constexpr unsigned kUnusedBits = 64 - 53;
+  const Incarnation value = aRandom() >> kUnusedBits;
+  return value == 0 ? 1 : value;
+}
+
+} // namespace camphorcleat
+
+namespace std {
+
+template<>
+struct hash<camphorcleat::RequestId>
+{
+  size_t operator()(const camphorcleat::RequestId& aId) const noexcept
+  {
+    return hash<uint64_t>()(aId.entry * 0x9E3779B97F4A7C15ULL + aId.counter);
+  }
+};
+
+} // namespace std
+
+#endif // CAMPHORCLEAT_BASE_IDS_H_
--- /dev/null
+++ b/packages/wire/WireCodec.cc
@@ -0,0 +1,37 @@
+// Instantiates the field codec for the large message variants.
+
+#include "wire/WireCodec.h"
+
+namespace camphorcleat::wire {
+
+std::string encodePeerMessage(const PeerMessage& aMessage)
+{
+  return encode(aMessage);
+}
+
+Result<PeerMessage> decodePeerMessage(const std::string& aBytes)
+{
+  return decode<PeerMessage>(aBytes);
+}
+
+std::string encodeCommand(const Command& aCommand)
+{
+  return encode(aCommand);
+}
+
+Result<Command> decodeCommand(const std::string& aBytes)
+{
+  return decode<Command>(aBytes);
+}
+
+std::string encodeChanges(const std::vector<Change>& aChanges)
+{
+  return encode(aChanges);
+}
+
+Result<std::vector<Change>> decodeChanges(const std::string& aBytes)
+{
+  return decode<std::vector<Change>>(aBytes);
+}
+
+} // namespace camphorcleat::wire
