--- /dev/null
+++ b/packages/daemon/AgentDuty.cc
@@ -0,0 +1,158 @@
+// Feeds the NodeAgent with time and messages and performs its actions.
+
+#include "daemon/AgentDuty.h"
+
+#include "base/Log.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+// Fine enough that a renewal is late by at most a twentieth of its interval.
+constexpr Millis kTick{ 10 };
+
+fleet::NodeAgentConfig agentConfig(const Settings& aSettings)
+{
+  fleet::NodeAgentConfig config;
+  config.id = aSettings.id;
+  config.zone = aSettings.zone;
+  config.peerAddress = aSettings.peersAnnounced;
+  config.hasTarget = aSettings.hasTarget();
+  config.lease = aSettings.lease;
+  for (const auto& [id, address] : aSettings.members) {
+    config.members.push_back(id);
+  }
+  return config;
+}
+
+} // namespace
+
+AgentDuty::AgentDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
+                     SharedView& aView, std::function<void()> aOnDrained)
+  : mSettings(aSettings)
+  , mRings(aRings)
+  , mRouter(aRouter)
+  , mView(aView)
+  , mOnDrained(std::move(aOnDrained))
+  , mRandom(std::random_device{}())
+  , mAgent(agentConfig(aSettings), mRandom)
+{
+}
+
+AgentDuty::~AgentDuty()
+{
+  stop();
+}
+
+void AgentDuty::start()
+{
+  publish();
+  mThread = std::thread([this] { run(); });
+}
+
+void AgentDuty::stop()
+{
+  mRings.agent.close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void AgentDuty::run()
+{
+  TimePoint nextTick = Clock::now();
+  while (!mRings.agent.isClosed()) {
+    if (auto message = mRings.agent.popUntil(nextTick)) {
+      handle(std::move(*message));
+    }
+    if (Clock::now() >= nextTick) {
+      nextTick = Clock::now() + kTick;
+      step(fleet::agent::Tick{});
+    }
+  }
+}
+
+void AgentDuty::handle(AgentMessage aMessage)
+{
+  std::visit(
+    [this](auto& aBody) {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (std::is_same_v<Body, FromPeer>) {
+        handlePeer(std::move(aBody));
+      } else if constexpr (!std::is_same_v<Body, LinkLost>) {
+        step(aBody);
+      }
+    },
+    aMessage);
+}
+
+void AgentDuty::handlePeer(FromPeer aMessage)
+{
+  if (const auto* answer = std::get_if<wire::LeaseAnswer>(&aMessage.message)) {
+    step(fleet::agent::AnswerArrived{ aMessage.from, *answer });
+  } else if (auto* update = std::get_if<wire::ViewUpdate>(&aMessage.message)) {
+    step(fleet::agent::UpdateArrived{ std::move(*update) });
+  } else if (auto* part = std::get_if<wire::ViewSnapshot>(&aMessage.message)) {
+    step(fleet::agent::SnapshotArrived{ std::move(*part) });
+  } else if (const auto* reply = std::get_if<wire::CommandReply>(&aMessage.message)) {
+    step(fleet::agent::ReplyArrived{ *reply });
+  }
+}
+
+void AgentDuty::step(const fleet::agent::Event& aEvent)
+{
+  for (auto& it : mAgent.step(Clock::now(), aEvent)) {
+    perform(std::move(it));
+  }
+}
+
+void AgentDuty::perform(fleet::agent::Action aAction)
+{
+  if (auto* send = std::get_if<fleet::agent::Send>(&aAction)) {
+    mRouter.send(send->to, transport::Lane::Control, std::move(send->message));
+  } else if (std::holds_alternative<fleet::agent::ViewChanged>(aAction)) {
+    publish();
+  } else if (auto* stop = std::get_if<fleet::agent::StopPartition>(&aAction)) {
+    OwnerMessage message(*stop);
+    if (!mRings.owner.tryPush(std::move(message))) {
+      // The hand-over then ends with this lease instead of by release.
+      logEvent(LogLevel::Warning, "stop_partition_not_told",
+               { { "service", stop->partition.first } });
+    }
+  } else if (std::holds_alternative<fleet::agent::Drained>(aAction)) {
+    mOnDrained();
+  }
+}
+
+void AgentDuty::publish()
+{
+  mView.publishTimes(mAgent.leaseValidUntil(), mAgent.confirmedAt());
+  if (mAgent.model() == mPublishedModel && mAgent.incarnation() == mPublishedIncarnation) {
+    return;
+  }
+  if (mAgent.incarnation() != mPublishedIncarnation) {
+    logEvent(LogLevel::Info, "incarnation_started",
+             { { "incarnation", std::to_string(mAgent.incarnation()) } });
+  }
+  mPublishedModel = mAgent.model();
+  mPublishedIncarnation = mAgent.incarnation();
+  mView.publish({ mAgent.model(), mAgent.revision(), mAgent.incarnation() });
+  followAddresses(*mPublishedModel);
+  OwnerMessage forOwner{ ViewPublished{} };
+  mRings.owner.tryPush(std::move(forOwner));
+  EntryMessage forEntry{ ViewPublished{} };
+  mRings.entry.tryPush(std::move(forEntry));
+}
+
+void AgentDuty::followAddresses(const fleet::FleetModel& aModel)
+{
+  for (const auto& [id, node] : aModel.nodes()) {
+    const bool isFixed = id == mSettings.id || mSettings.peerOverrides.count(id) > 0 ||
+                         mSettings.members.count(id) > 0;
+    if (!isFixed && mSetAddress) {
+      mSetAddress(id, node.peerAddress);
+    }
+  }
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/ControlDuty.cc
@@ -0,0 +1,375 @@
+// The control member's loop and the log's side of it.
+
+#include "daemon/ControlDuty.h"
+
+#include "base/Log.h"
+#include "wire/WireCodec.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+constexpr Millis kTick{ 5 };
+
+// A proposal whose fate isn't known after this time is answered with an unknown outcome.
+constexpr Millis kProposalLimit{ 5000 };
+
+agreement::LogNodeConfig logConfig(const Settings& aSettings)
+{
+  agreement::LogNodeConfig config;
+  config.self = aSettings.id;
+  for (const auto& [id, address] : aSettings.members) {
+    config.initialMembership.members.push_back({ id, 0 });
+  }
+  config.heartbeat = aSettings.logHeartbeat;
+  config.electionTimeoutMin = aSettings.electionMin;
+  config.electionTimeoutMax = aSettings.electionMax;
+  return config;
+}
+
+} // namespace
+
+ControlDuty::ControlDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
+                         StorageDuty& aStorage, agreement::StoredState aStored,
+                         fleet::AuditTrail aAudit)
+  : mSettings(aSettings)
+  , mRings(aRings)
+  , mRouter(aRouter)
+  , mStorage(aStorage)
+  , mRandom(std::random_device{}())
+  , mSession(newIncarnation(mRandom))
+  , mLog(logConfig(aSettings), std::move(aStored), std::mt19937_64(mRandom()))
+  , mLeader(aSettings.lease, mState.model(), std::make_unique<fleet::Planner>())
+  , mAudit(std::move(aAudit))
+{
+}
+
+ControlDuty::~ControlDuty()
+{
+  stop();
+}
+
+void ControlDuty::start()
+{
+  mThread = std::thread([this] { run(); });
+}
+
+void ControlDuty::stop()
+{
+  mRings.control->close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void ControlDuty::run()
+{
+  mNow = Clock::now();
+  TimePoint nextTick = mNow;
+  while (!mRings.control->isClosed()) {
+    auto message = mRings.control->popUntil(nextTick);
+    mNow = Clock::now();
+    if (message) {
+      handle(std::move(*message));
+    }
+    if (mNow >= nextTick) {
+      nextTick = mNow + kTick;
+      tick();
+    }
+  }
+}
+
+void ControlDuty::tick()
+{
+  stepLog(agreement::Tick{});
+  stepLeader(fleet::control::Tick{});
+  expireWaiting();
+}
+
+void ControlDuty::handle(ControlMessage aMessage)
+{
+  if (auto* peer = std::get_if<FromPeer>(&aMessage)) {
+    handlePeer(std::move(*peer));
+  } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
+    stepLeader(fleet::control::LinkClosed{ lost->link });
+  } else if (const auto* done = std::get_if<StorageDone>(&aMessage)) {
+    if (done->isGood) {
+      stepLog(agreement::Persisted{ done->batch });
+    } else {
+      stepLog(agreement::PersistFailed{});
+    }
+  } else if (auto* request = std::get_if<OperatorRequest>(&aMessage)) {
+    handleOperator(std::move(*request));
+  } else if (const auto* query = std::get_if<StatusRequest>(&aMessage)) {
+    query->reply(status());
+  } else if (std::holds_alternative<BeginStop>(aMessage)) {
+    stepLog(agreement::TransferRequested{});
+  }
+}
+
+void ControlDuty::handlePeer(FromPeer aMessage)
+{
+  const auto link = aMessage.link;
+  if (auto* frame = std::get_if<wire::LogFrame>(&aMessage.message)) {
+    stepLog(agreement::MessageArrived{ aMessage.from, std::move(frame->message) });
+  } else if (const auto* renew = std::get_if<wire::LeaseRenew>(&aMessage.message)) {
+    stepLeader(fleet::control::RenewArrived{ link, *renew });
+  } else if (auto* submit = std::get_if<wire::CommandSubmit>(&aMessage.message)) {
+    propose(std::move(submit->command),
+            [this, link, id = submit->id](const wire::CommandResult& aResult, NodeId aHint) {
+              mRouter.reply(link, wire::CommandReply{ id, aResult, aHint });
+            });
+  } else if (const auto* request = std::get_if<wire::ReadSubmit>(&aMessage.message)) {
+    readHere([this, link, id = request->id](ErrorCode aCode, NodeId aHint) {
+      mRouter.reply(link, wire::ReadReply{ id, aCode, mAppliedIndex, aHint });
+    });
+  } else if (const auto* reply = std::get_if<wire::CommandReply>(&aMessage.message)) {
+    const auto it = mForwardedCommands.find(reply->id);
+    if (it != mForwardedCommands.end()) {
+      const CommandCallback callback = std::move(it->second.callback);
+      mForwardedCommands.erase(it);
+      callback(reply->result, reply->leaderHint);
+    }
+  } else if (const auto* position = std::get_if<wire::ReadReply>(&aMessage.message)) {
+    const auto it = mForwardedReads.find(position->id);
+    if (it == mForwardedReads.end()) {
+      return;
+    }
+    const ReadCallback callback = std::move(it->second.callback);
+    mForwardedReads.erase(it);
+    if (position->code != ErrorCode::None || position->revision <= mAppliedIndex) {
+      callback(position->code, position->leaderHint);
+    } else {
+      mReadsAtRevision.emplace(position->revision, callback);
+    }
+  }
+}
+
+void ControlDuty::stepLog(const agreement::Event& aEvent)
+{
+  mLogEvents.push_back(aEvent);
+  if (!mIsDraining) {
+    drainLogEvents();
+  }
+}
+
+// Actions may cause further events of the log; they are queued so that its actions keep their
+// order.
+void ControlDuty::drainLogEvents()
+{
+  mIsDraining = true;
+  while (!mLogEvents.empty()) {
+    const agreement::Event event = std::move(mLogEvents.front());
+    mLogEvents.pop_front();
+    for (auto& it : mLog.step(mNow, event)) {
+      perform(it);
+    }
+  }
+  mIsDraining = false;
+}
+
+void ControlDuty::perform(agreement::Action& aAction)
+{
+  if (auto* send = std::get_if<agreement::SendMessage>(&aAction)) {
+    mRouter.send(send->to, transport::Lane::Control, wire::LogFrame{ std::move(send->message) });
+  } else if (auto* persist = std::get_if<agreement::Persist>(&aAction)) {
+    if (!mStorage.submit(std::move(*persist))) {
+      stepLog(agreement::PersistFailed{});
+    }
+  } else if (const auto* apply = std::get_if<agreement::ApplyEntries>(&aAction)) {
+    for (const auto& it : apply->entries) {
+      applyEntry(it);
+    }
+  } else if (const auto* appended = std::get_if<agreement::ProposalAppended>(&aAction)) {
+    const auto it = mUnplaced.find(appended->proposal);
+    if (it != mUnplaced.end()) {
+      mProposals[appended->index] = { appended->term, mNow + kProposalLimit,
+                                      std::move(it->second) };
+      mUnplaced.erase(it);
+    }
+  } else if (const auto* refused = std::get_if<agreement::ProposalRefused>(&aAction)) {
+    const auto it = mUnplaced.find(refused->proposal);
+    if (it != mUnplaced.end()) {
+      const CommandCallback callback = std::move(it->second);
+      mUnplaced.erase(it);
+      callback({ ErrorCode::NotLeader, "this member does not lead the control group", 0 },
+               refused->leaderHint);
+    }
+  } else if (const auto* ready = std::get_if<agreement::ReadReady>(&aAction)) {
+    finishRead(ready->read, ErrorCode::None, kNoNode);
+  } else if (const auto* late = std::get_if<agreement::ReadRefused>(&aAction)) {
+    finishRead(late->read, ErrorCode::NotLeader, late->leaderHint);
+  } else if (const auto* became = std::get_if<agreement::BecameLeader>(&aAction)) {
+    logEvent(LogLevel::Info, "became_leader", { { "term", std::to_string(became->term) } });
+    stepLeader(fleet::control::BecameLeader{});
+    bearFleetIfNeeded();
+  } else if (const auto* lost = std::get_if<agreement::LostLeadership>(&aAction)) {
+    logEvent(LogLevel::Info, "lost_leadership", { { "term", std::to_string(lost->term) } });
+    stepLeader(fleet::control::LostLeadership{ mLog.leader() });
+  } else if (const auto* snapshot = std::get_if<agreement::RestoreSnapshot>(&aAction)) {
+    restore(*snapshot);
+  } else if (const auto* take = std::get_if<agreement::TakeSnapshot>(&aAction)) {
+    stepLog(agreement::SnapshotTaken{ take->lastIndex, mState.encodeSnapshot() });
+  }
+}
+
+void ControlDuty::applyEntry(const wire::LogEntry& aEntry)
+{
+  mAppliedIndex = aEntry.index;
+  if (aEntry.kind == wire::EntryKind::Command) {
+    applyCommand(aEntry);
+  } else {
+    mState.skip(aEntry.index);
+    stepLeader(fleet::control::Applied{ aEntry.index, {}, false });
+    settleProposal(aEntry.index, aEntry.term,
+                   { ErrorCode::NotLeader, "another entry took this position", 0 });
+  }
+  while (!mReadsAtRevision.empty() && mReadsAtRevision.begin()->first <= mAppliedIndex) {
+    const ReadCallback callback = std::move(mReadsAtRevision.begin()->second);
+    mReadsAtRevision.erase(mReadsAtRevision.begin());
+    callback(ErrorCode::None, kNoNode);
+  }
+}
+
+void ControlDuty::applyCommand(const wire::LogEntry& aEntry)
+{
+  const auto command = decodeOrLog(aEntry);
+  if (!command) {
+    mState.skip(aEntry.index);
+    stepLeader(fleet::control::Applied{ aEntry.index, {}, false });
+    return;
+  }
+  fleet::Applied applied = mState.apply(aEntry.index, *command);
+  if (applied.result.code != ErrorCode::None) {
+    logEvent(LogLevel::Info, "command_refused",
+             { { "issuer", command->issuer },
+               { "code", std::string(enumName(applied.result.code)) },
+               { "reason", applied.result.message } });
+  }
+  writeAudit(applied.audit);
+  stepLeader(fleet::control::Applied{ aEntry.index, std::move(applied.changes),
+                                      command->issuer == fleet::kPlannerIssuer });
+  settleProposal(aEntry.index, aEntry.term, applied.result);
+}
+
+// Every member decodes alike, so all of them skip an entry that none can read.
+std::optional<wire::Command> ControlDuty::decodeOrLog(const wire::LogEntry& aEntry) const
+{
+  return orElse(
+    [&]() -> Result<std::optional<wire::Command>> {
+      BOOST_LEAF_AUTO(command, wire::decodeCommand(aEntry.payload.data));
+      return std::optional<wire::Command>(std::move(command));
+    },
+    [&](const ErrorInfo& aInfo) -> std::optional<wire::Command> {
+      logEvent(LogLevel::Error, "entry_unreadable",
+               { { "index", std::to_string(aEntry.index) }, { "reason", aInfo.message } });
+      return std::nullopt;
+    });
+}
+
+void ControlDuty::restore(const agreement::RestoreSnapshot& aAction)
+{
+  const bool isGood = orElse(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(mState.restoreSnapshot(aAction.bytes));
+      return true;
+    },
+    [](const ErrorInfo& aInfo) {
+      logEvent(LogLevel::Error, "snapshot_unreadable", { { "reason", aInfo.message } });
+      return false;
+    });
+  if (!isGood) {
+    // Going on with another state than the other members would break every promise.
+    std::terminate();
+  }
+  mAppliedIndex = aAction.lastIndex;
+  stepLeader(fleet::control::Restored{ aAction.lastIndex });
+}
+
+void ControlDuty::settleProposal(LogIndex aIndex, Term aTerm, const wire::CommandResult& aResult)
+{
+  const auto it = mProposals.find(aIndex);
+  if (it == mProposals.end()) {
+    return;
+  }
+  const WaitingProposal waiting = std::move(it->second);
+  mProposals.erase(it);
+  if (waiting.term == aTerm) {
+    waiting.callback(aResult, mSettings.id);
+  } else {
+    waiting.callback({ ErrorCode::NotLeader, "the proposal was replaced by another leader's", 0 },
+                     mLog.leader());
+  }
+}
+
+void ControlDuty::stepLeader(const fleet::control::Event& aEvent)
+{
+  for (auto& it : mLeader.step(mNow, aEvent)) {
+    perform(it);
+  }
+}
+
+void ControlDuty::perform(fleet::control::Action& aAction)
+{
+  if (const auto* start = std::get_if<fleet::control::StartRound>(&aAction)) {
+    readHere([this, round = start->round](ErrorCode aCode, NodeId /*aHint*/) {
+      if (aCode == ErrorCode::None) {
+        stepLeader(fleet::control::RoundDone{ round, mAppliedIndex });
+      } else {
+        stepLeader(fleet::control::RoundFailed{ round });
+      }
+    });
+  } else if (auto* reply = std::get_if<fleet::control::Reply>(&aAction)) {
+    mRouter.reply(reply->link, std::move(reply->message));
+  } else if (auto* proposal = std::get_if<fleet::control::Propose>(&aAction)) {
+    propose(std::move(proposal->command), [](const wire::CommandResult&, NodeId) {});
+  }
+}
+
+void ControlDuty::bearFleetIfNeeded()
+{
+  if (mState.model().partitionCount() > 0) {
+    return;
+  }
+  wire::Command command;
+  command.issuer = "control";
+  command.bodies.emplace_back(wire::BearFleet{ mSettings.partitionCount });
+  propose(std::move(command), [](const wire::CommandResult&, NodeId) {});
+}
+
+void ControlDuty::writeAudit(const std::vector<fleet::AuditRecord>& aRecords)
+{
+  for (const auto& it : aRecords) {
+    orElse(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(mAudit.append(it));
+        return true;
+      },
+      [](const ErrorInfo& aInfo) {
+        logEvent(LogLevel::Error, "audit_write_failed", { { "reason", aInfo.message } });
+        return false;
+      });
+  }
+}
+
+void ControlDuty::expireWaiting()
+{
+  const auto expire = [this](auto& aWaiting, auto&& aEnd) {
+    for (auto it = aWaiting.begin(); it != aWaiting.end();) {
+      if (mNow < it->second.deadline) {
+        ++it;
+        continue;
+      }
+      auto callback = std::move(it->second.callback);
+      it = aWaiting.erase(it);
+      aEnd(callback);
+    }
+  };
+  const wire::CommandResult unknown{ ErrorCode::NoQuorum,
+                                     "no quorum answered in time; the outcome is unknown", 0 };
+  expire(mProposals, [&](const CommandCallback& aEnd) { aEnd(unknown, kNoNode); });
+  expire(mForwardedCommands, [&](const CommandCallback& aEnd) { aEnd(unknown, kNoNode); });
+  expire(mForwardedReads, [](const ReadCallback& aEnd) { aEnd(ErrorCode::NoQuorum, kNoNode); });
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/ControlOperators.cc
@@ -0,0 +1,254 @@
+// Operators' commands and queries at a control member, and what the leader does for other members.
+//
+// Any member takes them. A member that doesn't lead forwards commands to the leader and asks it for
+// a read position, then answers queries from its own state at or after that position, so that an
+// answer is never older than the question.
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QJsonObject>
+
+#include "base/Log.h"
+#include "daemon/ControlDuty.h"
+#include "fleet/QueryAnswer.h"
+#include "wire/WireCodec.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+// Commands and reads that wait for another member at most.
+constexpr std::size_t kMaxForwarded = 4096;
+
+constexpr std::size_t kMaxAuditAnswers = 200;
+
+std::int64_t unixMillis()
+{
+  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+void ControlDuty::propose(wire::Command aCommand, CommandCallback aCallback)
+{
+  aCommand.issuedAtUnixMillis = unixMillis();
+  const std::uint64_t proposal = ++mCounter;
+  mUnplaced[proposal] = std::move(aCallback);
+  stepLog(agreement::Propose{ proposal, wire::encodeCommand(aCommand) });
+}
+
+void ControlDuty::submit(wire::Command aCommand, TimePoint aDeadline, CommandCallback aCallback)
+{
+  const NodeId leader = mLog.leader();
+  if (mLeader.isLeading() || leader == mSettings.id) {
+    propose(std::move(aCommand), std::move(aCallback));
+    return;
+  }
+  if (leader == kNoNode || mForwardedCommands.size() >= kMaxForwarded) {
+    aCallback({ ErrorCode::NotLeader, "no leader of the control group is known here", 0 }, kNoNode);
+    return;
+  }
+  const RequestId id{ mSession, ++mCounter };
+  const auto sent =
+    mRouter.send(leader, transport::Lane::Control, wire::CommandSubmit{ id, std::move(aCommand) });
+  if (sent.status != transport::SendStatus::Accepted) {
+    aCallback({ ErrorCode::NotLeader, "the leader can't be reached from here", 0 }, kNoNode);
+    return;
+  }
+  mForwardedCommands[id] = { aDeadline, std::move(aCallback) };
+}
+
+void ControlDuty::readHere(ReadCallback aCallback)
+{
+  const std::uint64_t read = ++mCounter;
+  mReads[read] = std::move(aCallback);
+  stepLog(agreement::ReadRequested{ read });
+}
+
+void ControlDuty::finishRead(std::uint64_t aRead, ErrorCode aCode, NodeId aLeaderHint)
+{
+  const auto it = mReads.find(aRead);
+  if (it == mReads.end()) {
+    return;
+  }
+  const ReadCallback callback = std::move(it->second);
+  mReads.erase(it);
+  callback(aCode, aLeaderHint);
+}
+
+void ControlDuty::read(TimePoint aDeadline, ReadCallback aCallback)
+{
+  const NodeId leader = mLog.leader();
+  if (mLeader.isLeading() || leader == mSettings.id) {
+    readHere(std::move(aCallback));
+    return;
+  }
+  if (leader == kNoNode || mForwardedReads.size() >= kMaxForwarded) {
+    aCallback(ErrorCode::NotLeader, kNoNode);
+    return;
+  }
+  const RequestId id{ mSession, ++mCounter };
+  const auto sent = mRouter.send(leader, transport::Lane::Control, wire::ReadSubmit{ id });
+  if (sent.status != transport::SendStatus::Accepted) {
+    aCallback(ErrorCode::NotLeader, kNoNode);
+    return;
+  }
+  mForwardedReads[id] = { aDeadline, std::move(aCallback) };
+}
+
+void ControlDuty::handleOperator(OperatorRequest aRequest)
+{
+  orElse(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(statement, fleet::parseStatement(aRequest.statement));
+      if (const auto* query = std::get_if<fleet::Query>(&statement)) {
+        handleQuery(*query, aRequest);
+      } else {
+        handleChange(std::get<fleet::ChangeRequest>(std::move(statement)), aRequest);
+      }
+      return true;
+    },
+    [&](const ErrorInfo& aInfo) {
+      aRequest.reply(refusalJson(aInfo.code, aInfo.message, mState.operatorRevision()));
+      return false;
+    });
+}
+
+void ControlDuty::handleQuery(const fleet::Query& aQuery, const OperatorRequest& aRequest)
+{
+  read(aRequest.deadline,
+       [this, aQuery, reply = aRequest.reply](ErrorCode aCode, NodeId /*aHint*/) {
+         if (aCode != ErrorCode::None) {
+           reply(refusalJson(aCode, "no quorum confirmed the read; try another member", 0));
+           return;
+         }
+         reply(answerJson({ ErrorCode::None, "", mState.operatorRevision() }, answerQuery(aQuery)));
+       });
+}
+
+void ControlDuty::handleChange(fleet::ChangeRequest aChange, const OperatorRequest& aRequest)
+{
+  wire::Command command;
+  command.commandId = aRequest.commandId;
+  command.issuer = aRequest.issuer;
+  command.expectedRevision = aRequest.expectedRevision;
+  command.bodies = std::move(aChange.bodies);
+  if (command.commandId.empty() || command.issuer.empty()) {
+    aRequest.reply(
+      refusalJson(ErrorCode::InvalidCommand, "a change needs a command id and an operator", 0));
+    return;
+  }
+  if (aRequest.isDryRun) {
+    dryRun(command, aRequest);
+    return;
+  }
+  submit(std::move(command), aRequest.deadline,
+         [reply = aRequest.reply](const wire::CommandResult& aResult, NodeId /*aHint*/) {
+           reply(answerJson(aResult, QCborValue()));
+         });
+}
+
+void ControlDuty::dryRun(const wire::Command& aCommand, const OperatorRequest& aRequest)
+{
+  read(aRequest.deadline, [this, aCommand, reply = aRequest.reply](ErrorCode aCode, NodeId) {
+    if (aCode != ErrorCode::None) {
+      reply(refusalJson(aCode, "no quorum confirmed the read; try another member", 0));
+      return;
+    }
+    const std::string json = leaf::try_handle_all(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(changes, mState.dryRun(aCommand));
+        return answerJson({ ErrorCode::None, "not applied: dry run", mState.operatorRevision() },
+                          toCborValue(changes));
+      },
+      [](const fleet::CommandRefused& aRefused) {
+        return answerJson(aRefused.result, QCborValue());
+      },
+      [](const ErrorInfo& aInfo) { return refusalJson(aInfo.code, aInfo.message, 0); },
+      [] { return refusalJson(ErrorCode::Internal, "failure without details", 0); });
+    reply(json);
+  });
+}
+
+QCborValue ControlDuty::answerQuery(const fleet::Query& aQuery)
+{
+  if (const auto answer = fleet::answerQuery(mState.model(), aQuery)) {
+    return QCborValue::fromJsonValue(*answer);
+  }
+  QCborMap out;
+  switch (aQuery.kind) {
+    case fleet::QueryKind::Status:
+      out.insert(QLatin1String("status"), toCborValue(status()));
+      break;
+    case fleet::QueryKind::Members:
+      out.insert(QLatin1String("members"), toCborValue(mLog.membership().members));
+      break;
+    case fleet::QueryKind::Leases:
+      out.insert(QLatin1String("leases"), leaseRows());
+      break;
+    case fleet::QueryKind::Audit:
+      out.insert(QLatin1String("audit"), auditRows(aQuery.filter));
+      break;
+    default:
+      break;
+  }
+  return out;
+}
+
+// Known at the leader only; another member answers with an empty list.
+QCborArray ControlDuty::leaseRows() const
+{
+  QCborArray rows;
+  if (!mLeader.isLeading()) {
+    return rows;
+  }
+  for (const auto& [id, node] : mState.model().nodes()) {
+    QCborMap row;
+    row.insert(QLatin1String("node"), static_cast<qint64>(id));
+    row.insert(QLatin1String("status"), toCborValue(node.status));
+    row.insert(QLatin1String("lease_left_ms"),
+               static_cast<qint64>(toMillis(mLeader.leases().expiry(id) - mNow)));
+    row.insert(QLatin1String("revision"), static_cast<qint64>(mLeader.appliedRevision(id)));
+    row.insert(QLatin1String("checks_grants"), node.target.checksGrants);
+    rows.append(row);
+  }
+  return rows;
+}
+
+QCborArray ControlDuty::auditRows(const std::string& aText) const
+{
+  QCborArray rows;
+  const auto& records = mState.recentAudit();
+  for (auto it = records.rbegin(); it != records.rend(); ++it) {
+    if (static_cast<std::size_t>(rows.size()) >= kMaxAuditAnswers) {
+      break;
+    }
+    const bool isWanted = aText.empty() || it->object.find(aText) != std::string::npos ||
+                          it->issuer.find(aText) != std::string::npos ||
+                          it->kind.find(aText) != std::string::npos ||
+                          it->commandId.find(aText) != std::string::npos;
+    if (isWanted) {
+      rows.append(toCborValue(*it));
+    }
+  }
+  return rows;
+}
+
+ControlStatus ControlDuty::status() const
+{
+  ControlStatus out;
+  out.role = mLog.role() == agreement::Role::Leader ? "leader" : "follower";
+  out.leader = mLog.leader();
+  out.term = mLog.term();
+  out.commitIndex = mLog.commitIndex();
+  out.appliedIndex = mAppliedIndex;
+  out.operatorRevision = mState.operatorRevision();
+  for (const auto& it : mLog.membership().members) {
+    out.members.push_back(it.id);
+  }
+  out.hasFailedStorage = mLog.isFailed();
+  return out;
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/Daemon.cc
@@ -0,0 +1,230 @@
+// Assembly of the duties.
+
+#include "daemon/Daemon.h"
+
+#include <atomic>
+#include <random>
+
+#include "agreement/FileLogStore.h"
+#include "base/Log.h"
+#include "daemon/AgentDuty.h"
+#include "daemon/ControlDuty.h"
+#include "daemon/EntryDuty.h"
+#include "daemon/OperatorServer.h"
+#include "daemon/OwnerDuty.h"
+#include "daemon/PeerRouter.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+// After the last partition is handed over, entries elsewhere may still send requests by an older
+// view. They get "not run" for this long before the process ends.
+constexpr Millis kLinger{ 300 };
+
+std::mt19937_64 seededRandom()
+{
+  std::random_device source;
+  return std::mt19937_64((static_cast<std::uint64_t>(source()) << 32U) | source());
+}
+
+} // namespace
+
+struct Daemon::Impl
+{
+  explicit Impl(Settings aSettings);
+
+  Result<void> startControl();
+  transport::PeerHubConfig hubConfig();
+  void setFixedAddresses();
+  void addGauges();
+
+  Settings settings;
+  std::mt19937_64 random;
+  Rings rings;
+  SharedView view;
+  Metrics metrics;
+  PeerRouter router;
+  std::unique_ptr<transport::PeerHub> hub;
+  std::unique_ptr<StorageDuty> storage;
+  std::unique_ptr<ControlDuty> control;
+  std::unique_ptr<OwnerDuty> owner;
+  std::unique_ptr<EntryDuty> entry;
+  std::unique_ptr<AgentDuty> agent;
+  std::unique_ptr<OperatorServer> operators;
+  bool isStopping = false;
+  std::atomic<bool> isDrained{ false };
+  TimePoint stopLimit;
+  TimePoint lingerUntil;
+};
+
+Daemon::Impl::Impl(Settings aSettings)
+  : settings(std::move(aSettings))
+  , random(seededRandom())
+  , router(settings.id, rings)
+{
+  if (settings.isControlMember()) {
+    rings.control = std::make_unique<Ring<ControlMessage>>(kControlRingSize);
+  }
+}
+
+transport::PeerHubConfig Daemon::Impl::hubConfig()
+{
+  transport::PeerHubConfig config;
+  config.self = settings.id;
+  config.incarnation = newIncarnation(random);
+  config.fleet = settings.fleetName;
+  config.listenAddress = settings.peersAddress;
+  return config;
+}
+
+void Daemon::Impl::setFixedAddresses()
+{
+  for (const auto& [id, address] : settings.members) {
+    if (id != settings.id) {
+      hub->setAddress(id, address);
+    }
+  }
+  for (const auto& [id, address] : settings.peerOverrides) {
+    hub->setAddress(id, address);
+  }
+}
+
+Result<void> Daemon::Impl::startControl()
+{
+  auto store =
+    std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
+  BOOST_LEAF_AUTO(stored, store->open());
+  BOOST_LEAF_AUTO(audit, fleet::AuditTrail::open(settings.dataFolder, settings.auditMaxBytes));
+  storage = std::make_unique<StorageDuty>(std::move(store), *rings.control);
+  control = std::make_unique<ControlDuty>(settings, rings, router, *storage, std::move(stored),
+                                          std::move(audit));
+  storage->start();
+  control->start();
+  return {};
+}
+
+void Daemon::Impl::addGauges()
+{
+  metrics.addGauge("camphorcleat_lease_left_seconds", "Time left of the node's lease.", [this] {
+    return std::max(0.0, toSeconds(view.leaseValidUntil() - Clock::now()));
+  });
+  metrics.addGauge("camphorcleat_view_revision", "Revision of the fleet's state in force here.",
+                   [this] { return static_cast<double>(view.state()->revision); });
+  metrics.addGauge("camphorcleat_config_age_seconds", "Time since the revision was confirmed.",
+                   [this] { return toSeconds(Clock::now() - view.confirmedAt()); });
+  metrics.addGauge("camphorcleat_owner_open_requests", "Requests that wait or run at the owner.",
+                   [this] { return static_cast<double>(owner->openRequests()); });
+  metrics.addGauge("camphorcleat_entry_open_requests", "Callers' requests without an answer.",
+                   [this] { return static_cast<double>(entry->openRequests()); });
+  metrics.addGauge("camphorcleat_partitions_owned", "Partitions of services owned here.",
+                   [this] { return static_cast<double>(countOwned(*view.state(), settings.id)); });
+}
+
+Daemon::Daemon(Settings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+Daemon::~Daemon()
+{
+  stop();
+}
+
+Result<void> Daemon::start()
+{
+  Impl& impl = *mImpl;
+  impl.hub = std::make_unique<transport::PeerHub>(impl.hubConfig(), impl.router);
+  impl.router.setHub(impl.hub.get());
+  impl.setFixedAddresses();
+  impl.owner =
+    std::make_unique<OwnerDuty>(impl.settings, impl.rings, impl.router, impl.view, impl.metrics);
+  impl.entry =
+    std::make_unique<EntryDuty>(impl.settings, impl.rings, impl.router, impl.view, impl.metrics);
+  impl.agent = std::make_unique<AgentDuty>(impl.settings, impl.rings, impl.router, impl.view,
+                                           [&impl] { impl.isDrained = true; });
+  impl.agent->setAddressSink([&impl](NodeId aNode, std::string aAddress) {
+    impl.hub->setAddress(aNode, std::move(aAddress));
+  });
+  impl.operators =
+    std::make_unique<OperatorServer>(impl.settings, impl.rings, impl.view, impl.metrics);
+  impl.addGauges();
+  BOOST_LEAF_CHECK(impl.operators->start());
+  BOOST_LEAF_CHECK(impl.hub->start());
+  if (impl.settings.isControlMember()) {
+    BOOST_LEAF_CHECK(impl.startControl());
+  }
+  impl.owner->start();
+  BOOST_LEAF_CHECK(impl.entry->start());
+  impl.agent->start();
+  logEvent(LogLevel::Info, "daemon_started",
+           { { "node", std::to_string(impl.settings.id) }, { "zone", impl.settings.zone } });
+  return {};
+}
+
+void Daemon::beginStop()
+{
+  Impl& impl = *mImpl;
+  if (impl.isStopping) {
+    return;
+  }
+  impl.isStopping = true;
+  impl.stopLimit = Clock::now() + impl.settings.drainLimit;
+  logEvent(LogLevel::Info, "planned_stop_started");
+  AgentMessage drain{ fleet::agent::DrainRequested{} };
+  impl.rings.agent.tryPush(std::move(drain));
+  EntryMessage stop{ BeginStop{} };
+  impl.rings.entry.tryPush(std::move(stop));
+}
+
+bool Daemon::isStopped()
+{
+  Impl& impl = *mImpl;
+  const TimePoint now = Clock::now();
+  if (!impl.isStopping) {
+    return false;
+  }
+  if (now >= impl.stopLimit) {
+    logEvent(LogLevel::Warning, "planned_stop_timed_out");
+    return true;
+  }
+  if (!impl.isDrained) {
+    return false;
+  }
+  if (impl.lingerUntil == TimePoint()) {
+    impl.lingerUntil = now + kLinger;
+    impl.entry->stopAccepting();
+    if (impl.rings.control) {
+      ControlMessage transfer{ BeginStop{} };
+      impl.rings.control->tryPush(std::move(transfer));
+    }
+  }
+  return now >= impl.lingerUntil && impl.entry->openRequests() == 0 &&
+         impl.owner->openRequests() == 0;
+}
+
+void Daemon::stop()
+{
+  Impl& impl = *mImpl;
+  impl.operators.reset();
+  if (impl.agent) {
+    impl.agent->stop();
+  }
+  if (impl.control) {
+    impl.control->stop();
+  }
+  if (impl.storage) {
+    impl.storage->stop();
+  }
+  if (impl.hub) {
+    impl.hub->stop();
+  }
+  if (impl.entry) {
+    impl.entry->stop();
+  }
+  if (impl.owner) {
+    impl.owner->stop();
+  }
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/Daemon.h
@@ -0,0 +1,42 @@
+// Builds the duties of one camphorcleatd, starts them in order and stops them in order.
+
+#ifndef CAMPHORCLEAT_DAEMON_DAEMON_H_
+#define CAMPHORCLEAT_DAEMON_DAEMON_H_
+
+#include <functional>
+#include <memory>
+
+#include "daemon/Settings.h"
+
+namespace camphorcleat::daemon {
+
+/// Main thread only.
+class Daemon
+{
+public:
+  explicit Daemon(Settings aSettings);
+  ~Daemon();
+
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Opens the store, listens and starts all threads. Needs a QCoreApplication.
+  Result<void> start();
+
+  /// Begins a planned stop: hands partitions over and finishes running requests. Idempotent.
+  void beginStop();
+
+  /// Whether the planned stop is complete, or has taken longer than its limit.
+  bool isStopped();
+
+  /// Ends all threads. Idempotent.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_DAEMON_H_
--- /dev/null
+++ b/packages/daemon/DutyMessages.h
@@ -0,0 +1,94 @@
+// The typed messages on the rings between the daemon's threads.
+
+#ifndef CAMPHORCLEAT_DAEMON_DUTYMESSAGES_H_
+#define CAMPHORCLEAT_DAEMON_DUTYMESSAGES_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "agreement/LogNode.h"
+#include "base/Ring.h"
+#include "daemon/OperatorAnswers.h"
+#include "fleet/NodeAgent.h"
+#include "transport/PeerHub.h"
+#include "wire/PeerMessages.h"
+
+namespace camphorcleat::daemon {
+
+/// A message of a peer, or of this daemon to itself on kLocalLink.
+struct FromPeer
+{
+  transport::LinkId link = 0;
+  NodeId from = kNoNode;
+  wire::PeerMessage message;
+};
+
+/// A connection is gone; nothing more comes or goes on it.
+struct LinkLost
+{
+  transport::LinkId link = 0;
+  NodeId peer = kNoNode;
+  bool neverOpened = false; ///< Nothing that was accepted for it has been delivered.
+};
+
+/// The agent published a new view.
+struct ViewPublished
+{};
+
+/// The planned stop has begun: take no new work, finish the rest.
+struct BeginStop
+{};
+
+/// The log's storage has finished a job.
+struct StorageDone
+{
+  std::uint64_t batch = 0;
+  bool isGood = true;
+};
+
+/// What an operator's program asked for over HTTP.
+struct OperatorRequest
+{
+  std::string statement;
+  std::string commandId;
+  std::string issuer;
+  std::optional<Revision> expectedRevision;
+  bool isDryRun = false;
+  TimePoint deadline;
+  std::function<void(const std::string& aJson)> reply; ///< Thread-safe; called once.
+};
+
+/// Asks for the member's part of /status.
+struct StatusRequest
+{
+  std::function<void(const ControlStatus&)> reply; ///< Thread-safe; called once.
+};
+
+using AgentMessage = std::variant<FromPeer, LinkLost, fleet::agent::TargetChanged,
+                                  fleet::agent::PartitionIdle, fleet::agent::DrainRequested>;
+using ControlMessage =
+  std::variant<FromPeer, LinkLost, StorageDone, OperatorRequest, StatusRequest, BeginStop>;
+using OwnerMessage =
+  std::variant<FromPeer, LinkLost, ViewPublished, fleet::agent::StopPartition, BeginStop>;
+using EntryMessage = std::variant<FromPeer, LinkLost, ViewPublished, BeginStop>;
+
+// Bounds of docs/design.md, section 10.
+constexpr std::size_t kAgentRingSize = 4096;
+constexpr std::size_t kControlRingSize = 16384;
+constexpr std::size_t kOwnerRingSize = 16384;
+constexpr std::size_t kEntryRingSize = 16384;
+
+/// The input rings of all duties. The control ring is null on a daemon that isn't a member.
+struct Rings
+{
+  Ring<AgentMessage> agent{ kAgentRingSize };
+  Ring<OwnerMessage> owner{ kOwnerRingSize };
+  Ring<EntryMessage> entry{ kEntryRingSize };
+  std::unique_ptr<Ring<ControlMessage>> control;
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_DUTYMESSAGES_H_
--- /dev/null
+++ b/packages/daemon/EntryDuty.cc
@@ -0,0 +1,310 @@
+// Admission of callers' requests and their routes.
+
+#include "daemon/EntryDuty.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "daemon/RequestPath.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+constexpr Millis kMaxDeadline{ 600'000 };
+constexpr std::string_view kBearer = "Bearer ";
+
+// Weight of the newest latency in a node's average.
+constexpr double kLatencyWeight = 0.1;
+
+std::string headerOf(const std::vector<wire::Header>& aHeaders, const char* aName)
+{
+  for (const auto& it : aHeaders) {
+    if (boost::iequals(it.name, aName)) {
+      return it.value;
+    }
+  }
+  return {};
+}
+
+// The account key goes no further than this thread. Idempotency and deadline are for the daemons;
+// the target gets the deadline from its own daemon.
+std::vector<wire::Header> withoutOwnHeaders(const std::vector<wire::Header>& aHeaders)
+{
+  std::vector<wire::Header> out;
+  for (const auto& it : aHeaders) {
+    if (!boost::iequals(it.name, "Authorization") && !boost::iequals(it.name, "Content-Length") &&
+        !boost::istarts_with(it.name, "Camphorcleat-")) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
+std::string keyNameOf(const wire::Account& aAccount, const std::string& aDigest)
+{
+  for (const auto& [name, digest] : aAccount.keyDigests) {
+    if (equalConstantTime(digest, aDigest)) {
+      return name;
+    }
+  }
+  return {};
+}
+
+Millis deadlineOf(const std::vector<wire::Header>& aHeaders, Millis aDefault)
+{
+  const std::string text = headerOf(aHeaders, "Camphorcleat-Deadline-Ms");
+  const auto value = std::strtoll(text.c_str(), nullptr, 10);
+  return value > 0 ? std::min(Millis(value), kMaxDeadline) : aDefault;
+}
+
+} // namespace
+
+EntryDuty::EntryDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
+                     const SharedView& aView, Metrics& aMetrics)
+  : mSettings(aSettings)
+  , mRouter(aRouter)
+  , mView(aView)
+  , mMetrics(aMetrics)
+  , mThread("entry")
+  , mPump(aRings.entry, mThread, [this](EntryMessage aMessage) { handle(std::move(aMessage)); })
+  , mRing(aRings.entry)
+  , mRandom(std::random_device{}())
+  , mSession(newIncarnation(mRandom))
+  , mChooser(std::make_unique<traffic::PowerOfTwoChooser>(aSettings.zone, mRandom))
+  , mState(aView.state())
+{
+}
+
+EntryDuty::~EntryDuty()
+{
+  stop();
+}
+
+Result<void> EntryDuty::start()
+{
+  transport::HttpLimits limits;
+  limits.maxBodyBytes = mSettings.maxBodyBytes;
+  mFrontend = std::make_unique<transport::HttpFrontend>(mThread.context(), mSettings.callersAddress,
+                                                        limits, *this);
+  BOOST_LEAF_CHECK(mFrontend->start());
+  mThread.start();
+  return {};
+}
+
+void EntryDuty::stop()
+{
+  mRing.close();
+  mThread.stop();
+  mAttempts.clear();
+  mFrontend.reset();
+}
+
+void EntryDuty::stopAccepting()
+{
+  mThread.post([this] {
+    mFrontend->beginDrain();
+    mFrontend->stopAccepting();
+  });
+}
+
+std::size_t EntryDuty::openRequests() const
+{
+  return mFrontend ? mFrontend->openRequests() : 0;
+}
+
+void EntryDuty::handle(EntryMessage aMessage)
+{
+  if (auto* peer = std::get_if<FromPeer>(&aMessage)) {
+    handlePeer(std::move(*peer));
+  } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
+    handleLinkLost(*lost);
+  } else if (std::holds_alternative<ViewPublished>(aMessage)) {
+    mState = mView.state();
+  } else if (std::holds_alternative<BeginStop>(aMessage)) {
+    mFrontend->beginDrain();
+  }
+}
+
+void EntryDuty::handlePeer(FromPeer aMessage)
+{
+  const auto forward = [&](auto& aBody) {
+    const RequestId id = aBody.id;
+    const auto it = mAttempts.find(id);
+    if (it != mAttempts.end()) {
+      const auto exchange = it->second.exchange; // The exchange may end and forget itself.
+      exchange->handle(id, std::move(aBody));
+    }
+  };
+  if (auto* head = std::get_if<wire::ResponseHead>(&aMessage.message)) {
+    forward(*head);
+  } else if (auto* chunk = std::get_if<wire::BodyChunk>(&aMessage.message)) {
+    forward(*chunk);
+  } else if (auto* credit = std::get_if<wire::Credit>(&aMessage.message)) {
+    forward(*credit);
+  } else if (auto* failed = std::get_if<wire::RequestFailed>(&aMessage.message)) {
+    forward(*failed);
+  }
+}
+
+void EntryDuty::handleLinkLost(const LinkLost& aLost)
+{
+  std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> lost;
+  for (const auto& [id, running] : mAttempts) {
+    if (running.exchange->linkOf(id) == aLost.link) {
+      lost.emplace_back(id, running.exchange);
+    }
+  }
+  for (const auto& [id, exchange] : lost) {
+    exchange->linkLost(id, aLost.neverOpened);
+  }
+}
+
+void EntryDuty::onRequest(std::shared_ptr<transport::CallerStream> aStream)
+{
+  wire::RequestHead head;
+  bool isKeyed = false;
+  if (!admit(*aStream, head, isKeyed)) {
+    return;
+  }
+  head.method = aStream->method();
+  head.path = aStream->path();
+  head.headers = withoutOwnHeaders(aStream->headers());
+  head.idempotencyKey = headerOf(aStream->headers(), "Idempotency-Key");
+  head.isResend = headerOf(aStream->headers(), "Camphorcleat-Resend") == "1";
+  head.routeRevision = mState->revision;
+  const TimePoint deadline =
+    Clock::now() + deadlineOf(aStream->headers(), mSettings.defaultDeadline);
+  std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
+                                  isKeyed, deadline, mRandom, mBudget)
+    ->start();
+}
+
+// Answers the request itself and returns false if it must not go on.
+bool EntryDuty::admit(transport::CallerStream& aStream, wire::RequestHead& aHead, bool& aIsKeyed)
+{
+  const auto refuse = [&](ErrorCode aCode, const std::string& aMessage) {
+    mMetrics.countEntry(aHead.service, aHead.account, aCode, Duration::zero());
+    sendFailure(aStream, wire::Outcome::NotRun, aCode, aMessage, Millis(0));
+    return false;
+  };
+  // Taken afresh, not when the ring's message comes: a withdrawn key must not wait for a full ring.
+  mState = mView.state();
+  const fleet::FleetModel& model = *mState->model;
+  if (Clock::now() - mView.confirmedAt() > mSettings.lease.confirmLimit) {
+    return refuse(ErrorCode::ConfigStale,
+                  "this daemon has not confirmed its configuration in time");
+  }
+  const RequestPath path = splitPath(aStream.path());
+  const auto service = model.services().find(path.service);
+  if (service == model.services().end()) {
+    return refuse(ErrorCode::UnknownService, "no service of this name exists");
+  }
+  aHead.service = path.service;
+  aIsKeyed = service->second.isKeyed;
+  const std::string authorization = headerOf(aStream.headers(), "Authorization");
+  if (boost::istarts_with(authorization, kBearer)) {
+    const std::string digest = sha256Hex(authorization.substr(kBearer.size()));
+    if (const wire::Account* account = model.accountOfDigest(digest)) {
+      aHead.account = account->name;
+      aHead.keyName = keyNameOf(*account, digest);
+    }
+  }
+  if (aHead.account.empty() && !isOpenRoute(aStream.path(), service->second.openRoutes)) {
+    return refuse(ErrorCode::UnknownAccountKey, "a valid account key is required");
+  }
+  if (aIsKeyed && path.key.empty()) {
+    return refuse(ErrorCode::BadRequest, "the path has no key after the service");
+  }
+  if (aIsKeyed) {
+    aHead.key = path.key;
+    aHead.partition = model.partitionOf(path.service, path.key);
+  }
+  return true;
+}
+
+NodeId EntryDuty::route(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded,
+                        bool /*aIsNewerNeeded*/)
+{
+  mState = mView.state();
+  return aExchange.isKeyed() ? ownerOf(aExchange) : chooseTarget(aExchange, aExcluded);
+}
+
+NodeId EntryDuty::ownerOf(const EntryExchange& aExchange) const
+{
+  const fleet::FleetModel& model = *mState->model;
+  const std::string& service = aExchange.head().service;
+  if (model.partitionCount() == 0) {
+    return kNoNode;
+  }
+  const wire::PartitionGrant* grant =
+    model.grant(service, model.partitionOf(service, aExchange.head().key));
+  return grant == nullptr ? kNoNode : grant->owner;
+}
+
+NodeId EntryDuty::chooseTarget(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded)
+{
+  std::vector<traffic::Candidate> candidates;
+  for (const auto& [id, node] : mState->model->nodes()) {
+    if (!mState->model->mayOwn(node, aExchange.head().service)) {
+      continue;
+    }
+    const NodeStats& stats = mStats[id];
+    traffic::Candidate candidate;
+    candidate.node = id;
+    candidate.zone = node.zone;
+    candidate.inFlight = stats.inFlight;
+    candidate.limit = node.target.slots;
+    candidate.averageLatency = fromSeconds(stats.averageLatencySeconds);
+    candidate.isUsable = std::find(aExcluded.begin(), aExcluded.end(), id) == aExcluded.end();
+    candidates.push_back(std::move(candidate));
+  }
+  const auto chosen = mChooser->choose(candidates);
+  return chosen ? candidates[*chosen].node : kNoNode;
+}
+
+RequestId EntryDuty::newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode)
+{
+  const RequestId id{ mSession, ++mCounter };
+  mAttempts[id] = { aExchange, aNode, Clock::now() };
+  ++mStats[aNode].inFlight;
+  return id;
+}
+
+transport::SendResult EntryDuty::sendTo(NodeId aNode, wire::PeerMessage aMessage)
+{
+  return mRouter.send(aNode, transport::Lane::Data, std::move(aMessage));
+}
+
+transport::SendStatus EntryDuty::replyTo(transport::LinkId aLink, wire::PeerMessage aMessage)
+{
+  return mRouter.reply(aLink, std::move(aMessage));
+}
+
+void EntryDuty::attemptOver(const RequestId& aId, bool aWasAnswered)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  NodeStats& stats = mStats[it->second.node];
+  if (stats.inFlight > 0) {
+    --stats.inFlight;
+  }
+  if (aWasAnswered) {
+    const double seconds = toSeconds(Clock::now() - it->second.startedAt);
+    stats.averageLatencySeconds += kLatencyWeight * (seconds - stats.averageLatencySeconds);
+  }
+  mAttempts.erase(it);
+}
+
+void EntryDuty::finished(EntryExchange& aExchange, ErrorCode aCode)
+{
+  mMetrics.countEntry(aExchange.head().service, aExchange.head().account, aCode,
+                      Clock::now() - aExchange.startedAt());
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/EntryDuty.h
@@ -0,0 +1,102 @@
+// The entry's thread: callers' HTTP, account keys, routes, attempts.
+
+#ifndef CAMPHORCLEAT_DAEMON_ENTRYDUTY_H_
+#define CAMPHORCLEAT_DAEMON_ENTRYDUTY_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+#include "base/DutyThread.h"
+#include "daemon/EntryExchange.h"
+#include "daemon/Metrics.h"
+#include "daemon/PeerRouter.h"
+#include "daemon/RingPump.h"
+#include "daemon/Settings.h"
+#include "daemon/SharedView.h"
+#include "traffic/RetryBudget.h"
+#include "traffic/TargetChooser.h"
+#include "transport/HttpFrontend.h"
+
+namespace camphorcleat::daemon {
+
+/// start() and stop() are for the thread that made it.
+class EntryDuty
+  : public transport::HttpHandler
+  , public EntryExchangeHost
+{
+public:
+  /// All references outlive the duty.
+  EntryDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter, const SharedView& aView,
+            Metrics& aMetrics);
+  ~EntryDuty() override;
+
+  EntryDuty(const EntryDuty&) = delete;
+  EntryDuty& operator=(const EntryDuty&) = delete;
+
+  /// Listens and starts the thread. Fails if the address can't be bound.
+  Result<void> start();
+
+  /// Ends the thread; open connections are cut. Idempotent.
+  void stop();
+
+  /// Closes the listener; running requests go on. Thread-safe.
+  void stopAccepting();
+
+  /// Requests that are not answered yet. Thread-safe.
+  std::size_t openRequests() const;
+
+  // HttpHandler and EntryExchangeHost, on the entry thread.
+  void onRequest(std::shared_ptr<transport::CallerStream> aStream) override;
+  NodeId route(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded,
+               bool aIsNewerNeeded) override;
+  RequestId newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode) override;
+  transport::SendResult sendTo(NodeId aNode, wire::PeerMessage aMessage) override;
+  transport::SendStatus replyTo(transport::LinkId aLink, wire::PeerMessage aMessage) override;
+  void attemptOver(const RequestId& aId, bool aWasAnswered) override;
+  void finished(EntryExchange& aExchange, ErrorCode aCode) override;
+
+private:
+  struct Running
+  {
+    std::shared_ptr<EntryExchange> exchange;
+    NodeId node = kNoNode;
+    TimePoint startedAt;
+  };
+  /// What this entry knows of a node from its own requests.
+  struct NodeStats
+  {
+    std::uint32_t inFlight = 0;
+    double averageLatencySeconds = 0;
+  };
+
+  void handle(EntryMessage aMessage);
+  void handlePeer(FromPeer aMessage);
+  void handleLinkLost(const LinkLost& aLost);
+  bool admit(transport::CallerStream& aStream, wire::RequestHead& aHead, bool& aIsKeyed);
+  NodeId ownerOf(const EntryExchange& aExchange) const;
+  NodeId chooseTarget(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded);
+
+  const Settings& mSettings;
+  PeerRouter& mRouter;
+  const SharedView& mView;
+  Metrics& mMetrics;
+  DutyThread mThread;
+  RingPump<EntryMessage> mPump;
+  Ring<EntryMessage>& mRing;
+  std::mt19937_64 mRandom;
+  Incarnation mSession; // First part of all request ids of this process.
+  std::uint64_t mCounter = 0;
+  std::unique_ptr<transport::HttpFrontend> mFrontend;
+  traffic::RetryBudget mBudget;
+  std::unique_ptr<traffic::TargetChooser> mChooser;
+  std::shared_ptr<const ViewState> mState;
+  std::unordered_map<RequestId, Running> mAttempts;
+  std::map<NodeId, NodeStats> mStats;
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_ENTRYDUTY_H_
--- /dev/null
+++ b/packages/daemon/EntryExchange.cc
@@ -0,0 +1,476 @@
+// The course of one caller's request.
+
+#include "daemon/EntryExchange.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include "base/Codec.h"
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "daemon/OwnerExchange.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+bool isIdempotentMethod(const std::string& aMethod)
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" || aMethod == "DELETE" ||
+         aMethod == "OPTIONS";
+}
+
+unsigned statusOf(wire::Outcome aOutcome, ErrorCode aCode)
+{
+  if (aOutcome == wire::Outcome::Unknown) {
+    switch (aCode) {
+      case ErrorCode::DeadlineExceeded:
+        return 504;
+      case ErrorCode::IdempotencyConflict:
+      case ErrorCode::OutcomeUnknown:
+        return 409;
+      default:
+        return 502;
+    }
+  }
+  switch (aCode) {
+    case ErrorCode::BadRequest:
+      return 400;
+    case ErrorCode::UnknownAccountKey:
+      return 401;
+    case ErrorCode::RouteForbidden:
+      return 403;
+    case ErrorCode::UnknownService:
+      return 404;
+    case ErrorCode::IdempotencyConflict:
+      return 409;
+    case ErrorCode::BodyTooLarge:
+      return 413;
+    case ErrorCode::OverRate:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+struct FailureBody
+{
+  ErrorCode code = ErrorCode::Internal;
+  std::string message;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("code", &FailureBody::code),
+                           field("message", &FailureBody::message));
+  }
+};
+
+std::optional<std::uint64_t> lengthOf(const std::vector<wire::Header>& aHeaders)
+{
+  for (const auto& it : aHeaders) {
+    if (boost::iequals(it.name, "Content-Length")) {
+      return std::strtoull(it.value.c_str(), nullptr, 10);
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+void sendFailure(transport::CallerStream& aStream, wire::Outcome aOutcome, ErrorCode aCode,
+                 const std::string& aMessage, Millis aRetryAfter)
+{
+  std::vector<wire::Header> headers{
+    { "Content-Type", "application/json" },
+    { "Camphorcleat-Outcome", aOutcome == wire::Outcome::Unknown ? "unknown" : "not-run" },
+  };
+  if (aRetryAfter.count() > 0) {
+    constexpr std::int64_t kMillisPerSecond = 1000;
+    const std::int64_t seconds = (aRetryAfter.count() + kMillisPerSecond - 1) / kMillisPerSecond;
+    headers.push_back({ "Retry-After", std::to_string(seconds) });
+    headers.push_back({ "Camphorcleat-Retry-After-Ms", std::to_string(aRetryAfter.count()) });
+  }
+  aStream.sendWhole(statusOf(aOutcome, aCode), std::move(headers),
+                    toJson(FailureBody{ aCode, aMessage }));
+}
+
+EntryExchange::EntryExchange(EntryExchangeHost& aHost, boost::asio::io_context& aIo,
+                             std::shared_ptr<transport::CallerStream> aStream,
+                             wire::RequestHead aHead, bool aIsKeyed, TimePoint aDeadline,
+                             std::mt19937_64& aRandom, traffic::RetryBudget& aBudget)
+  : mHost(aHost)
+  , mStream(std::move(aStream))
+  , mHead(std::move(aHead))
+  , mIsKeyed(aIsKeyed)
+  , mStartedAt(Clock::now())
+  , mDeadline(aDeadline)
+  , mLogic(aRandom, aBudget)
+  , mTimer(aIo)
+{
+}
+
+void EntryExchange::start()
+{
+  mStream->onGone([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->callerGone();
+    }
+  });
+  mHead.contentLength = mStream->contentLength();
+  mHead.hasBody = mHead.contentLength != std::optional<std::uint64_t>(0);
+  if (mHead.hasBody) {
+    readKeptBody();
+  } else {
+    mIsKeptWhole = true;
+    makeFirstAttempt();
+  }
+}
+
+void EntryExchange::readKeptBody()
+{
+  mStream->readBody([self = shared_from_this()](transport::BodyPart aPart) {
+    self->keptBodyRead(std::move(aPart));
+  });
+}
+
+void EntryExchange::keptBodyRead(transport::BodyPart aPart)
+{
+  if (mIsFinished) {
+    return;
+  }
+  if (aPart.error) {
+    fail(wire::Outcome::NotRun, *aPart.error, "the request's body could not be read", Millis(0));
+    return;
+  }
+  mKept += aPart.data;
+  mIsKeptWhole = aPart.isLast;
+  if (!mIsKeptWhole && mKept.size() < kFirstCreditBytes) {
+    readKeptBody();
+    return;
+  }
+  if (mIsKeptWhole) {
+    mHead.bodyDigest = sha256Hex(mKept);
+    mHead.contentLength = mKept.size();
+  }
+  makeFirstAttempt();
+}
+
+void EntryExchange::makeFirstAttempt()
+{
+  traffic::Started started;
+  started.isKeyed = mIsKeyed;
+  started.isIdempotent = isIdempotentMethod(mHead.method);
+  started.hasIdempotencyKey = !mHead.idempotencyKey.empty();
+  started.deadline = mDeadline;
+  started.isResend = mHead.isResend;
+  step(started);
+}
+
+void EntryExchange::step(const traffic::EntryEvent& aEvent)
+{
+  const auto self = shared_from_this();
+  for (const auto& it : mLogic.step(Clock::now(), aEvent)) {
+    if (mIsFinished) {
+      return;
+    }
+    perform(it);
+  }
+}
+
+void EntryExchange::perform(const traffic::EntryAction& aAction)
+{
+  if (const auto* ask = std::get_if<traffic::AskRoute>(&aAction)) {
+    askRoute(*ask);
+  } else if (const auto* start = std::get_if<traffic::StartAttempt>(&aAction)) {
+    startAttempt(*start);
+  } else if (const auto* cancel = std::get_if<traffic::CancelAttempt>(&aAction)) {
+    cancelAttempt(cancel->attempt);
+  } else if (const auto* timer = std::get_if<traffic::SetTimer>(&aAction)) {
+    setTimer(timer->at);
+  } else if (const auto* use = std::get_if<traffic::UseAttempt>(&aAction)) {
+    useAttempt(use->attempt);
+  } else if (const auto* no = std::get_if<traffic::FailRequest>(&aAction)) {
+    fail(no->outcome, no->code, no->message, no->retryAfter);
+  }
+}
+
+void EntryExchange::askRoute(const traffic::AskRoute& aAsk)
+{
+  const NodeId node = mHost.route(*this, aAsk.exclude, aAsk.mustBeNewer);
+  if (node == kNoNode) {
+    step(traffic::RouteUnknown{});
+  } else {
+    step(traffic::RouteKnown{ node });
+  }
+}
+
+void EntryExchange::startAttempt(const traffic::StartAttempt& aStart)
+{
+  if (mIsBodyLost) {
+    fail(mMayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun, ErrorCode::PeerUnreachable,
+         "the owner was lost while the body was on its way; send the request again", Millis(0));
+    return;
+  }
+  const RequestId id = mHost.newAttempt(shared_from_this(), aStart.node);
+  Attempt attempt;
+  attempt.number = aStart.attempt;
+  attempt.node = aStart.node;
+  wire::RequestHead head = mHead;
+  head.id = id;
+  head.isResend = mHead.isResend || aStart.isResend;
+  head.deadline = std::chrono::duration_cast<Millis>(mDeadline - Clock::now());
+  const transport::SendResult sent = mHost.sendTo(aStart.node, std::move(head));
+  if (sent.status != transport::SendStatus::Accepted) {
+    mHost.attemptOver(id, false);
+    step(traffic::AttemptFailed{ aStart.attempt, wire::Outcome::NotRun, ErrorCode::PeerUnreachable,
+                                 "the owner's daemon can't be reached", Millis(0) });
+    return;
+  }
+  attempt.link = sent.link;
+  Attempt& kept = mAttempts.emplace(id, std::move(attempt)).first->second;
+  mBodyAttempt = id;
+  mIsBodyOver = false;
+  if (mHead.hasBody) {
+    sendKeptBody(id, kept);
+  }
+}
+
+void EntryExchange::sendKeptBody(const RequestId& aId, Attempt& aAttempt)
+{
+  mBodyBytes = 0;
+  for (std::size_t i = 0; i < mKept.size() || i == 0; i += kFirstCreditBytes) {
+    wire::BodyChunk chunk;
+    chunk.id = aId;
+    chunk.direction = wire::Direction::ToTarget;
+    chunk.sequence = aAttempt.nextBodyChunk++;
+    chunk.data.data = mKept.substr(i, kFirstCreditBytes);
+    mBodyBytes += chunk.data.size();
+    chunk.isLast = mIsKeptWhole && mBodyBytes == mKept.size();
+    chunk.totalBytes = mBodyBytes;
+    mIsBodyOver = chunk.isLast;
+    mHost.replyTo(aAttempt.link, std::move(chunk));
+  }
+}
+
+void EntryExchange::handle(const RequestId& aId, const wire::Credit& aCredit)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  it->second.bodyCredit += aCredit.bytes;
+  pumpBody();
+}
+
+void EntryExchange::pumpBody()
+{
+  if (!mBodyAttempt || mIsBodyOver || mIsKeptWhole || mIsReadingBody || mIsFinished) {
+    return;
+  }
+  const auto it = mAttempts.find(*mBodyAttempt);
+  if (it == mAttempts.end() || it->second.bodyCredit == 0) {
+    return;
+  }
+  mIsReadingBody = true;
+  mStream->readBody([self = shared_from_this()](transport::BodyPart aPart) {
+    self->restOfBodyRead(std::move(aPart));
+  });
+}
+
+void EntryExchange::restOfBodyRead(transport::BodyPart aPart)
+{
+  mIsReadingBody = false;
+  if (mIsFinished) {
+    return;
+  }
+  mIsBodyLost = true; // This part is gone for any other attempt.
+  const auto it = mBodyAttempt ? mAttempts.find(*mBodyAttempt) : mAttempts.end();
+  if (it == mAttempts.end()) {
+    return;
+  }
+  if (aPart.error) {
+    mHost.replyTo(it->second.link, wire::CancelRequest{ it->first });
+    fail(wire::Outcome::Unknown, *aPart.error, "the request's body ended early", Millis(0));
+    return;
+  }
+  sendBodyChunk(std::move(aPart.data), aPart.isLast);
+  pumpBody();
+}
+
+void EntryExchange::sendBodyChunk(std::string aData, bool aIsLast)
+{
+  const auto it = mAttempts.find(*mBodyAttempt);
+  Attempt& attempt = it->second;
+  attempt.bodyCredit -= std::min<std::uint64_t>(attempt.bodyCredit, aData.size());
+  mBodyBytes += aData.size();
+  wire::BodyChunk chunk;
+  chunk.id = it->first;
+  chunk.direction = wire::Direction::ToTarget;
+  chunk.sequence = attempt.nextBodyChunk++;
+  chunk.isLast = aIsLast;
+  chunk.totalBytes = mBodyBytes;
+  chunk.data.data = std::move(aData);
+  mIsBodyOver = aIsLast;
+  mHost.replyTo(attempt.link, std::move(chunk));
+}
+
+void EntryExchange::handle(const RequestId& aId, wire::ResponseHead aHead)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end() || it->second.response) {
+    return;
+  }
+  it->second.response = std::move(aHead);
+  step(traffic::AttemptHead{ it->second.number });
+}
+
+void EntryExchange::useAttempt(unsigned aNumber)
+{
+  const auto it = findNumber(aNumber);
+  if (it == mAttempts.end() || !it->second.response || mUsed) {
+    return;
+  }
+  mUsed = it->first;
+  mTimer.cancel();
+  const wire::ResponseHead& head = *it->second.response;
+  mStream->sendHead(head.status, head.headers, lengthOf(head.headers));
+}
+
+void EntryExchange::handle(const RequestId& aId, wire::BodyChunk aChunk)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end() || mUsed != aId) {
+    return;
+  }
+  Attempt& attempt = it->second;
+  attempt.responseBytes += aChunk.data.size();
+  const bool isInOrder = aChunk.sequence == attempt.nextResponseChunk++;
+  const bool isWhole = !aChunk.isLast || aChunk.totalBytes == attempt.responseBytes;
+  if (!isInOrder || !isWhole) {
+    cutAnswer("a chunk of the answer is missing");
+    return;
+  }
+  const std::size_t size = aChunk.data.size();
+  const bool isLast = aChunk.isLast;
+  const auto self = shared_from_this();
+  mStream->sendBody(std::move(aChunk.data.data), isLast, [self, aId, size](bool aIsOpen) {
+    const auto sent = self->mAttempts.find(aId);
+    if (aIsOpen && !self->mIsFinished && sent != self->mAttempts.end() && size > 0) {
+      self->mHost.replyTo(sent->second.link, wire::Credit{ aId, wire::Direction::ToCaller, size });
+    }
+  });
+  if (isLast) {
+    step(traffic::AttemptDone{ attempt.number });
+    finish(ErrorCode::None);
+  }
+}
+
+void EntryExchange::handle(const RequestId& aId, const wire::RequestFailed& aFailed)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  if (mUsed == aId) {
+    cutAnswer(aFailed.message);
+    return;
+  }
+  const unsigned number = it->second.number;
+  mAttempts.erase(it);
+  mHost.attemptOver(aId, false);
+  mMayHaveRun = mMayHaveRun || aFailed.outcome == wire::Outcome::Unknown;
+  step(traffic::AttemptFailed{ number, aFailed.outcome, aFailed.code, aFailed.message,
+                               aFailed.retryAfter });
+}
+
+void EntryExchange::linkLost(const RequestId& aId, bool aNeverOpened)
+{
+  wire::RequestFailed failed;
+  failed.id = aId;
+  failed.outcome = aNeverOpened ? wire::Outcome::NotRun : wire::Outcome::Unknown;
+  failed.code = ErrorCode::PeerUnreachable;
+  failed.message = "the connection to the owner's daemon was lost";
+  handle(aId, failed);
+}
+
+std::optional<transport::LinkId> EntryExchange::linkOf(const RequestId& aId) const
+{
+  const auto it = mAttempts.find(aId);
+  return it == mAttempts.end() ? std::nullopt : std::optional(it->second.link);
+}
+
+void EntryExchange::cancelAttempt(unsigned aNumber)
+{
+  const auto it = findNumber(aNumber);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  const RequestId id = it->first;
+  mHost.replyTo(it->second.link, wire::CancelRequest{ id });
+  mAttempts.erase(it);
+  mHost.attemptOver(id, false);
+}
+
+void EntryExchange::setTimer(TimePoint aWhen)
+{
+  mTimer.expires_at(aWhen);
+  mTimer.async_wait([weak = weak_from_this()](boost::system::error_code aError) {
+    const auto self = weak.lock();
+    if (!aError && self && !self->mIsFinished && !self->mUsed) {
+      self->step(traffic::TimerFired{});
+    }
+  });
+}
+
+void EntryExchange::fail(wire::Outcome aOutcome, ErrorCode aCode, const std::string& aMessage,
+                         Millis aRetryAfter)
+{
+  if (mIsFinished) {
+    return;
+  }
+  sendFailure(*mStream, aOutcome, aCode, aMessage, aRetryAfter);
+  finish(aCode);
+}
+
+void EntryExchange::cutAnswer(const std::string& aReason)
+{
+  logEvent(LogLevel::Warning, "answer_cut", { { "reason", aReason } });
+  mStream->abort();
+  finish(ErrorCode::AnswerTruncated);
+}
+
+void EntryExchange::callerGone()
+{
+  if (!mIsFinished) {
+    step(traffic::CallerGone{});
+    finish(ErrorCode::Cancelled);
+  }
+}
+
+void EntryExchange::finish(ErrorCode aCode)
+{
+  if (mIsFinished) {
+    return;
+  }
+  mIsFinished = true;
+  mTimer.cancel();
+  const auto self = shared_from_this();
+  for (const auto& [id, attempt] : mAttempts) {
+    const bool wasAnswered = aCode == ErrorCode::None && mUsed == id;
+    if (!wasAnswered) {
+      mHost.replyTo(attempt.link, wire::CancelRequest{ id });
+    }
+    mHost.attemptOver(id, wasAnswered);
+  }
+  // Credit of a body part that is still on its way to the caller finds no attempt any more.
+  mAttempts.clear();
+  mHost.finished(*this, aCode);
+}
+
+std::map<RequestId, EntryExchange::Attempt>::iterator EntryExchange::findNumber(unsigned aNumber)
+{
+  return std::find_if(mAttempts.begin(), mAttempts.end(),
+                      [&](const auto& aItem) { return aItem.second.number == aNumber; });
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/Metrics.cc
@@ -0,0 +1,135 @@
+// Boost.Accumulators behind the daemon's metrics.
+
+#include "daemon/Metrics.h"
+
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+namespace ba = boost::accumulators;
+
+constexpr std::size_t kMaxSeries = 2048;
+constexpr double kMedian = 0.5;
+constexpr double kTail = 0.99;
+
+using Quantile =
+  ba::accumulator_set<double, ba::stats<ba::tag::count, ba::tag::sum, ba::tag::p_square_quantile>>;
+
+// Label values come from operators' names, which have no quotes, or from fixed tables.
+std::string label(const char* aName, const std::string& aValue)
+{
+  return std::string(aName) + "=\"" + aValue + "\"";
+}
+
+} // namespace
+
+struct Metrics::Series
+{
+  Quantile median{ ba::quantile_probability = kMedian };
+  Quantile tail{ ba::quantile_probability = kTail };
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::countAnswered()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mAnswered;
+}
+
+void Metrics::countRefusal(ErrorCode aCode)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mRefusals[aCode];
+}
+
+void Metrics::countEntry(const std::string& aService, const std::string& aAccount, ErrorCode aCode,
+                         Duration aLatency)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mEntryResults[aCode];
+  if (aCode != ErrorCode::None) {
+    return;
+  }
+  Series& series = seriesOf(aService, aAccount);
+  series.median(toSeconds(aLatency));
+  series.tail(toSeconds(aLatency));
+}
+
+Metrics::Series& Metrics::seriesOf(const std::string& aService, const std::string& aAccount)
+{
+  SeriesKey key(aService, aAccount);
+  auto it = mSeries.find(key);
+  if (it == mSeries.end()) {
+    if (mSeries.size() >= kMaxSeries) {
+      key = SeriesKey("other", "other");
+    }
+    it = mSeries.try_emplace(key, std::make_unique<Series>()).first;
+  }
+  return *it->second;
+}
+
+void Metrics::addGauge(std::string aName, std::string aHelp, std::function<double()> aRead)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mGauges.push_back({ std::move(aName), std::move(aHelp), std::move(aRead) });
+}
+
+std::uint32_t Metrics::answeredPerSecond() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const TimePoint now = Clock::now();
+  const double seconds = toSeconds(now - mMark);
+  if (seconds >= 1.0) {
+    mAnsweredPerSecond =
+      static_cast<std::uint32_t>(static_cast<double>(mAnswered - mAnsweredAtMark) / seconds);
+    mAnsweredAtMark = mAnswered;
+    mMark = now;
+  }
+  return mAnsweredPerSecond;
+}
+
+std::string Metrics::render() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::ostringstream out;
+  out << "# TYPE camphorcleat_target_answers_total counter\n"
+      << "camphorcleat_target_answers_total " << mAnswered << "\n"
+      << "# TYPE camphorcleat_owner_refusals_total counter\n";
+  for (const auto& [code, n] : mRefusals) {
+    out << "camphorcleat_owner_refusals_total{" << label("code", std::string(enumName(code)))
+        << "} " << n << "\n";
+  }
+  out << "# TYPE camphorcleat_entry_requests_total counter\n";
+  for (const auto& [code, n] : mEntryResults) {
+    out << "camphorcleat_entry_requests_total{" << label("code", std::string(enumName(code)))
+        << "} " << n << "\n";
+  }
+  out << "# TYPE camphorcleat_entry_latency_seconds summary\n";
+  for (const auto& [key, series] : mSeries) {
+    const std::string labels = label("service", key.first) + "," + label("account", key.second);
+    out << "camphorcleat_entry_latency_seconds{" << labels << ",quantile=\"0.5\"} "
+        << ba::p_square_quantile(series->median) << "\n"
+        << "camphorcleat_entry_latency_seconds{" << labels << ",quantile=\"0.99\"} "
+        << ba::p_square_quantile(series->tail) << "\n"
+        << "camphorcleat_entry_latency_seconds_sum{" << labels << "} " << ba::sum(series->tail)
+        << "\n"
+        << "camphorcleat_entry_latency_seconds_count{" << labels << "} " << ba::count(series->tail)
+        << "\n";
+  }
+  for (const auto& it : mGauges) {
+    out << "# HELP " << it.name << " " << it.help << "\n# TYPE " << it.name << " gauge\n"
+        << it.name << " " << it.read() << "\n";
+  }
+  return out.str();
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/OperatorAnswers.h
@@ -0,0 +1,77 @@
+// The JSON objects that operators' programs get.
+
+#ifndef CAMPHORCLEAT_DAEMON_OPERATORANSWERS_H_
+#define CAMPHORCLEAT_DAEMON_OPERATORANSWERS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <QCborValue>
+
+#include "base/Codec.h"
+#include "daemon/SharedView.h"
+#include "wire/FleetMessages.h"
+
+namespace camphorcleat::daemon {
+
+/// A control member's part of /status.
+struct ControlStatus
+{
+  std::string role;
+  NodeId leader = kNoNode;
+  Term term = 0;
+  LogIndex commitIndex = 0;
+  LogIndex appliedIndex = 0;
+  Revision operatorRevision = 0;
+  std::vector<NodeId> members;
+  bool hasFailedStorage = false;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(
+      field("role", &ControlStatus::role), field("leader", &ControlStatus::leader),
+      field("term", &ControlStatus::term), field("commit_index", &ControlStatus::commitIndex),
+      field("applied_index", &ControlStatus::appliedIndex),
+      field("operator_revision", &ControlStatus::operatorRevision),
+      field("members", &ControlStatus::members),
+      field("storage_failed", &ControlStatus::hasFailedStorage));
+  }
+};
+
+/// Every daemon's part of /status.
+struct NodeStatusView
+{
+  NodeId node = kNoNode;
+  Incarnation incarnation = 0;
+  Revision revision = 0;
+  bool isLeaseValid = false;
+  std::int64_t leaseLeftMillis = 0;
+  bool isConfigFresh = false;
+  std::uint64_t partitionsOwned = 0;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("node", &NodeStatusView::node),
+                           field("incarnation", &NodeStatusView::incarnation),
+                           field("revision", &NodeStatusView::revision),
+                           field("lease_valid", &NodeStatusView::isLeaseValid),
+                           field("lease_left_ms", &NodeStatusView::leaseLeftMillis),
+                           field("config_fresh", &NodeStatusView::isConfigFresh),
+                           field("partitions_owned", &NodeStatusView::partitionsOwned));
+  }
+};
+
+/// Partitions of all services, but not of rate buckets, that a node's incarnation owns.
+std::uint64_t countOwned(const ViewState& aState, NodeId aNode);
+
+/// The object of /status. Without a control status the role is "none".
+std::string statusJson(const NodeStatusView& aNode, const std::optional<ControlStatus>& aControl);
+
+/// The answer to an operator's request that was refused.
+std::string refusalJson(ErrorCode aCode, const std::string& aMessage, Revision aRevision);
+
+/// The answer to an operator's request. aResult: what a query found or what a change generated.
+std::string answerJson(const wire::CommandResult& aAnswer, const QCborValue& aResult);
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_OPERATORANSWERS_H_
--- /dev/null
+++ b/packages/daemon/OwnerDuty.cc
@@ -0,0 +1,592 @@
+// Moves messages between peers, OwnerLogic and the target.
+
+#include "daemon/OwnerDuty.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include "base/Hash.h"
+#include "base/Log.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+constexpr std::size_t kMaxOpenRequests = 20'000;
+constexpr std::size_t kMaxTokenDraws = 4096;
+
+// A write must begin this long before the lease ends if the target doesn't check grants.
+constexpr Millis kUncheckedLeaseMargin{ 150 };
+
+// Longest time without a step, so that deadlines are noticed although nothing else happens.
+constexpr Millis kMaxSleep{ 20 };
+
+constexpr const char* kOwnHeaderPrefix = "Camphorcleat-";
+
+traffic::OwnerConfig ownerConfig(const Settings& aSettings)
+{
+  traffic::OwnerConfig config;
+  config.maxQueued = aSettings.maxQueuedRequests;
+  return config;
+}
+
+bool isIdempotentMethod(const std::string& aMethod)
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" || aMethod == "DELETE" ||
+         aMethod == "OPTIONS";
+}
+
+std::string requestDigest(const wire::RequestHead& aHead)
+{
+  return sha256Hex(aHead.method + "\n" + aHead.path + "\n" + aHead.bodyDigest + "\n" +
+                   std::to_string(aHead.contentLength.value_or(0)));
+}
+
+} // namespace
+
+OwnerDuty::OwnerDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
+                     const SharedView& aView, Metrics& aMetrics)
+  : mSettings(aSettings)
+  , mRings(aRings)
+  , mRouter(aRouter)
+  , mMetrics(aMetrics)
+  , mThread("owner")
+  , mPump(aRings.owner, mThread, [this](OwnerMessage aMessage) { handle(std::move(aMessage)); })
+  , mView(aSettings.id, aSettings.lease, aView)
+  , mRandom(std::random_device{}())
+  , mSession(newIncarnation(mRandom))
+  , mLogic(ownerConfig(aSettings), mView, mSession)
+  , mRateHome(mRandom())
+  , mTimer(mThread.context())
+{
+}
+
+OwnerDuty::~OwnerDuty()
+{
+  stop();
+}
+
+void OwnerDuty::start()
+{
+  if (mSettings.hasTarget()) {
+    transport::TargetClientConfig config;
+    config.address = mSettings.targetAddress;
+    mClient = std::make_unique<transport::TargetClient>(mThread.context(), config);
+    TargetWatch::Callbacks callbacks;
+    callbacks.onReport = [this](const traffic::TargetReport& aReport) {
+      step(aReport);
+      if (!aReport.isReachable) {
+        cancelAllAtTarget();
+      }
+    };
+    callbacks.onAnnouncement = [this](bool aIsReachable, const wire::Announcement& aAnnouncement) {
+      AgentMessage message(fleet::agent::TargetChanged{ aIsReachable, aAnnouncement });
+      mRings.agent.tryPush(std::move(message)); // Repeated with the next poll.
+    };
+    callbacks.leaseValidUntil = [this] { return mView.leaseValidUntil(); };
+    callbacks.token = [this]() -> FencingToken {
+      const wire::Node* node = mView.state().model->node(mSettings.id);
+      const bool isRegistered = node != nullptr && node->incarnation == mView.state().incarnation;
+      return isRegistered ? node->registeredAt : 0;
+    };
+    mWatch = std::make_unique<TargetWatch>(mThread.context(), *mClient,
+                                           mSettings.targetPollInterval, std::move(callbacks));
+    mThread.post([this] { mWatch->start(); });
+  }
+  mThread.post([this] { scheduleWake(); });
+  mThread.start();
+}
+
+void OwnerDuty::stop()
+{
+  mRings.owner.close();
+  mThread.post([this] {
+    mTimer.cancel();
+    if (mWatch) {
+      mWatch->stop();
+    }
+  });
+  mThread.stop();
+  mExchanges.clear();
+  mWatch.reset();
+  mClient.reset();
+}
+
+void OwnerDuty::handle(OwnerMessage aMessage)
+{
+  if (auto* peer = std::get_if<FromPeer>(&aMessage)) {
+    handlePeer(std::move(*peer));
+  } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
+    handleLinkLost(*lost);
+  } else if (std::holds_alternative<ViewPublished>(aMessage)) {
+    handleView();
+  } else if (const auto* stop = std::get_if<fleet::agent::StopPartition>(&aMessage)) {
+    handleStopPartition(*stop);
+  } else if (std::holds_alternative<BeginStop>(aMessage)) {
+    step(traffic::BeginDrain{});
+  }
+}
+
+void OwnerDuty::handlePeer(FromPeer aMessage)
+{
+  if (auto* head = std::get_if<wire::RequestHead>(&aMessage.message)) {
+    handleHead(aMessage.link, std::move(*head));
+  } else if (auto* chunk = std::get_if<wire::BodyChunk>(&aMessage.message)) {
+    OwnerExchange* exchange = find(chunk->id);
+    if (exchange != nullptr && !exchange->addBody(std::move(*chunk))) {
+      logEvent(LogLevel::Warning, "body_out_of_order", { { "account", exchange->head().account } });
+      exchange->cancel();
+    }
+  } else if (const auto* credit = std::get_if<wire::Credit>(&aMessage.message)) {
+    if (OwnerExchange* exchange = find(credit->id)) {
+      exchange->addCredit(credit->bytes);
+    }
+  } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage.message)) {
+    cancelRequest(cancel->id);
+  } else if (const auto* request = std::get_if<wire::TokenRequest>(&aMessage.message)) {
+    handleTokenRequest(aMessage, *request);
+  } else if (const auto* answer = std::get_if<wire::TokenAnswer>(&aMessage.message)) {
+    const auto it = mTokenDraws.find({ answer->account, answer->sequence });
+    if (it != mTokenDraws.end()) {
+      const TimePoint sentAt = it->second;
+      mTokenDraws.erase(it);
+      step(traffic::TokensAnswered{ *answer, sentAt });
+    }
+  }
+}
+
+void OwnerDuty::handleHead(transport::LinkId aLink, wire::RequestHead aHead)
+{
+  if (mExchanges.count(aHead.id) > 0) {
+    return; // A duplicate of a message; ids never repeat.
+  }
+  const RequestId id = aHead.id;
+  if (mExchanges.size() >= kMaxOpenRequests) {
+    mRouter.reply(aLink,
+                  wire::RequestFailed{ id, wire::Outcome::NotRun, ErrorCode::Overloaded,
+                                       "too many open requests at the owner", Millis(0), 0 });
+    return;
+  }
+  traffic::RequestArrived event;
+  event.id = id;
+  event.account = aHead.account;
+  event.service = aHead.service;
+  event.key = aHead.key;
+  event.isKeyed = !aHead.key.empty();
+  // The owner's own view decides, since a key may have been pinned after the entry looked.
+  const fleet::FleetModel& model = *mView.state().model;
+  event.partition = event.isKeyed && model.partitionCount() > 0
+                      ? model.partitionOf(aHead.service, aHead.key)
+                      : aHead.partition;
+  event.isIdempotent = isIdempotentMethod(aHead.method);
+  event.isOpenRoute = aHead.account.empty();
+  event.idempotencyKey = aHead.idempotencyKey;
+  event.requestDigest = aHead.idempotencyKey.empty() ? std::string() : requestDigest(aHead);
+  event.deadline = Clock::now() + aHead.deadline;
+  event.isResend = aHead.isResend;
+  aHead.partition = event.partition;
+  mExchanges.emplace(id, std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead)));
+  mOpenRequests = mExchanges.size();
+  step(event);
+}
+
+void OwnerDuty::handleTokenRequest(const FromPeer& aFrom, const wire::TokenRequest& aRequest)
+{
+  wire::TokenAnswer answer;
+  answer.account = aRequest.account;
+  answer.sequence = aRequest.sequence;
+  const fleet::FleetModel& model = *mView.state().model;
+  const auto account = model.accounts().find(aRequest.account);
+  std::optional<FencingToken> token;
+  if (model.partitionCount() > 0) {
+    token = mView.tokenOf(fleet::kAccountService,
+                          model.partitionOf(fleet::kAccountService, aRequest.account));
+  }
+  const TimePoint now = Clock::now();
+  if (account == model.accounts().end() || !token || now >= mView.leaseValidUntil()) {
+    answer.code = ErrorCode::NotOwner;
+    mRouter.reply(aFrom.link, answer);
+    return;
+  }
+  const auto home = mHomes.find(aRequest.account);
+  if (home == mHomes.end() || home->second.token != *token) {
+    // The grant is newer than the last look at the view.
+    noteHomes();
+  }
+  answer = mRateHome.handle(now, aRequest, account->second.requestsPerSecond,
+                            account->second.burstRequests, mView.leaseValidUntil(),
+                            mHomes[aRequest.account].since);
+  mRouter.reply(aFrom.link, answer);
+}
+
+void OwnerDuty::handleLinkLost(const LinkLost& aLost)
+{
+  std::vector<RequestId> lost;
+  for (const auto& [id, exchange] : mExchanges) {
+    if (exchange->link() == aLost.link) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto& id : lost) {
+    cancelRequest(id);
+  }
+}
+
+void OwnerDuty::cancelRequest(const RequestId& aId)
+{
+  OwnerExchange* exchange = find(aId);
+  if (exchange == nullptr) {
+    return;
+  }
+  const bool hasBegun = exchange->hasBegun();
+  step(traffic::RequestCancelled{ aId });
+  if (!hasBegun) {
+    forget(aId); // Nobody waits for an answer; one that has begun ends through exchangeEnded().
+  }
+}
+
+void OwnerDuty::handleView()
+{
+  mView.refresh();
+  noteHomes();
+  noteNewGrants();
+  for (auto it = mStopping.begin(); it != mStopping.end();) {
+    const auto* grant = mView.ownGrant(it->first.first, it->first.second);
+    it = grant != nullptr && grant->token == it->second ? std::next(it) : mStopping.erase(it);
+  }
+  step(traffic::Tick{});
+}
+
+// Follows which accounts have their home here. A bucket that begins with a new grant starts empty
+// at the moment when the grant was seen, because another home may have given tokens out until then.
+// An account that was created while the grant was already held has had no other home, so its bucket
+// starts full.
+void OwnerDuty::noteHomes()
+{
+  const fleet::FleetModel& model = *mView.state().model;
+  const TimePoint now = Clock::now();
+  std::map<std::string, Home> homes;
+  for (const auto& [name, account] : model.accounts()) {
+    const PartitionId partition = model.partitionOf(fleet::kAccountService, name);
+    const auto token = mView.tokenOf(fleet::kAccountService, partition);
+    if (!token) {
+      continue;
+    }
+    const auto known = mHomes.find(name);
+    if (known != mHomes.end() && known->second.token == *token) {
+      homes[name] = known->second;
+      continue;
+    }
+    const auto held = mHeldAccountGrants.find(partition);
+    const bool isNewAccount = known == mHomes.end() && mKnownAccounts.count(name) == 0 &&
+                              held != mHeldAccountGrants.end() && held->second == *token;
+    mRateHome.forget(name);
+    homes[name] = { *token, isNewAccount ? TimePoint() : now };
+  }
+  for (const auto& [name, home] : mHomes) {
+    if (homes.count(name) == 0) {
+      mRateHome.forget(name);
+    }
+  }
+  mHomes = std::move(homes);
+  mKnownAccounts.clear();
+  for (const auto& [name, account] : model.accounts()) {
+    mKnownAccounts.insert(name);
+  }
+}
+
+// A partition that was granted anew may have run requests at its former owner, whose memory of
+// idempotency keys is not here.
+void OwnerDuty::noteNewGrants()
+{
+  const fleet::FleetModel& model = *mView.state().model;
+  const TimePoint now = Clock::now();
+  std::map<PartitionId, FencingToken> accountGrants;
+  std::map<fleet::ServicePartition, FencingToken> held;
+  for (const auto& service : model.grantedServices()) {
+    const fleet::GrantTable& table = model.grants(service);
+    for (PartitionId i = 0; i < table.size(); ++i) {
+      const auto* grant = mView.ownGrant(service, i);
+      if (grant == nullptr) {
+        continue;
+      }
+      if (service == fleet::kAccountService) {
+        accountGrants[i] = grant->token;
+        continue;
+      }
+      const fleet::ServicePartition partition{ service, i };
+      held[partition] = grant->token;
+      const auto known = mHeldGrants.find(partition);
+      if (known == mHeldGrants.end() || known->second != grant->token) {
+        mLogic.memory().startUnplanned({ service, i }, now);
+      }
+    }
+  }
+  mHeldAccountGrants = std::move(accountGrants);
+  mHeldGrants = std::move(held);
+}
+
+void OwnerDuty::handleStopPartition(const fleet::agent::StopPartition& aStop)
+{
+  mView.refresh();
+  mStopping[aStop.partition] = aStop.token;
+  if (aStop.partition.first == fleet::kAccountService) {
+    // Buckets are kept under the grant's token, so the hand-over needs no further step. Tokens that
+    // this home gave out may still be alive; the next home begins at level 0 after their lifetime.
+    AgentMessage message(fleet::agent::PartitionIdle{ aStop.partition, aStop.token });
+    const Millis lifetime = traffic::kTokenLifetime;
+    auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), lifetime);
+    timer->async_wait([this, timer, message](boost::system::error_code aError) {
+      AgentMessage copy(message);
+      if (!aError) {
+        mRings.agent.tryPush(std::move(copy));
+      }
+    });
+    return;
+  }
+  step(traffic::StopPartition{ aStop.partition.first, aStop.partition.second });
+}
+
+void OwnerDuty::step(const traffic::OwnerEvent& aEvent)
+{
+  for (auto& it : mLogic.step(Clock::now(), aEvent)) {
+    perform(it);
+  }
+}
+
+void OwnerDuty::perform(traffic::OwnerAction& aAction)
+{
+  if (const auto* start = std::get_if<traffic::Dispatch>(&aAction)) {
+    dispatch(*start);
+  } else if (const auto* no = std::get_if<traffic::Refuse>(&aAction)) {
+    refuse(*no);
+  } else if (const auto* draw = std::get_if<traffic::DrawTokens>(&aAction)) {
+    drawTokens(*draw);
+  } else if (const auto* cancel = std::get_if<traffic::CancelAtTarget>(&aAction)) {
+    if (OwnerExchange* exchange = find(cancel->id)) {
+      exchange->cancel();
+    }
+  } else if (const auto* answer = std::get_if<traffic::ReplayAnswer>(&aAction)) {
+    replay(*answer);
+  } else if (const auto* idle = std::get_if<traffic::PartitionIdle>(&aAction)) {
+    partitionIdle(*idle);
+  }
+}
+
+void OwnerDuty::dispatch(const traffic::Dispatch& aDispatch)
+{
+  const auto it = mExchanges.find(aDispatch.id);
+  if (it == mExchanges.end() || !mClient) {
+    step(traffic::RequestEnded{ aDispatch.id, wire::Outcome::NotRun, ErrorCode::TargetDown, {} });
+    return;
+  }
+  const std::shared_ptr<OwnerExchange> exchange = it->second;
+  if (!isKeyStillValid(exchange->head())) {
+    exchangeEnded(*exchange, wire::Outcome::NotRun, ErrorCode::UnknownAccountKey,
+                  "the account key was withdrawn while the request waited", std::nullopt);
+    return;
+  }
+  mTargetBusyUntil = std::max(mTargetBusyUntil, mView.leaseValidUntil());
+  exchange->begin(*mClient, targetHeaders(exchange->head(), aDispatch), aDispatch.deadline);
+}
+
+bool OwnerDuty::isKeyStillValid(const wire::RequestHead& aHead) const
+{
+  if (aHead.account.empty()) {
+    return true;
+  }
+  const auto& accounts = mView.state().model->accounts();
+  const auto it = accounts.find(aHead.account);
+  return it != accounts.end() && it->second.keyDigests.count(aHead.keyName) > 0;
+}
+
+std::vector<wire::Header> OwnerDuty::targetHeaders(const wire::RequestHead& aHead,
+                                                   const traffic::Dispatch& aDispatch) const
+{
+  std::vector<wire::Header> out;
+  for (const auto& it : aHead.headers) {
+    if (!boost::istarts_with(it.name, kOwnHeaderPrefix)) {
+      out.push_back(it);
+    }
+  }
+  const TimePoint now = Clock::now();
+  out.push_back({ "Camphorcleat-Request-Id",
+                  std::to_string(aHead.id.entry) + "-" + std::to_string(aHead.id.counter) });
+  out.push_back({ "Camphorcleat-Service", aHead.service });
+  out.push_back({ "Camphorcleat-Key", aHead.key });
+  out.push_back({ "Camphorcleat-Partition", std::to_string(aHead.partition) });
+  out.push_back({ "Camphorcleat-Fence", std::to_string(aDispatch.token) });
+  out.push_back({ "Camphorcleat-Account", aHead.account });
+  out.push_back({ "Camphorcleat-Deadline-Ms", std::to_string(toMillis(aDispatch.deadline - now)) });
+  out.push_back(
+    { "Camphorcleat-Start-Within-Ms", std::to_string(toMillis(mView.leaseValidUntil() - now)) });
+  return out;
+}
+
+void OwnerDuty::refuse(const traffic::Refuse& aRefuse)
+{
+  const auto it = mExchanges.find(aRefuse.id);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  mMetrics.countRefusal(aRefuse.code);
+  mRouter.reply(it->second->link(),
+                wire::RequestFailed{ aRefuse.id, aRefuse.outcome, aRefuse.code, aRefuse.message,
+                                     aRefuse.retryAfter, mView.state().revision });
+  forget(aRefuse.id);
+}
+
+void OwnerDuty::drawTokens(const traffic::DrawTokens& aDraw)
+{
+  const fleet::FleetModel& model = *mView.state().model;
+  const wire::PartitionGrant* grant = nullptr;
+  if (model.partitionCount() > 0) {
+    grant = model.grant(fleet::kAccountService,
+                        model.partitionOf(fleet::kAccountService, aDraw.request.account));
+  }
+  const bool hasHome = grant != nullptr && grant->owner != kNoNode;
+  if (mTokenDraws.size() >= kMaxTokenDraws) {
+    mTokenDraws.erase(mTokenDraws.begin());
+  }
+  const TokenDraw draw{ aDraw.request.account, aDraw.request.sequence };
+  mTokenDraws[draw] = Clock::now();
+  const bool isSent =
+    hasHome && mRouter.send(grant->owner, transport::Lane::Data, aDraw.request).status ==
+                 transport::SendStatus::Accepted;
+  if (!isSent) {
+    mTokenDraws.erase(draw);
+    step(traffic::TokenHomeUnreachable{ aDraw.request.account });
+  }
+}
+
+void OwnerDuty::partitionIdle(const traffic::PartitionIdle& aIdle)
+{
+  const fleet::ServicePartition partition{ aIdle.service, aIdle.partition };
+  const auto it = mStopping.find(partition);
+  if (it == mStopping.end()) {
+    return;
+  }
+  const fleet::agent::PartitionIdle idle{ partition, it->second };
+  // A target that stopped answering may still hold requests that it has not begun. It refuses them
+  // once their grant or their time to start has passed.
+  const bool mustWait = mWatch && !mWatch->isReachable();
+  const TimePoint when =
+    mustWait ? std::max(mTargetBusyUntil, mWatch->grantedUntil()) : Clock::now();
+  auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), when);
+  timer->async_wait([this, timer, idle](boost::system::error_code aError) {
+    AgentMessage message(idle);
+    if (!aError) {
+      mRings.agent.tryPush(std::move(message));
+    }
+  });
+}
+
+void OwnerDuty::replay(const traffic::ReplayAnswer& aReplay)
+{
+  const auto it = mExchanges.find(aReplay.id);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  const auto link = it->second->link();
+  mRouter.reply(link,
+                wire::ResponseHead{ aReplay.id, aReplay.answer.status, aReplay.answer.headers });
+  wire::BodyChunk chunk;
+  chunk.id = aReplay.id;
+  chunk.direction = wire::Direction::ToCaller;
+  chunk.isLast = true;
+  chunk.totalBytes = aReplay.answer.body.size();
+  chunk.data = aReplay.answer.body;
+  mRouter.reply(link, std::move(chunk));
+  forget(aReplay.id);
+}
+
+bool OwnerDuty::mayStartWrite(const OwnerExchange& aExchange)
+{
+  const bool isKeyed = !aExchange.head().key.empty();
+  const TimePoint now = Clock::now();
+  const Duration margin = mView.checksGrants() ? Duration::zero() : Duration(kUncheckedLeaseMargin);
+  const bool hasLease = now + margin < mView.leaseValidUntil();
+  return hasLease && (!isKeyed || mView.ownGrant(aExchange.head().service,
+                                                 aExchange.head().partition) != nullptr);
+}
+
+void OwnerDuty::responseStarted(OwnerExchange& aExchange, unsigned aStatus, bool aIsShed,
+                                bool aIsFenced)
+{
+  step(traffic::ResponseStarted{ aExchange.head().id, aStatus, aIsShed, aIsFenced });
+}
+
+void OwnerDuty::exchangeEnded(OwnerExchange& aExchange, wire::Outcome aOutcome, ErrorCode aCode,
+                              std::string aMessage, std::optional<traffic::StoredAnswer> aAnswer)
+{
+  const RequestId id = aExchange.head().id;
+  if (aOutcome != wire::Outcome::Answered) {
+    mMetrics.countRefusal(aCode);
+    sendToEntry(aExchange, wire::RequestFailed{ id, aOutcome, aCode, std::move(aMessage), Millis(0),
+                                                mView.state().revision });
+  } else {
+    mMetrics.countAnswered();
+  }
+  noteResets();
+  forget(id);
+  step(traffic::RequestEnded{ id, aOutcome, aCode, std::move(aAnswer) });
+}
+
+void OwnerDuty::sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage)
+{
+  if (mRouter.reply(aExchange.link(), std::move(aMessage)) != transport::SendStatus::Accepted) {
+    // The entry sees a gap in the sequence or the loss of the link and treats the answer as cut.
+    logEvent(LogLevel::Warning, "entry_not_reached", { { "service", aExchange.head().service } });
+    aExchange.cancel();
+  }
+}
+
+OwnerExchange* OwnerDuty::find(const RequestId& aId)
+{
+  const auto it = mExchanges.find(aId);
+  return it == mExchanges.end() ? nullptr : it->second.get();
+}
+
+void OwnerDuty::forget(const RequestId& aId)
+{
+  mExchanges.erase(aId);
+  mOpenRequests = mExchanges.size();
+}
+
+void OwnerDuty::noteResets()
+{
+  const std::uint64_t resets = mClient ? mClient->resets() : 0;
+  if (resets != mSeenResets) {
+    mSeenResets = resets;
+    step(traffic::TargetConnectionReset{});
+  }
+}
+
+void OwnerDuty::cancelAllAtTarget()
+{
+  std::vector<std::shared_ptr<OwnerExchange>> running;
+  for (const auto& [id, exchange] : mExchanges) {
+    if (exchange->hasBegun()) {
+      running.push_back(exchange);
+    }
+  }
+  for (const auto& it : running) {
+    it->cancel();
+  }
+}
+
+void OwnerDuty::scheduleWake()
+{
+  const TimePoint latest = Clock::now() + kMaxSleep;
+  mTimer.expires_at(std::min(mLogic.nextWake().value_or(latest), latest));
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    step(traffic::Tick{});
+    scheduleWake();
+  });
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/OwnerDuty.h
@@ -0,0 +1,125 @@
+// The owner's thread: the only sender to the target beside the daemon, and the home of rate
+// buckets.
+//
+// OwnerLogic decides; this class moves bytes. Each request has an OwnerExchange from its arrival
+// until its last message to the entry is given to the connection.
+
+#ifndef CAMPHORCLEAT_DAEMON_OWNERDUTY_H_
+#define CAMPHORCLEAT_DAEMON_OWNERDUTY_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/DutyThread.h"
+#include "daemon/Metrics.h"
+#include "daemon/OwnerExchange.h"
+#include "daemon/OwnerView.h"
+#include "daemon/PeerRouter.h"
+#include "daemon/RingPump.h"
+#include "daemon/Settings.h"
+#include "daemon/TargetWatch.h"
+#include "traffic/OwnerLogic.h"
+#include "traffic/RateHome.h"
+
+namespace camphorcleat::daemon {
+
+/// start() and stop() are for the thread that made it.
+class OwnerDuty : public OwnerExchangeHost
+{
+public:
+  /// All references outlive the duty.
+  OwnerDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter, const SharedView& aView,
+            Metrics& aMetrics);
+  ~OwnerDuty() override;
+
+  OwnerDuty(const OwnerDuty&) = delete;
+  OwnerDuty& operator=(const OwnerDuty&) = delete;
+
+  void start();
+
+  /// Ends the thread; running exchanges are cut. Idempotent.
+  void stop();
+
+  /// Requests that wait or run. Thread-safe.
+  std::size_t openRequests() const { return mOpenRequests; }
+
+  // OwnerExchangeHost, on the owner thread.
+  bool mayStartWrite(const OwnerExchange& aExchange) override;
+  void responseStarted(OwnerExchange& aExchange, unsigned aStatus, bool aIsShed,
+                       bool aIsFenced) override;
+  void exchangeEnded(OwnerExchange& aExchange, wire::Outcome aOutcome, ErrorCode aCode,
+                     std::string aMessage, std::optional<traffic::StoredAnswer> aAnswer) override;
+  void sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage) override;
+
+private:
+  struct Home
+  {
+    FencingToken token = 0; ///< Grant under which the bucket began.
+    TimePoint since;        ///< The bucket is empty at this moment; the epoch: full.
+  };
+  using TokenDraw = std::pair<std::string, std::uint64_t>; // Account and sequence number.
+
+  void handle(OwnerMessage aMessage);
+  void handlePeer(FromPeer aMessage);
+  void handleHead(transport::LinkId aLink, wire::RequestHead aHead);
+  void handleTokenRequest(const FromPeer& aFrom, const wire::TokenRequest& aRequest);
+  void handleLinkLost(const LinkLost& aLost);
+  void handleView();
+  void noteHomes();
+  void noteNewGrants();
+  void cancelRequest(const RequestId& aId);
+  bool isKeyStillValid(const wire::RequestHead& aHead) const;
+  void handleStopPartition(const fleet::agent::StopPartition& aStop);
+
+  void step(const traffic::OwnerEvent& aEvent);
+  void perform(traffic::OwnerAction& aAction);
+  void dispatch(const traffic::Dispatch& aDispatch);
+  void refuse(const traffic::Refuse& aRefuse);
+  void drawTokens(const traffic::DrawTokens& aDraw);
+  void partitionIdle(const traffic::PartitionIdle& aIdle);
+  void replay(const traffic::ReplayAnswer& aReplay);
+
+  OwnerExchange* find(const RequestId& aId);
+  void forget(const RequestId& aId);
+  void scheduleWake();
+  void noteResets();
+  void cancelAllAtTarget();
+  std::vector<wire::Header> targetHeaders(const wire::RequestHead& aHead,
+                                          const traffic::Dispatch& aDispatch) const;
+
+  const Settings& mSettings;
+  Rings& mRings;
+  PeerRouter& mRouter;
+  Metrics& mMetrics;
+  DutyThread mThread;
+  RingPump<OwnerMessage> mPump;
+  OwnerView mView;
+  std::mt19937_64 mRandom;
+  Incarnation mSession; // Names this process as a drawer of rate tokens.
+  traffic::OwnerLogic mLogic;
+  traffic::RateHome mRateHome;
+  std::map<std::string, Home> mHomes; // Accounts whose bucket lives here.
+  std::set<std::string> mKnownAccounts;
+  std::map<PartitionId, FencingToken> mHeldAccountGrants;
+  std::map<fleet::ServicePartition, FencingToken> mHeldGrants;
+  std::unique_ptr<transport::TargetClient> mClient;
+  std::unique_ptr<TargetWatch> mWatch;
+  boost::asio::steady_timer mTimer;
+  std::unordered_map<RequestId, std::shared_ptr<OwnerExchange>> mExchanges;
+  std::map<TokenDraw, TimePoint> mTokenDraws; // When each draw that waits was sent.
+  std::map<fleet::ServicePartition, FencingToken> mStopping;
+  TimePoint mTargetBusyUntil; // A target that stopped answering may begin work until then.
+  std::uint64_t mSeenResets = 0;
+  std::atomic<std::size_t> mOpenRequests{ 0 };
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_OWNERDUTY_H_
--- /dev/null
+++ b/packages/daemon/OwnerExchange.cc
@@ -0,0 +1,199 @@
+// Chunks, credit and the end of an exchange.
+
+#include "daemon/OwnerExchange.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+constexpr unsigned kPreconditionFailed = 412;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr const char* kRefusedHeader = "Camphorcleat-Refused";
+
+bool hasRefusal(const std::vector<wire::Header>& aHeaders, const char* aReason)
+{
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [&](const wire::Header& aHeader) {
+    return boost::iequals(aHeader.name, kRefusedHeader) && boost::iequals(aHeader.value, aReason);
+  });
+}
+
+} // namespace
+
+OwnerExchange::OwnerExchange(OwnerExchangeHost& aHost, transport::LinkId aLink,
+                             wire::RequestHead aHead)
+  : mHost(aHost)
+  , mLink(aLink)
+  , mHead(std::move(aHead))
+  , mIsCollectable(!mHead.idempotencyKey.empty())
+{
+}
+
+bool OwnerExchange::addBody(wire::BodyChunk aChunk)
+{
+  mReceivedBytes += aChunk.data.size();
+  const bool isInOrder = mHead.hasBody && aChunk.sequence == mNextChunk;
+  const bool isWhole = !aChunk.isLast || aChunk.totalBytes == mReceivedBytes;
+  if (!isInOrder || !isWhole || mReceivedBytes > mCreditedBytes) {
+    return false;
+  }
+  ++mNextChunk;
+  mChunks.push_back(std::move(aChunk));
+  if (mIsTargetWaiting) {
+    sendNextBody();
+  }
+  return true;
+}
+
+void OwnerExchange::begin(transport::TargetClient& aClient, std::vector<wire::Header> aHeaders,
+                          TimePoint aDeadline)
+{
+  mHasBegun = true;
+  transport::TargetRequest request;
+  request.method = mHead.method;
+  request.path = mHead.path;
+  request.headers = std::move(aHeaders);
+  request.contentLength = mHead.hasBody ? mHead.contentLength : std::optional<std::uint64_t>(0);
+  mTarget = aClient.start(std::move(request), shared_from_this(), aDeadline);
+}
+
+void OwnerExchange::cancel()
+{
+  if (mTarget && !mHasEnded) {
+    mTarget->cancel();
+  }
+}
+
+bool OwnerExchange::mayStartWrite()
+{
+  return mHost.mayStartWrite(*this);
+}
+
+void OwnerExchange::onWritable()
+{
+  mIsTargetWaiting = true;
+  sendNextBody();
+}
+
+void OwnerExchange::sendNextBody()
+{
+  if (mChunks.empty()) {
+    return;
+  }
+  mIsTargetWaiting = false;
+  wire::BodyChunk chunk = std::move(mChunks.front());
+  mChunks.pop_front();
+  // What the target has taken may be replaced by as much; the first credit also opens the window.
+  const std::uint64_t wanted = mReceivedBytes + kWindowBytes;
+  if (!chunk.isLast && wanted > mCreditedBytes) {
+    const std::uint64_t more = wanted - mCreditedBytes;
+    mCreditedBytes = wanted;
+    mHost.sendToEntry(*this, wire::Credit{ mHead.id, wire::Direction::ToTarget, more });
+  }
+  mTarget->sendBody(std::move(chunk.data.data), chunk.isLast);
+}
+
+void OwnerExchange::onHead(unsigned aStatus, std::vector<wire::Header> aHeaders,
+                           std::optional<std::uint64_t> /*aContentLength*/)
+{
+  if (aStatus == kPreconditionFailed && hasRefusal(aHeaders, "fence")) {
+    mRefusal = Refusal::Fenced;
+  } else if (aStatus == kServiceUnavailable && hasRefusal(aHeaders, "shed")) {
+    mRefusal = Refusal::Shed;
+  }
+  mStatus = aStatus;
+  mHost.responseStarted(*this, aStatus, mRefusal == Refusal::Shed, mRefusal == Refusal::Fenced);
+  if (mRefusal == Refusal::None) {
+    mResponseHeaders = aHeaders;
+    mHost.sendToEntry(*this, wire::ResponseHead{ mHead.id, aStatus, std::move(aHeaders) });
+  }
+  mIsReadWanted = true;
+  readIfAllowed();
+}
+
+void OwnerExchange::addCredit(std::uint64_t aBytes)
+{
+  mCredit = std::min<std::int64_t>(mCredit + static_cast<std::int64_t>(aBytes), kWindowBytes);
+  readIfAllowed();
+}
+
+void OwnerExchange::readIfAllowed()
+{
+  if (mIsReadWanted && mCredit > 0 && mTarget && !mHasEnded) {
+    mIsReadWanted = false;
+    mTarget->readMore();
+  }
+}
+
+void OwnerExchange::collect(const std::string& aData)
+{
+  if (!mIsCollectable) {
+    return;
+  }
+  mCollected += aData;
+  if (mCollected.size() > kMaxStoredAnswerBytes) {
+    mIsCollectable = false;
+    mCollected = std::string();
+  }
+}
+
+void OwnerExchange::onBody(std::string aData, bool aIsLast)
+{
+  if (mRefusal != Refusal::None) {
+    if (aIsLast) {
+      const bool isFenced = mRefusal == Refusal::Fenced;
+      finish(wire::Outcome::NotRun, isFenced ? ErrorCode::TargetFenced : ErrorCode::TargetShed,
+             isFenced ? "the target refused an expired grant" : "the target is shedding load");
+      return;
+    }
+    mIsReadWanted = true;
+    readIfAllowed();
+    return;
+  }
+  collect(aData);
+  mCredit -= static_cast<std::int64_t>(aData.size());
+  mResponseBytes += aData.size();
+  wire::BodyChunk chunk;
+  chunk.id = mHead.id;
+  chunk.direction = wire::Direction::ToCaller;
+  chunk.sequence = mNextResponseChunk++;
+  chunk.isLast = aIsLast;
+  chunk.totalBytes = mResponseBytes;
+  chunk.data.data = std::move(aData);
+  mHost.sendToEntry(*this, std::move(chunk));
+  if (aIsLast) {
+    finish(wire::Outcome::Answered, ErrorCode::None, "");
+    return;
+  }
+  mIsReadWanted = true;
+  readIfAllowed();
+}
+
+void OwnerExchange::onFailure(bool aMayHaveRun, ErrorCode aCode, std::string aMessage)
+{
+  finish(aMayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun, aCode, std::move(aMessage));
+}
+
+std::optional<traffic::StoredAnswer> OwnerExchange::storedAnswer()
+{
+  if (!mIsCollectable || mStatus == 0) {
+    return std::nullopt;
+  }
+  return traffic::StoredAnswer{ mStatus, mResponseHeaders, Bytes(std::move(mCollected)) };
+}
+
+void OwnerExchange::finish(wire::Outcome aOutcome, ErrorCode aCode, std::string aMessage)
+{
+  if (mHasEnded) {
+    return;
+  }
+  mHasEnded = true;
+  const auto self = shared_from_this(); // The host forgets the exchange.
+  auto answer = aOutcome == wire::Outcome::Answered ? storedAnswer() : std::nullopt;
+  mHost.exchangeEnded(*this, aOutcome, aCode, std::move(aMessage), std::move(answer));
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/PeerRouter.cc
@@ -0,0 +1,137 @@
+// The table of message types and their duties.
+
+#include "daemon/PeerRouter.h"
+
+#include "base/Log.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+enum class Duty
+{
+  None,
+  Agent,
+  Control,
+  Owner,
+  Entry,
+  AgentAndControl
+};
+
+struct DutyOf
+{
+  Duty operator()(const wire::Hello& /*aBody*/) const { return Duty::None; }
+  Duty operator()(const wire::LogFrame& /*aBody*/) const { return Duty::Control; }
+  Duty operator()(const wire::LeaseRenew& /*aBody*/) const { return Duty::Control; }
+  Duty operator()(const wire::CommandSubmit& /*aBody*/) const { return Duty::Control; }
+  Duty operator()(const wire::ReadSubmit& /*aBody*/) const { return Duty::Control; }
+  Duty operator()(const wire::ReadReply& /*aBody*/) const { return Duty::Control; }
+  Duty operator()(const wire::LeaseAnswer& /*aBody*/) const { return Duty::Agent; }
+  Duty operator()(const wire::ViewUpdate& /*aBody*/) const { return Duty::Agent; }
+  Duty operator()(const wire::ViewSnapshot& /*aBody*/) const { return Duty::Agent; }
+  // Both submit commands and know their own ids.
+  Duty operator()(const wire::CommandReply& /*aBody*/) const { return Duty::AgentAndControl; }
+  Duty operator()(const wire::RequestHead& /*aBody*/) const { return Duty::Owner; }
+  Duty operator()(const wire::CancelRequest& /*aBody*/) const { return Duty::Owner; }
+  Duty operator()(const wire::TokenRequest& /*aBody*/) const { return Duty::Owner; }
+  Duty operator()(const wire::TokenAnswer& /*aBody*/) const { return Duty::Owner; }
+  Duty operator()(const wire::ResponseHead& /*aBody*/) const { return Duty::Entry; }
+  Duty operator()(const wire::RequestFailed& /*aBody*/) const { return Duty::Entry; }
+  Duty operator()(const wire::BodyChunk& aBody) const
+  {
+    return aBody.direction == wire::Direction::ToTarget ? Duty::Owner : Duty::Entry;
+  }
+  // Credit for a body goes to the side that sends the body.
+  Duty operator()(const wire::Credit& aBody) const
+  {
+    return aBody.direction == wire::Direction::ToTarget ? Duty::Entry : Duty::Owner;
+  }
+};
+
+template<class Message>
+bool push(Ring<Message>* aRing, Message aMessage)
+{
+  return aRing != nullptr && aRing->tryPush(std::move(aMessage));
+}
+
+} // namespace
+
+transport::SendResult PeerRouter::send(NodeId aTo, transport::Lane aLane,
+                                       wire::PeerMessage aMessage)
+{
+  if (aTo != mSelf) {
+    return mHub->send(aTo, aLane, aMessage);
+  }
+  const bool isTaken = dispatch({ kLocalLink, mSelf, std::move(aMessage) });
+  return { isTaken ? transport::SendStatus::Accepted : transport::SendStatus::Full, kLocalLink };
+}
+
+transport::SendStatus PeerRouter::reply(transport::LinkId aLink, wire::PeerMessage aMessage)
+{
+  if (aLink != kLocalLink) {
+    return mHub->reply(aLink, aMessage);
+  }
+  return dispatch({ kLocalLink, mSelf, std::move(aMessage) }) ? transport::SendStatus::Accepted
+                                                              : transport::SendStatus::Full;
+}
+
+void PeerRouter::onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane /*aLane*/,
+                           wire::PeerMessage aMessage)
+{
+  std::optional<RequestId> request;
+  if (const auto* head = std::get_if<wire::RequestHead>(&aMessage)) {
+    request = head->id;
+  }
+  if (dispatch({ aLink, aFrom, std::move(aMessage) })) {
+    return;
+  }
+  if (request) {
+    refuseOverloaded(aLink, *request);
+  }
+}
+
+void PeerRouter::refuseOverloaded(transport::LinkId aLink, const RequestId& aId)
+{
+  wire::RequestFailed failed;
+  failed.id = aId;
+  failed.outcome = wire::Outcome::NotRun;
+  failed.code = ErrorCode::Overloaded;
+  failed.message = "the owner's input ring is full";
+  reply(aLink, failed);
+}
+
+void PeerRouter::onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane /*aLane*/,
+                            bool /*aWasDialed*/, bool aNeverOpened)
+{
+  const LinkLost lost{ aLink, aPeer, aNeverOpened };
+  push<AgentMessage>(&mRings.agent, lost);
+  push<ControlMessage>(mRings.control.get(), lost);
+  const bool isOwnerTold = push<OwnerMessage>(&mRings.owner, lost);
+  const bool isEntryTold = push<EntryMessage>(&mRings.entry, lost);
+  if (!isOwnerTold || !isEntryTold) {
+    // Requests on the link then end by their deadlines.
+    logEvent(LogLevel::Warning, "link_lost_not_told", { { "peer", std::to_string(aPeer) } });
+  }
+}
+
+bool PeerRouter::dispatch(FromPeer aMessage)
+{
+  switch (std::visit(DutyOf{}, aMessage.message)) {
+    case Duty::Agent:
+      return push<AgentMessage>(&mRings.agent, std::move(aMessage));
+    case Duty::Control:
+      return push<ControlMessage>(mRings.control.get(), std::move(aMessage));
+    case Duty::AgentAndControl:
+      push<ControlMessage>(mRings.control.get(), aMessage);
+      return push<AgentMessage>(&mRings.agent, std::move(aMessage));
+    case Duty::Owner:
+      return push<OwnerMessage>(&mRings.owner, std::move(aMessage));
+    case Duty::Entry:
+      return push<EntryMessage>(&mRings.entry, std::move(aMessage));
+    case Duty::None:
+      break;
+  }
+  return false;
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/Settings.cc
@@ -0,0 +1,360 @@
+// The table of settings, their parsers and the checks between them.
+
+#include "daemon/Settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <set>
+#include <sstream>
+
+#include <boost/algorithm/string.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+using Problem = std::optional<std::string>;
+
+// One key: where it stands, what it means and how its text gets into the settings.
+struct Key
+{
+  const char* section;
+  const char* name;
+  const char* defaultText; // nullptr: required. Empty: optional without a value.
+  const char* meaning;
+  std::function<Problem(const std::string&, Settings&)> read;
+};
+
+std::optional<std::uint64_t> parseNumber(const std::string& aText)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+template<class T>
+std::function<Problem(const std::string&, Settings&)> number(T Settings::*aMember,
+                                                             std::uint64_t aMin, std::uint64_t aMax)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    const auto value = parseNumber(aText);
+    if (!value || *value < aMin || *value > aMax) {
+      return "expected a whole number from " + std::to_string(aMin) + " to " +
+             std::to_string(aMax) + ", found '" + aText + "'";
+    }
+    aOut.*aMember = static_cast<T>(*value);
+    return std::nullopt;
+  };
+}
+
+Problem readMillis(const std::string& aText, std::uint64_t aMin, std::uint64_t aMax, Millis& aOut)
+{
+  const auto value = parseNumber(aText);
+  if (!value || *value < aMin || *value > aMax) {
+    return "expected milliseconds from " + std::to_string(aMin) + " to " + std::to_string(aMax) +
+           ", found '" + aText + "'";
+  }
+  aOut = Millis(*value);
+  return std::nullopt;
+}
+
+std::function<Problem(const std::string&, Settings&)> millis(Millis Settings::*aMember,
+                                                             std::uint64_t aMin, std::uint64_t aMax)
+{
+  return [=](const std::string& aText, Settings& aOut) {
+    return readMillis(aText, aMin, aMax, aOut.*aMember);
+  };
+}
+
+std::function<Problem(const std::string&, Settings&)> leaseMillis(
+  Millis fleet::LeaseSettings::*aMember, std::uint64_t aMin, std::uint64_t aMax)
+{
+  return [=](const std::string& aText, Settings& aOut) {
+    return readMillis(aText, aMin, aMax, aOut.lease.*aMember);
+  };
+}
+
+Problem checkAddress(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return "expected ip:port, found '" + aText + "'";
+  }
+  std::string ip = aText.substr(0, colon);
+  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+  }
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(ip, ec);
+  const auto port = parseNumber(aText.substr(colon + 1));
+  if (ec || !port || *port == 0 || *port > 65535) {
+    return "expected an IP address and a port, found '" + aText + "'";
+  }
+  return std::nullopt;
+}
+
+std::function<Problem(const std::string&, Settings&)> address(std::string Settings::*aMember)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    if (auto problem = checkAddress(aText)) {
+      return problem;
+    }
+    aOut.*aMember = aText;
+    return std::nullopt;
+  };
+}
+
+std::function<Problem(const std::string&, Settings&)> name(std::string Settings::*aMember)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    const bool isGood =
+      !aText.empty() && aText.size() <= 63 && boost::algorithm::all(aText, [](char aChar) {
+        return std::islower(static_cast<unsigned char>(aChar)) != 0 ||
+               std::isdigit(static_cast<unsigned char>(aChar)) != 0 || aChar == '-' ||
+               aChar == '.' || aChar == '_';
+      });
+    if (!isGood) {
+      return "expected a name of a-z, 0-9, '-', '.', '_', found '" + aText + "'";
+    }
+    aOut.*aMember = aText;
+    return std::nullopt;
+  };
+}
+
+template<class E>
+std::function<Problem(const std::string&, Settings&)> choice(E Settings::*aMember)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    const auto value = enumFromName<E>(aText);
+    if (!value) {
+      std::string names;
+      for (const auto& it : EnumNames<E>::kTable) {
+        names += (names.empty() ? "" : ", ") + std::string(it.name);
+      }
+      return "expected one of " + names + ", found '" + aText + "'";
+    }
+    aOut.*aMember = *value;
+    return std::nullopt;
+  };
+}
+
+// "1@127.0.0.1:7001, 2@127.0.0.1:7002"
+Problem readMembers(const std::string& aText, Settings& aOut)
+{
+  std::vector<std::string> items;
+  boost::split(items, aText, boost::is_any_of(","));
+  for (auto& it : items) {
+    boost::trim(it);
+    const auto at = it.find('@');
+    const auto id = parseNumber(it.substr(0, at));
+    if (at == std::string::npos || !id || *id == 0 || *id > UINT32_MAX) {
+      return "expected ID@ip:port, found '" + it + "'";
+    }
+    if (auto problem = checkAddress(it.substr(at + 1))) {
+      return problem;
+    }
+    if (!aOut.members.emplace(static_cast<NodeId>(*id), it.substr(at + 1)).second) {
+      return "member " + std::to_string(*id) + " stands twice";
+    }
+  }
+  const std::size_t n = aOut.members.size();
+  if (n != 1 && n != 3 && n != 5 && n != 7) {
+    return "expected 1, 3, 5 or 7 members, found " + std::to_string(n);
+  }
+  return std::nullopt;
+}
+
+Problem readFolder(const std::string& aText, Settings& aOut)
+{
+  aOut.dataFolder = aText;
+  return std::nullopt;
+}
+
+constexpr std::uint64_t kMinuteMillis = 60'000;
+
+const std::vector<Key>& keys()
+{
+  using S = Settings;
+  using L = fleet::LeaseSettings;
+  static const std::vector<Key> kKeys = {
+    { "fleet", "name", nullptr, "Name of the fleet; daemons of two fleets don't talk.",
+      name(&S::fleetName) },
+    { "fleet", "partitions", "16384", "Partitions of each keyed service; fixed at the first start.",
+      number(&S::partitionCount, 1, 65536) },
+    { "node", "id", nullptr, "Number of this daemon in its fleet.", number(&S::id, 1, UINT32_MAX) },
+    { "node", "zone", nullptr, "Availability zone of this VM.", name(&S::zone) },
+    { "listen", "callers", nullptr, "Address for callers' HTTP.", address(&S::callersAddress) },
+    { "listen", "peers", nullptr, "Address for other daemons.", address(&S::peersAddress) },
+    { "listen", "peers_announced", "", "Address that other daemons dial, if it is another one.",
+      address(&S::peersAnnounced) },
+    { "listen", "operators", nullptr, "Address for operators, metrics and health.",
+      address(&S::operatorsAddress) },
+    { "target", "address", "", "Address of the target beside this daemon.",
+      address(&S::targetAddress) },
+    { "target", "poll_ms", "100", "Interval between health requests to the target.",
+      millis(&S::targetPollInterval, 10, kMinuteMillis) },
+    { "control", "members", nullptr, "Control members as ID@ip:port, separated by commas.",
+      readMembers },
+    { "control", "data_folder", "", "Folder of the replicated log; makes this daemon a member.",
+      readFolder },
+    { "control", "heartbeat_ms", "50", "Interval of the log leader's heartbeats.",
+      millis(&S::logHeartbeat, 5, 10'000) },
+    { "control", "election_min_ms", "250", "Shortest election timeout.",
+      millis(&S::electionMin, 20, kMinuteMillis) },
+    { "control", "election_max_ms", "500", "Longest election timeout.",
+      millis(&S::electionMax, 20, kMinuteMillis) },
+    { "control", "audit_max_bytes", "67108864", "Size of the audit trail at which it is rotated.",
+      number(&S::auditMaxBytes, 4096, 1ULL << 40U) },
+    { "lease", "length_ms", "1000", "Length of a node's lease.",
+      leaseMillis(&L::length, 100, kMinuteMillis) },
+    { "lease", "renew_ms", "200", "Interval of lease renewals.",
+      leaseMillis(&L::renewInterval, 10, kMinuteMillis) },
+    { "lease", "unchecked_grace_ms", "300",
+      "Added before partitions of a node are given away whose target doesn't check grants.",
+      leaseMillis(&L::uncheckedGrace, 0, kMinuteMillis) },
+    { "lease", "confirm_limit_ms", "3000",
+      "A daemon whose configuration is unconfirmed for longer takes no new work.",
+      leaseMillis(&L::confirmLimit, 100, kMinuteMillis) },
+    { "limits", "queued_requests", "2000", "Requests that wait for the target at most.",
+      number(&S::maxQueuedRequests, 1, 1'000'000) },
+    { "limits", "body_bytes", "1073741824", "Largest request body.",
+      number(&S::maxBodyBytes, 1024, 1ULL << 40U) },
+    { "limits", "deadline_ms", "10000", "Deadline of a request that brings none.",
+      millis(&S::defaultDeadline, 10, 10 * kMinuteMillis) },
+    { "limits", "drain_ms", "30000", "Longest planned stop.",
+      millis(&S::drainLimit, 100, 60 * kMinuteMillis) },
+    { "log", "level", "info", "Lowest level that is written.", choice(&S::logLevel) },
+    { "log", "format", "text", "One line of text or one JSON object a line.",
+      choice(&S::logFormat) },
+  };
+  return kKeys;
+}
+
+constexpr const char* kPeersSection = "peers";
+
+// Overrides have node ids as keys, so they can't stand in the table.
+void readPeerOverrides(IniFile& aFile, Settings& aOut, std::vector<SettingsFault>& aFaults)
+{
+  for (const auto& it : aFile.unknownKeys()) {
+    if (it.section != kPeersSection) {
+      continue;
+    }
+    const std::string text = aFile.value(it.section, it.key).value_or("");
+    const auto id = parseNumber(it.key);
+    if (!id || *id == 0 || *id > UINT32_MAX) {
+      aFaults.push_back(aFile.fault(it.section, it.key, "expected a node id as the key"));
+    } else if (auto problem = checkAddress(text)) {
+      aFaults.push_back(aFile.fault(it.section, it.key, *problem));
+    } else {
+      aOut.peerOverrides[static_cast<NodeId>(*id)] = text;
+    }
+  }
+}
+
+void checkTogether(const IniFile& aFile, const Settings& aSettings,
+                   std::vector<SettingsFault>& aFaults)
+{
+  const auto add = [&](const char* aSection, const char* aKey, std::string aReason) {
+    aFaults.push_back(aFile.fault(aSection, aKey, std::move(aReason)));
+  };
+  if (aSettings.isControlMember() && aSettings.members.count(aSettings.id) == 0) {
+    add("control", "members",
+        "data_folder makes this daemon a member, but node " + std::to_string(aSettings.id) +
+          " is not listed");
+  }
+  if (!aSettings.isControlMember() && aSettings.members.count(aSettings.id) > 0) {
+    add("control", "data_folder", "this node is a control member and needs a data folder");
+  }
+  if (aSettings.electionMin <= 2 * aSettings.logHeartbeat) {
+    add("control", "election_min_ms", "must be more than twice heartbeat_ms");
+  }
+  if (aSettings.electionMax <= aSettings.electionMin) {
+    add("control", "election_max_ms", "must be more than election_min_ms");
+  }
+  if (3 * aSettings.lease.renewInterval > aSettings.lease.length) {
+    add("lease", "renew_ms",
+        "must be at most a third of length_ms, so that one lost renewal "
+        "doesn't end the lease");
+  }
+  if (aSettings.lease.confirmLimit < aSettings.lease.length) {
+    add("lease", "confirm_limit_ms", "must be at least length_ms");
+  }
+  std::set<std::string> used;
+  for (const auto& [key, value] :
+       { std::pair("callers", aSettings.callersAddress), std::pair("peers", aSettings.peersAddress),
+         std::pair("operators", aSettings.operatorsAddress) }) {
+    if (!value.empty() && !used.insert(value).second) {
+      add("listen", key, "address " + value + " is used twice");
+    }
+  }
+}
+
+Result<Settings> check(IniFile aFile)
+{
+  Settings settings;
+  std::vector<SettingsFault> faults;
+  for (const auto& it : keys()) {
+    const auto text = aFile.value(it.section, it.name);
+    if (!text && it.defaultText == nullptr) {
+      faults.push_back(aFile.fault(it.section, it.name, "missing"));
+      continue;
+    }
+    const std::string value = text ? *text : it.defaultText;
+    if (value.empty() && it.defaultText != nullptr && *it.defaultText == '\0') {
+      continue;
+    }
+    if (auto problem = it.read(value, settings)) {
+      faults.push_back(aFile.fault(it.section, it.name, *problem));
+    }
+  }
+  readPeerOverrides(aFile, settings, faults);
+  for (const auto& it : aFile.unknownKeys()) {
+    faults.push_back(it);
+  }
+  if (faults.empty()) {
+    checkTogether(aFile, settings, faults);
+  }
+  if (!faults.empty()) {
+    return fail(SettingsError{ std::move(faults) });
+  }
+  if (settings.peersAnnounced.empty()) {
+    settings.peersAnnounced = settings.peersAddress;
+  }
+  return settings;
+}
+
+} // namespace
+
+Result<Settings> loadSettings(const std::string& aPath)
+{
+  BOOST_LEAF_AUTO(file, IniFile::load(aPath));
+  return check(std::move(file));
+}
+
+Result<Settings> parseSettings(const std::string& aName, const std::string& aText)
+{
+  BOOST_LEAF_AUTO(file, IniFile::parse(aName, aText));
+  return check(std::move(file));
+}
+
+std::string settingsReference()
+{
+  std::ostringstream out;
+  out << "| section | key | default | meaning |\n| --- | --- | --- | --- |\n";
+  for (const auto& it : keys()) {
+    out << "| " << it.section << " | " << it.name << " | "
+        << (it.defaultText == nullptr ? "required" : it.defaultText) << " | " << it.meaning
+        << " |\n";
+  }
+  out << "| " << kPeersSection << " | NODE | | Address to dial for a node in place of the one it "
+      << "announces. |\n";
+  return out.str();
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/SharedView.h
@@ -0,0 +1,54 @@
+// What the agent publishes for the threads that serve requests.
+//
+// The model is immutable behind a shared pointer that is swapped atomically; the lease and the
+// confirmation are single atomic numbers, so that a check before each write costs no lock.
+
+#ifndef CAMPHORCLEAT_DAEMON_SHAREDVIEW_H_
+#define CAMPHORCLEAT_DAEMON_SHAREDVIEW_H_
+
+#include <atomic>
+#include <memory>
+
+#include "fleet/FleetModel.h"
+
+namespace camphorcleat::daemon {
+
+struct ViewState
+{
+  std::shared_ptr<const fleet::FleetModel> model = std::make_shared<fleet::FleetModel>();
+  Revision revision = 0;
+  Incarnation incarnation = 0;
+};
+
+/// Thread-safe.
+class SharedView
+{
+public:
+  /// The latest published state; never null.
+  std::shared_ptr<const ViewState> state() const { return std::atomic_load(&mState); }
+
+  /// Publishes a state. Agent thread only.
+  void publish(ViewState aState)
+  {
+    std::atomic_store(&mState, std::make_shared<const ViewState>(std::move(aState)));
+  }
+
+  TimePoint leaseValidUntil() const { return TimePoint(Duration(mLeaseValidUntil.load())); }
+  TimePoint confirmedAt() const { return TimePoint(Duration(mConfirmedAt.load())); }
+
+  /// Publishes lease and confirmation. Agent thread only.
+  void publishTimes(TimePoint aLeaseValidUntil, TimePoint aConfirmedAt)
+  {
+    mLeaseValidUntil = aLeaseValidUntil.time_since_epoch().count();
+    mConfirmedAt = aConfirmedAt.time_since_epoch().count();
+  }
+
+private:
+  std::shared_ptr<const ViewState> mState = std::make_shared<const ViewState>();
+  std::atomic<Duration::rep> mLeaseValidUntil{ 0 };
+  std::atomic<Duration::rep> mConfirmedAt{ 0 };
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_SHAREDVIEW_H_
--- /dev/null
+++ b/packages/fleet/ControlLeader.cc
@@ -0,0 +1,234 @@
+// The leader's duties, driven by events.
+
+#include "fleet/ControlLeader.h"
+
+#include <utility>
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+constexpr std::size_t kMaxWaitingRenewals = 8192;
+
+// A view message may be lost with its connection; it is sent again after this time.
+constexpr Millis kSendAgainAfter{ 500 };
+
+// A plan may be lost with a full queue; planning again is harmless because each body is checked
+// against the state at the time it is applied.
+constexpr Millis kPlanAgainAfter{ 500 };
+
+} // namespace
+
+ControlLeader::ControlLeader(LeaseSettings aSettings, const FleetModel& aModel,
+                             std::unique_ptr<Planner> aPlanner)
+  : mSettings(aSettings)
+  , mModel(aModel)
+  , mPlanner(std::move(aPlanner))
+  , mLeases(aSettings)
+{
+}
+
+std::vector<control::Action> ControlLeader::step(TimePoint aNow, const control::Event& aEvent)
+{
+  mNow = aNow;
+  Actions out;
+  std::visit([&](const auto& aBody) { handle(aBody, out); }, aEvent);
+  return out;
+}
+
+Revision ControlLeader::appliedRevision(NodeId aNode) const
+{
+  const auto it = mSessions.find(aNode);
+  return it == mSessions.end() ? 0 : it->second.applied;
+}
+
+void ControlLeader::handle(const control::BecameLeader& /*aEvent*/, Actions& aOut)
+{
+  mIsLeading = true;
+  mLeaderHint = kNoNode;
+  mPlanOutstanding = 0;
+  mLeases.startTerm(mNow, mModel);
+  startRoundIfNeeded(aOut);
+}
+
+void ControlLeader::handle(const control::LostLeadership& aEvent, Actions& aOut)
+{
+  mIsLeading = false;
+  mLeaderHint = aEvent.leaderHint;
+  refuseWaiting(aOut);
+  mSessions.clear();
+}
+
+void ControlLeader::handle(const control::RenewArrived& aEvent, Actions& aOut)
+{
+  const WaitingRenewal renewal{ aEvent.link, aEvent.renew };
+  if (!mIsLeading || mNextRound.size() >= kMaxWaitingRenewals) {
+    answer(renewal, wire::LeaseStatus::NotLeader, 0, aOut);
+    return;
+  }
+  mLeases.renewalArrived(mNow, mModel, aEvent.renew);
+  Session& session = mSessions[aEvent.renew.node];
+  const bool isOtherLink = session.link != aEvent.link;
+  const bool isOverdue =
+    aEvent.renew.appliedRevision < session.sent && mNow - session.sentAt > kSendAgainAfter;
+  session.link = aEvent.link;
+  session.applied = aEvent.renew.appliedRevision;
+  session.loadRequestsPerSecond = aEvent.renew.loadRequestsPerSecond;
+  if (isOtherLink || isOverdue || session.sent < session.applied) {
+    session.sent = session.applied;
+  }
+  bringUpToDate(session, aOut);
+  mNextRound.push_back(renewal);
+  startRoundIfNeeded(aOut);
+}
+
+void ControlLeader::handle(const control::RoundDone& aEvent, Actions& aOut)
+{
+  if (!mIsRoundRunning || aEvent.round != mRoundCounter) {
+    return;
+  }
+  mIsRoundRunning = false;
+  for (const auto& it : std::exchange(mRunningRound, {})) {
+    // Checked again: the incarnation may have been declared lost while the round ran.
+    const auto status = mLeases.status(mModel, it.renew.node, it.renew.incarnation);
+    answer(it, status, aEvent.committed, aOut);
+  }
+  startRoundIfNeeded(aOut);
+}
+
+void ControlLeader::handle(const control::RoundFailed& aEvent, Actions& aOut)
+{
+  if (!mIsRoundRunning || aEvent.round != mRoundCounter) {
+    return;
+  }
+  mIsRoundRunning = false;
+  for (const auto& it : std::exchange(mRunningRound, {})) {
+    answer(it, wire::LeaseStatus::NotLeader, 0, aOut);
+  }
+  startRoundIfNeeded(aOut);
+}
+
+void ControlLeader::handle(const control::Applied& aEvent, Actions& aOut)
+{
+  mHistory.add(aEvent.revision, aEvent.changes);
+  if (!mIsLeading) {
+    return;
+  }
+  for (const auto& it : aEvent.changes) {
+    if (const auto* set = std::get_if<wire::NodeSet>(&it)) {
+      mLeases.nodeChanged(mNow, set->node);
+    }
+  }
+  if (aEvent.isFromPlanner && mPlanOutstanding > 0) {
+    --mPlanOutstanding;
+  }
+  if (!aEvent.changes.empty()) {
+    for (auto& [id, session] : mSessions) {
+      bringUpToDate(session, aOut);
+    }
+    proposePlan(aOut);
+  }
+}
+
+void ControlLeader::handle(const control::Restored& aEvent, Actions& /*aOut*/)
+{
+  mHistory.reset(aEvent.revision);
+}
+
+void ControlLeader::handle(const control::LinkClosed& aEvent, Actions& /*aOut*/)
+{
+  for (auto it = mSessions.begin(); it != mSessions.end();) {
+    it = it->second.link == aEvent.link ? mSessions.erase(it) : std::next(it);
+  }
+}
+
+void ControlLeader::handle(const control::Tick& /*aEvent*/, Actions& aOut)
+{
+  if (!mIsLeading) {
+    return;
+  }
+  proposeLosses(aOut);
+  proposePlan(aOut);
+}
+
+void ControlLeader::answer(const WaitingRenewal& aRenewal, wire::LeaseStatus aStatus,
+                           Revision aCommitted, Actions& aOut) const
+{
+  wire::LeaseAnswer message;
+  message.sequence = aRenewal.renew.sequence;
+  message.status = aStatus;
+  message.leaderHint = mLeaderHint;
+  message.length = mSettings.length;
+  message.committedRevision = aCommitted;
+  aOut.emplace_back(control::Reply{ aRenewal.link, message });
+}
+
+void ControlLeader::refuseWaiting(Actions& aOut)
+{
+  mIsRoundRunning = false;
+  for (auto* list : { &mRunningRound, &mNextRound }) {
+    for (const auto& it : std::exchange(*list, {})) {
+      answer(it, wire::LeaseStatus::NotLeader, 0, aOut);
+    }
+  }
+}
+
+void ControlLeader::startRoundIfNeeded(Actions& aOut)
+{
+  if (!mIsLeading || mIsRoundRunning || mNextRound.empty()) {
+    return;
+  }
+  mIsRoundRunning = true;
+  mRunningRound = std::exchange(mNextRound, {});
+  aOut.emplace_back(control::StartRound{ ++mRoundCounter });
+}
+
+void ControlLeader::bringUpToDate(Session& aSession, Actions& aOut)
+{
+  if (aSession.sent >= mHistory.revision()) {
+    return;
+  }
+  aSession.sentAt = mNow;
+  if (auto update = mHistory.updateSince(aSession.sent)) {
+    aSession.sent = update->to;
+    aOut.emplace_back(control::Reply{ aSession.link, std::move(*update) });
+    return;
+  }
+  aSession.sent = mHistory.revision();
+  for (auto& part : snapshotParts(mModel, mHistory.revision())) {
+    aOut.emplace_back(control::Reply{ aSession.link, std::move(part) });
+  }
+}
+
+void ControlLeader::proposeLosses(Actions& aOut)
+{
+  for (const auto& it : mLeases.takeExpired(mNow, mModel)) {
+    wire::Command command;
+    command.issuer = "lease";
+    command.bodies.emplace_back(it);
+    aOut.emplace_back(control::Propose{ std::move(command) });
+  }
+}
+
+void ControlLeader::proposePlan(Actions& aOut)
+{
+  if (mPlanOutstanding > 0 && mNow - mPlanProposedAt < kPlanAgainAfter) {
+    return;
+  }
+  std::map<NodeId, NodeLoad> loads;
+  for (const auto& [id, session] : mSessions) {
+    loads[id].requestsPerSecond = session.loadRequestsPerSecond;
+  }
+  // One command each: in a common command a body that has become void would refuse the others.
+  std::vector<wire::CommandBody> bodies = mPlanner->plan(mNow, mModel, loads);
+  mPlanOutstanding = bodies.size();
+  mPlanProposedAt = mNow;
+  for (auto& it : bodies) {
+    wire::Command command;
+    command.issuer = kPlannerIssuer;
+    command.bodies.push_back(std::move(it));
+    aOut.emplace_back(control::Propose{ std::move(command) });
+  }
+}
+
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/ControlLeader.h
@@ -0,0 +1,165 @@
+// What a control member does beyond the log while it leads: leases, views and planning.
+//
+// Renewals are collected and answered after a quorum round that started later (LeaseBook.h says
+// why). Daemons get changes as soon as they are applied, and again with later renewals if one was
+// lost. Losses and plans become proposals; nothing here changes the model directly.
+
+#ifndef CAMPHORCLEAT_FLEET_CONTROLLEADER_H_
+#define CAMPHORCLEAT_FLEET_CONTROLLEADER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "fleet/LeaseBook.h"
+#include "fleet/Planner.h"
+#include "fleet/ViewHistory.h"
+
+namespace camphorcleat::fleet {
+
+/// Names one connection of a peer; replies go back on it.
+using LinkNumber = std::uint64_t;
+
+/// Issuer of commands that the planner proposes.
+constexpr const char* kPlannerIssuer = "planner";
+
+namespace control {
+
+// Events.
+struct BecameLeader
+{};
+struct LostLeadership
+{
+  NodeId leaderHint = kNoNode;
+};
+struct RenewArrived
+{
+  LinkNumber link = 0;
+  wire::LeaseRenew renew;
+};
+struct RoundDone
+{
+  std::uint64_t round = 0;
+  Revision committed = 0; ///< Committed when the round started, and applied by now.
+};
+struct RoundFailed
+{
+  std::uint64_t round = 0;
+};
+/// An entry was applied to the model. Comes on every member, leader or not.
+struct Applied
+{
+  Revision revision = 0;
+  std::vector<wire::Change> changes;
+  bool isFromPlanner = false;
+};
+/// The model was replaced by a snapshot.
+struct Restored
+{
+  Revision revision = 0;
+};
+struct LinkClosed
+{
+  LinkNumber link = 0;
+};
+struct Tick
+{};
+
+using Event = std::variant<BecameLeader, LostLeadership, RenewArrived, RoundDone, RoundFailed,
+                           Applied, Restored, LinkClosed, Tick>;
+
+// Actions.
+struct StartRound
+{
+  std::uint64_t round = 0;
+};
+struct Reply
+{
+  LinkNumber link = 0;
+  wire::PeerMessage message;
+};
+struct Propose
+{
+  wire::Command command;
+};
+
+using Action = std::variant<StartRound, Reply, Propose>;
+
+} // namespace control
+
+/// Memory: one session per live node and at most 8,192 renewals that wait for a round.
+/// Not thread-safe.
+class ControlLeader
+{
+public:
+  /// aModel is the member's replicated model and outlives this object.
+  ControlLeader(LeaseSettings aSettings, const FleetModel& aModel,
+                std::unique_ptr<Planner> aPlanner);
+
+  /// Handles one event. Time never goes back between calls.
+  std::vector<control::Action> step(TimePoint aNow, const control::Event& aEvent);
+
+  bool isLeading() const { return mIsLeading; }
+
+  /// Leases as this leader counts them; meaningful while leading.
+  const LeaseBook& leases() const { return mLeases; }
+
+  /// The revision that a node last said it had applied, or 0.
+  Revision appliedRevision(NodeId aNode) const;
+
+private:
+  struct Session
+  {
+    LinkNumber link = 0;
+    Revision applied = 0; // As the node last said.
+    Revision sent = 0;
+    TimePoint sentAt;
+    std::uint32_t loadRequestsPerSecond = 0;
+  };
+  struct WaitingRenewal
+  {
+    LinkNumber link = 0;
+    wire::LeaseRenew renew;
+  };
+  using Actions = std::vector<control::Action>;
+
+  void handle(const control::BecameLeader& aEvent, Actions& aOut);
+  void handle(const control::LostLeadership& aEvent, Actions& aOut);
+  void handle(const control::RenewArrived& aEvent, Actions& aOut);
+  void handle(const control::RoundDone& aEvent, Actions& aOut);
+  void handle(const control::RoundFailed& aEvent, Actions& aOut);
+  void handle(const control::Applied& aEvent, Actions& aOut);
+  void handle(const control::Restored& aEvent, Actions& aOut);
+  void handle(const control::LinkClosed& aEvent, Actions& aOut);
+  void handle(const control::Tick& aEvent, Actions& aOut);
+
+  void answer(const WaitingRenewal& aRenewal, wire::LeaseStatus aStatus, Revision aCommitted,
+              Actions& aOut) const;
+  void refuseWaiting(Actions& aOut);
+  void startRoundIfNeeded(Actions& aOut);
+  void bringUpToDate(Session& aSession, Actions& aOut);
+  void proposeLosses(Actions& aOut);
+  void proposePlan(Actions& aOut);
+
+  LeaseSettings mSettings;
+  const FleetModel& mModel;
+  std::unique_ptr<Planner> mPlanner;
+  LeaseBook mLeases;
+  ViewHistory mHistory;
+  TimePoint mNow;
+  bool mIsLeading = false;
+  NodeId mLeaderHint = kNoNode;
+  std::map<NodeId, Session> mSessions;
+  std::vector<WaitingRenewal> mNextRound;    // Arrived since the running round started.
+  std::vector<WaitingRenewal> mRunningRound; // Answered when the running round is done.
+  std::uint64_t mRoundCounter = 0;
+  bool mIsRoundRunning = false;
+  TimePoint mPlanProposedAt;
+  std::size_t mPlanOutstanding = 0; // Planner's commands that are proposed and not applied yet.
+};
+
+} // namespace camphorcleat::fleet
+
+#endif // CAMPHORCLEAT_FLEET_CONTROLLEADER_H_
--- /dev/null
+++ b/packages/fleet/NodeAgent.cc
@@ -0,0 +1,384 @@
+// The daemon's membership duties, driven by events.
+
+#include "fleet/NodeAgent.h"
+
+#include <algorithm>
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+constexpr std::size_t kMaxSentRenewals = 64;
+constexpr std::size_t kMaxToConfirm = 64;
+constexpr std::size_t kMaxReleasesPerCommand = 4096;
+constexpr std::uint32_t kMaxSnapshotParts = 4096;
+
+// A member that has not answered for this many renewals is given up for the next one.
+constexpr int kUnansweredRenewals = 2;
+
+// Renewal after "not leader": soon, but not so soon that an election is flooded.
+constexpr Millis kRetryRenewal{ 25 };
+
+// Commands are idempotent, so one without an answer is sent again.
+constexpr Millis kResendCommand{ 400 };
+constexpr Millis kRetryCommand{ 50 };
+
+} // namespace
+
+NodeAgent::NodeAgent(NodeAgentConfig aConfig, std::mt19937_64& aRandom)
+  : mConfig(std::move(aConfig))
+  , mRandom(aRandom)
+  , mIncarnation(newIncarnation(aRandom))
+  , mModel(std::make_shared<FleetModel>())
+{
+  mMemberIndex = static_cast<std::size_t>(mRandom() % mConfig.members.size());
+}
+
+std::vector<agent::Action> NodeAgent::step(TimePoint aNow, const agent::Event& aEvent)
+{
+  mNow = aNow;
+  Actions out;
+  std::visit([&](const auto& aBody) { handle(aBody, out); }, aEvent);
+  submitWanted(out);
+  return out;
+}
+
+void NodeAgent::handle(const agent::Tick& /*aEvent*/, Actions& aOut)
+{
+  if (mIsDrained || mNow < mNextRenewal) {
+    return;
+  }
+  if (mNow - mLastAnswer > kUnansweredRenewals * mConfig.lease.renewInterval) {
+    tryNextMember();
+  }
+  renew(aOut);
+}
+
+void NodeAgent::renew(Actions& aOut)
+{
+  wire::LeaseRenew message;
+  message.node = mConfig.id;
+  message.incarnation = mIncarnation;
+  message.sequence = ++mSequence;
+  message.appliedRevision = mRevision;
+  if (mSentRenewals.size() >= kMaxSentRenewals) {
+    mSentRenewals.pop_front();
+  }
+  mSentRenewals.push_back({ mSequence, mNow });
+  mNextRenewal = mNow + mConfig.lease.renewInterval;
+  aOut.emplace_back(agent::Send{ mConfig.members[mMemberIndex], message });
+}
+
+void NodeAgent::tryNextMember()
+{
+  mLeader = kNoNode;
+  mLastAnswer = mNow;
+  mMemberIndex = (mMemberIndex + 1) % mConfig.members.size();
+}
+
+void NodeAgent::handle(const agent::AnswerArrived& aEvent, Actions& aOut)
+{
+  const wire::LeaseAnswer& answer = aEvent.answer;
+  const auto it =
+    std::find_if(mSentRenewals.begin(), mSentRenewals.end(),
+                 [&](const SentRenewal& aRenewal) { return aRenewal.sequence == answer.sequence; });
+  if (it == mSentRenewals.end()) {
+    return;
+  }
+  const TimePoint sentAt = it->sentAt;
+  mSentRenewals.erase(mSentRenewals.begin(), std::next(it));
+  switch (answer.status) {
+    case wire::LeaseStatus::Granted:
+    case wire::LeaseStatus::Unregistered:
+      mLastAnswer = mNow;
+      mLeader = aEvent.from;
+      grantReceived(answer, sentAt, aOut);
+      break;
+    case wire::LeaseStatus::NotLeader: {
+      const auto hint =
+        std::find(mConfig.members.begin(), mConfig.members.end(), answer.leaderHint);
+      if (hint != mConfig.members.end() && *hint != aEvent.from) {
+        mMemberIndex = static_cast<std::size_t>(hint - mConfig.members.begin());
+      } else {
+        tryNextMember();
+      }
+      mLastAnswer = mNow;
+      mNextRenewal = std::min(mNextRenewal, mNow + kRetryRenewal);
+      break;
+    }
+    case wire::LeaseStatus::Refused:
+      mLastAnswer = mNow;
+      startNewIncarnation(aOut);
+      break;
+  }
+}
+
+void NodeAgent::grantReceived(const wire::LeaseAnswer& aAnswer, TimePoint aSentAt, Actions& aOut)
+{
+  if (aAnswer.status == wire::LeaseStatus::Granted) {
+    mLeaseValidUntil = std::max(mLeaseValidUntil, aSentAt + aAnswer.length);
+  }
+  if (mToConfirm.size() >= kMaxToConfirm) {
+    mToConfirm.pop_front();
+  }
+  mToConfirm.emplace_back(aAnswer.committedRevision, aSentAt);
+  confirmUpTo(mRevision);
+  aOut.emplace_back(agent::ViewChanged{});
+}
+
+void NodeAgent::confirmUpTo(Revision aRevision)
+{
+  if (aRevision == 0) {
+    return;
+  }
+  // Revisions in the queue only grow, apart from answers of two leaders that cross; those wait.
+  while (!mToConfirm.empty() && mToConfirm.front().first <= aRevision) {
+    mConfirmedAt = std::max(mConfirmedAt, mToConfirm.front().second);
+    mToConfirm.pop_front();
+  }
+}
+
+void NodeAgent::startNewIncarnation(Actions& aOut)
+{
+  mIncarnation = newIncarnation(mRandom);
+  mLeaseValidUntil = TimePoint();
+  mSentRenewals.clear();
+  mStopping.clear();
+  mIdle.clear();
+  mCommandInFlight.reset();
+  aOut.emplace_back(agent::ViewChanged{});
+}
+
+void NodeAgent::handle(const agent::UpdateArrived& aEvent, Actions& aOut)
+{
+  const wire::ViewUpdate& update = aEvent.update;
+  // An update that starts later than the view would skip changes, and an older one would revert
+  // them. Changes state whole values, so one that starts earlier and ends later may be applied.
+  if (mRevision == 0 || update.from > mRevision || update.to <= mRevision) {
+    return;
+  }
+  if (!update.changes.empty()) {
+    auto model = std::make_shared<FleetModel>(*mModel);
+    for (const auto& it : update.changes) {
+      model->apply(it);
+    }
+    mModel = std::move(model);
+  }
+  mRevision = update.to;
+  viewAdvanced(aOut);
+}
+
+void NodeAgent::handle(const agent::SnapshotArrived& aEvent, Actions& aOut)
+{
+  const wire::ViewSnapshot& part = aEvent.part;
+  if (part.revision <= mRevision || part.partCount > kMaxSnapshotParts ||
+      part.part >= part.partCount) {
+    return;
+  }
+  if (part.revision != mSnapshotRevision) {
+    mSnapshotParts.clear();
+    mSnapshotRevision = part.revision;
+  }
+  mSnapshotParts[part.part] = part.changes;
+  if (mSnapshotParts.size() < part.partCount) {
+    return;
+  }
+  auto model = std::make_shared<FleetModel>();
+  for (const auto& [number, changes] : mSnapshotParts) {
+    for (const auto& it : changes) {
+      model->apply(it);
+    }
+  }
+  mSnapshotParts.clear();
+  mModel = std::move(model);
+  mRevision = part.revision;
+  viewAdvanced(aOut);
+}
+
+void NodeAgent::viewAdvanced(Actions& aOut)
+{
+  confirmUpTo(mRevision);
+  askToStopMovingPartitions(aOut);
+  aOut.emplace_back(agent::ViewChanged{});
+}
+
+void NodeAgent::askToStopMovingPartitions(Actions& aOut)
+{
+  for (const auto& service : mModel->grantedServices()) {
+    const GrantTable& table = mModel->grants(service);
+    for (PartitionId i = 0; i < table.size(); ++i) {
+      const wire::PartitionGrant& grant = table[i];
+      const bool isMine = grant.owner == mConfig.id && grant.incarnation == mIncarnation;
+      if (!isMine || grant.movingTo == kNoNode) {
+        continue;
+      }
+      if (mStopping.insert({ { service, i }, grant.token }).second) {
+        aOut.emplace_back(agent::StopPartition{ { service, i }, grant.token });
+      }
+    }
+  }
+  // Grants that are gone need no memory of their stop.
+  for (auto it = mStopping.begin(); it != mStopping.end();) {
+    const wire::PartitionGrant* grant = mModel->grant(it->first.first, it->first.second);
+    const bool isHeld = grant != nullptr && grant->owner == mConfig.id &&
+                        grant->incarnation == mIncarnation && grant->token == it->second;
+    if (!isHeld) {
+      mIdle.erase(it->first);
+    }
+    it = isHeld ? std::next(it) : mStopping.erase(it);
+  }
+}
+
+void NodeAgent::handle(const agent::PartitionIdle& aEvent, Actions& /*aOut*/)
+{
+  if (mStopping.count({ aEvent.partition, aEvent.token }) > 0) {
+    mIdle[aEvent.partition] = aEvent.token;
+  }
+}
+
+void NodeAgent::handle(const agent::TargetChanged& aEvent, Actions& /*aOut*/)
+{
+  mIsTargetReachable = aEvent.isReachable;
+  if (aEvent.isReachable) {
+    mAnnouncement = aEvent.announcement;
+  }
+}
+
+void NodeAgent::handle(const agent::DrainRequested& /*aEvent*/, Actions& /*aOut*/)
+{
+  mIsDraining = true;
+}
+
+void NodeAgent::handle(const agent::ReplyArrived& aEvent, Actions& aOut)
+{
+  if (!mCommandInFlight || aEvent.reply.id != *mCommandInFlight) {
+    return;
+  }
+  mCommandInFlight.reset();
+  mNextCommandAt = mNow;
+  switch (aEvent.reply.result.code) {
+    case ErrorCode::None:
+      break;
+    case ErrorCode::IncarnationRefused: {
+      // Either the old incarnation's lease still runs, or this one was declared lost.
+      const wire::Node* self = mModel->node(mConfig.id);
+      if (self != nullptr && self->incarnation == mIncarnation &&
+          self->status == wire::NodeStatus::Lost) {
+        startNewIncarnation(aOut);
+      }
+      mNextCommandAt = mNow + kRetryCommand;
+      break;
+    }
+    default:
+      mNextCommandAt = mNow + kRetryCommand;
+      break;
+  }
+}
+
+wire::Node NodeAgent::selfAsNode() const
+{
+  wire::Node node;
+  node.id = mConfig.id;
+  node.incarnation = mIncarnation;
+  node.zone = mConfig.zone;
+  node.peerAddress = mConfig.peerAddress;
+  node.hasTarget = mConfig.hasTarget;
+  node.target = mAnnouncement;
+  if (mIsDraining) {
+    node.status = wire::NodeStatus::Draining;
+  } else if (mConfig.hasTarget && !mIsTargetReachable) {
+    node.status = wire::NodeStatus::TargetDown;
+  }
+  return node;
+}
+
+bool NodeAgent::isRegistrationCurrent(const wire::Node& aNode) const
+{
+  const wire::Announcement& target = aNode.target;
+  return aNode.incarnation == mIncarnation && aNode.status != wire::NodeStatus::Lost &&
+         aNode.zone == mConfig.zone && aNode.peerAddress == mConfig.peerAddress &&
+         target.service == mAnnouncement.service && target.slots == mAnnouncement.slots &&
+         target.coldSlots == mAnnouncement.coldSlots && target.warmUp == mAnnouncement.warmUp &&
+         target.checksGrants == mAnnouncement.checksGrants;
+}
+
+bool NodeAgent::ownsAnything() const
+{
+  for (const auto& service : mModel->grantedServices()) {
+    for (const auto& grant : mModel->grants(service)) {
+      if (grant.owner == mConfig.id && grant.incarnation == mIncarnation) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::optional<wire::CommandBody> NodeAgent::wantedCommand() const
+{
+  const wire::Node* self = mModel->node(mConfig.id);
+  const wire::Node wanted = selfAsNode();
+  if (mRevision == 0) {
+    return std::nullopt;
+  }
+  if (self == nullptr || !isRegistrationCurrent(*self)) {
+    return wire::RegisterNode{ wanted };
+  }
+  if (self->status != wanted.status) {
+    return wire::SetNodeStatus{ mConfig.id, mIncarnation, wanted.status };
+  }
+  if (mIdle.empty()) {
+    return std::nullopt;
+  }
+  wire::Release release;
+  release.service = mIdle.begin()->first.first;
+  release.node = mConfig.id;
+  release.incarnation = mIncarnation;
+  for (const auto& [partition, token] : mIdle) {
+    if (partition.first != release.service || release.grants.size() >= kMaxReleasesPerCommand) {
+      break;
+    }
+    release.grants.push_back({ partition.second, token });
+  }
+  return release;
+}
+
+void NodeAgent::submitWanted(Actions& aOut)
+{
+  if (mIsDrained) {
+    return;
+  }
+  const wire::Node* self = mModel->node(mConfig.id);
+  const bool isDraining = mIsDraining && self != nullptr && self->incarnation == mIncarnation &&
+                          self->status == wire::NodeStatus::Draining;
+  if (isDraining && !ownsAnything()) {
+    mIsDrained = true;
+    wire::CommandSubmit farewell;
+    farewell.id = { mIncarnation, ++mCommandCounter };
+    farewell.command.issuer = "node";
+    farewell.command.bodies = { wire::NodeLost{ mConfig.id, mIncarnation } };
+    mLeaseValidUntil = TimePoint();
+    aOut.emplace_back(agent::Send{ mConfig.members[mMemberIndex], farewell });
+    aOut.emplace_back(agent::ViewChanged{});
+    aOut.emplace_back(agent::Drained{});
+    return;
+  }
+  if (mNow < mNextCommandAt || (mCommandInFlight && mNow - mCommandSentAt < kResendCommand)) {
+    return;
+  }
+  auto body = wantedCommand();
+  if (!body) {
+    return;
+  }
+  wire::CommandSubmit submit;
+  submit.id = { mIncarnation, ++mCommandCounter };
+  submit.command.issuer = "node";
+  submit.command.bodies.push_back(std::move(*body));
+  mCommandInFlight = submit.id;
+  mCommandSentAt = mNow;
+  // A reply comes before the change reaches the view; wait for the view instead of asking again.
+  mNextCommandAt = mNow + kRetryCommand;
+  aOut.emplace_back(agent::Send{ mConfig.members[mMemberIndex], std::move(submit) });
+}
+
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/ViewHistory.cc
@@ -0,0 +1,111 @@
+// Bounded history of changes and the split of a whole state into messages.
+
+#include "fleet/ViewHistory.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+constexpr std::size_t kMaxRevisions = 4096;
+constexpr std::size_t kMaxChanges = 65536;
+
+// Most partitions or other changes in one part. A partition number takes at most 5 bytes and
+// another change under 1 KiB, so a part stays below 256 KiB.
+constexpr std::size_t kPartitionsPerChange = 8192;
+constexpr std::size_t kUnitsPerPart = 256;
+constexpr std::size_t kPartitionsPerUnit = 64;
+
+std::size_t unitsOf(const wire::Change& aChange)
+{
+  const auto* set = std::get_if<wire::PartitionsSet>(&aChange);
+  return set == nullptr ? 1 : 1 + set->partitions.size() / kPartitionsPerUnit;
+}
+
+// Splits grants of very many partitions so that no single change exceeds a part.
+std::vector<wire::Change> splitLargeChanges(std::vector<wire::Change> aChanges)
+{
+  std::vector<wire::Change> out;
+  for (auto& it : aChanges) {
+    auto* set = std::get_if<wire::PartitionsSet>(&it);
+    if (set == nullptr || set->partitions.size() <= kPartitionsPerChange) {
+      out.push_back(std::move(it));
+      continue;
+    }
+    for (std::size_t i = 0; i < set->partitions.size(); i += kPartitionsPerChange) {
+      const std::size_t end = std::min(i + kPartitionsPerChange, set->partitions.size());
+      wire::PartitionsSet piece;
+      piece.service = set->service;
+      piece.grant = set->grant;
+      piece.partitions.assign(set->partitions.begin() + static_cast<std::ptrdiff_t>(i),
+                              set->partitions.begin() + static_cast<std::ptrdiff_t>(end));
+      out.emplace_back(std::move(piece));
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+void ViewHistory::add(Revision aRevision, std::vector<wire::Change> aChanges)
+{
+  mRevision = aRevision;
+  if (aChanges.empty()) {
+    return;
+  }
+  mChangeCount += aChanges.size();
+  mItems.emplace_back(aRevision, std::move(aChanges));
+  while (mItems.size() > kMaxRevisions || (mChangeCount > kMaxChanges && mItems.size() > 1)) {
+    mFirstKnown = mItems.front().first;
+    mChangeCount -= mItems.front().second.size();
+    mItems.pop_front();
+  }
+}
+
+void ViewHistory::reset(Revision aRevision)
+{
+  mItems.clear();
+  mChangeCount = 0;
+  mFirstKnown = aRevision;
+  mRevision = aRevision;
+}
+
+std::optional<wire::ViewUpdate> ViewHistory::updateSince(Revision aFrom) const
+{
+  if (aFrom < mFirstKnown || aFrom > mRevision || aFrom == 0) {
+    return std::nullopt;
+  }
+  wire::ViewUpdate update{ aFrom, mRevision, {} };
+  const auto first =
+    std::upper_bound(mItems.begin(), mItems.end(), aFrom,
+                     [](Revision aValue, const auto& aItem) { return aValue < aItem.first; });
+  for (auto it = first; it != mItems.end(); ++it) {
+    update.changes.insert(update.changes.end(), it->second.begin(), it->second.end());
+  }
+  return update;
+}
+
+std::vector<wire::ViewSnapshot> snapshotParts(const FleetModel& aModel, Revision aRevision)
+{
+  std::vector<wire::ViewSnapshot> parts(1);
+  std::size_t units = 0;
+  for (auto& it : splitLargeChanges(aModel.toChanges())) {
+    const std::size_t n = unitsOf(it);
+    if (units > 0 && units + n > kUnitsPerPart) {
+      parts.emplace_back();
+      units = 0;
+    }
+    units += n;
+    parts.back().changes.push_back(std::move(it));
+  }
+  for (std::uint32_t i = 0; i < parts.size(); ++i) {
+    parts[i].revision = aRevision;
+    parts[i].part = i;
+    parts[i].partCount = static_cast<std::uint32_t>(parts.size());
+  }
+  return parts;
+}
+
+} // namespace camphorcleat::fleet
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -184,23 +184,27 @@
   std::string key; ///< Empty for an unkeyed service.
   PartitionId partition = 0;
   std::string account; ///< Empty on an open route.
+  std::string keyName; ///< Name of the account key that the caller brought.
   std::string method;
   std::string path; ///< Path and query, as the caller sent them.
   std::vector<Header> headers;
   Millis deadline{ 0 }; ///< Time left when sent.
   std::string idempotencyKey;
-  bool isResend = false; ///< An earlier attempt may have run.
+  std::string bodyDigest; ///< SHA-256 of a body of at most 64 KiB; empty if it is larger.
+  bool isResend = false;  ///< An earlier attempt may have run.
   Revision routeRevision = 0;
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("id", &RequestHead::id), field("service", &RequestHead::service),
       field("key", &RequestHead::key), field("partition", &RequestHead::partition),
-      field("account", &RequestHead::account), field("method", &RequestHead::method),
-      field("path", &RequestHead::path), field("headers", &RequestHead::headers),
+      field("account", &RequestHead::account), field("key_name", &RequestHead::keyName),
+      field("method", &RequestHead::method), field("path", &RequestHead::path),
+      field("headers", &RequestHead::headers), field("has_body", &RequestHead::hasBody),
+      field("content_length", &RequestHead::contentLength),
       field("deadline_ms", &RequestHead::deadline),
       field("idempotency_key", &RequestHead::idempotencyKey),
-      field("resend", &RequestHead::isResend),
+      field("body_digest", &RequestHead::bodyDigest), field("resend", &RequestHead::isResend),
       field("route_revision", &RequestHead::routeRevision));
   }
 };
