Add FleetState, the placements and the planner

The control leader needs a state machine that decides commands alike on every member, and a plan of who owns which partition. FleetState applies commands with remembered results and audit records, BalancedPlacement keeps shares proportional to slots, and Planner paces the moves.

--- /dev/null
+++ b/packages/fleet/CommandRules.h
@@ -0,0 +1,98 @@
+// Decides one command body against the present state: the changes that it makes, or why it is
+// refused.
+//
+// The rules only read the model. Changes are collected and applied by FleetState afterwards, so a
+// refused body has no effect. Rules of operators' bodies and of the system's own bodies stand in
+// one source file each.
+
+#ifndef CAMPHORCLEAT_FLEET_COMMANDRULES_H_
+#define CAMPHORCLEAT_FLEET_COMMANDRULES_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/FleetModel.h"
+
+namespace camphorcleat::fleet {
+
+/// Why a body is refused.
+struct Refusal
+{
+  ErrorCode code = ErrorCode::Internal;
+  std::string message;
+  /// The changes apply although the body is refused. Only UnpinKey does this: it starts the move
+  /// that has to end before the pin can be removed.
+  bool keepsChanges = false;
+};
+
+/// Bounds of the replicated state, well above the design size (R37), so that a faulty script can't
+/// exhaust the memory of every daemon.
+constexpr std::size_t kMaxServices = 256;
+constexpr std::size_t kMaxAccounts = 20000;
+constexpr std::size_t kMaxKeysPerAccount = 16;
+constexpr std::size_t kMaxNodes = 4096;
+constexpr std::size_t kMaxOpenRoutes = 64;
+constexpr std::size_t kMaxPinnedKeyBytes = 512;
+constexpr std::uint32_t kMaxPartitions = 1U << 20U;
+
+/// Whether a name is [a-z0-9][a-z0-9._-]{0,62}. Thread-safe.
+bool isValidName(const std::string& aName);
+
+/// Whether the body is one that operators may send. Thread-safe.
+bool isOperatorBody(const wire::CommandBody& aBody);
+
+/// Visitor of one body. Not thread-safe; lives for one decision.
+class CommandRules
+{
+public:
+  /// aModel and aOut must outlive the rules. aRevision becomes the token of new grants.
+  CommandRules(const FleetModel& aModel, Revision aRevision, std::vector<wire::Change>& aOut);
+
+  using Verdict = std::optional<Refusal>; ///< Empty: accepted.
+
+  /// Appends the body's changes to the output, or says why not.
+  Verdict decide(const wire::CommandBody& aBody);
+
+  Verdict operator()(const wire::CreateService& aBody);
+  Verdict operator()(const wire::SetOpenRoutes& aBody);
+  Verdict operator()(const wire::RemoveService& aBody);
+  Verdict operator()(const wire::CreateAccount& aBody);
+  Verdict operator()(const wire::SetRate& aBody);
+  Verdict operator()(const wire::RemoveAccount& aBody);
+  Verdict operator()(const wire::GrantKey& aBody);
+  Verdict operator()(const wire::WithdrawKey& aBody);
+  Verdict operator()(const wire::SetZone& aBody);
+  Verdict operator()(const wire::SetRetired& aBody);
+  Verdict operator()(const wire::PinKey& aBody);
+  Verdict operator()(const wire::UnpinKey& aBody);
+  Verdict operator()(const wire::BearFleet& aBody);
+  Verdict operator()(const wire::RegisterNode& aBody);
+  Verdict operator()(const wire::SetNodeStatus& aBody);
+  Verdict operator()(const wire::NodeLost& aBody);
+  Verdict operator()(const wire::Assign& aBody);
+  Verdict operator()(const wire::BeginMove& aBody);
+  Verdict operator()(const wire::Release& aBody);
+
+private:
+  const wire::Service* keyedService(const std::string& aName) const;
+  Verdict checkServiceLeft(const std::string& aZone) const;
+  Verdict checkPinnable(const wire::PinKey& aBody) const;
+  Verdict checkReceiver(const std::string& aService, NodeId aNode) const;
+  Verdict checkIncarnation(NodeId aNode, Incarnation aIncarnation) const;
+  std::optional<PartitionId> freePinSlot(const std::string& aService) const;
+  bool isPartitionInUse(const std::string& aService, PartitionId aPartition) const;
+  void removePin(const wire::Pin& aPin);
+  void makeRoomForNode();
+  void releaseAll(NodeId aNode);
+  void setGrant(const std::string& aService, PartitionId aPartition,
+                const wire::PartitionGrant& aGrant);
+
+  const FleetModel& mModel;
+  const Revision mRevision;
+  std::vector<wire::Change>& mOut;
+};
+
+} // namespace camphorcleat::fleet
+
+#endif // CAMPHORCLEAT_FLEET_COMMANDRULES_H_
--- /dev/null
+++ b/packages/fleet/FleetState.cc
@@ -0,0 +1,362 @@
+// Order of checks: resend, form of the command, expected revision, then each body in turn.
+
+#include "fleet/FleetState.h"
+
+#include <algorithm>
+
+#include "base/Hash.h"
+#include "fleet/AuditText.h"
+#include "wire/WireCodec.h"
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+constexpr std::size_t kMaxCommandIdBytes = 128;
+constexpr std::size_t kMaxIssuerBytes = 64;
+constexpr std::size_t kMaxObjectBytes = 640; // A pin's service and key fit.
+constexpr std::size_t kMaxMessageBytes = 1024;
+constexpr std::uint32_t kSnapshotVersion = 1;
+constexpr const char* kSystemIssuer = "system";
+
+struct SnapshotBody
+{
+  Revision revision = 0;
+  Revision operatorRevision = 0;
+  Bytes changes; ///< Encoded apart: the codec of Change is instantiated once, in wire.
+  std::vector<RememberedCommand> commands;
+  std::vector<wire::Pin> operatorPins; ///< Service and key only.
+  std::vector<AuditRecord> audit;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(
+      field("revision", &SnapshotBody::revision),
+      field("operator_revision", &SnapshotBody::operatorRevision),
+      field("changes", &SnapshotBody::changes), field("commands", &SnapshotBody::commands),
+      field("operator_pins", &SnapshotBody::operatorPins), field("audit", &SnapshotBody::audit));
+  }
+};
+
+struct SnapshotFrame
+{
+  std::uint32_t version = kSnapshotVersion;
+  std::string checksum; ///< XXH3 of the body, in decimal: CBOR integers of Qt are signed.
+  Bytes body;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("version", &SnapshotFrame::version),
+                           field("checksum", &SnapshotFrame::checksum),
+                           field("body", &SnapshotFrame::body));
+  }
+};
+
+std::string checksumOf(const Bytes& aBody)
+{
+  return std::to_string(hash64(aBody.data));
+}
+
+Refusal refuse(ErrorCode aCode, std::string aMessage)
+{
+  return Refusal{ aCode, std::move(aMessage), false };
+}
+
+bool isPlainText(const std::string& aText, std::size_t aMaxBytes)
+{
+  return aText.size() <= aMaxBytes && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar >= ' ' && aChar < '\x7f';
+         });
+}
+
+std::string summaryOf(const wire::Command& aCommand)
+{
+  std::string out = bodyKind(aCommand.bodies.front()) + " " +
+                    bodyObject(aCommand.bodies.front()).substr(0, kMaxObjectBytes);
+  if (aCommand.bodies.size() > 1) {
+    out += " and " + std::to_string(aCommand.bodies.size() - 1) + " more";
+  }
+  return out + " by '" + aCommand.issuer + "'";
+}
+
+AuditRecord auditOf(Revision aRevision, const wire::Command& aCommand,
+                    const wire::CommandBody& aBody)
+{
+  AuditRecord out;
+  out.revision = aRevision;
+  out.atUnixMillis = aCommand.issuedAtUnixMillis;
+  out.issuer = aCommand.issuer;
+  out.commandId = aCommand.commandId;
+  out.kind = bodyKind(aBody);
+  out.object = bodyObject(aBody).substr(0, kMaxObjectBytes);
+  return out;
+}
+
+// A damaged snapshot could name pins outside the table; lookups rely on their grants.
+Result<void> checkModel(const FleetModel& aModel)
+{
+  for (const auto& [name, pin] : aModel.pins()) {
+    if (pin.partition < aModel.partitionCount() ||
+        aModel.grant(pin.service, pin.partition) == nullptr) {
+      return fail(SnapshotDamaged{ "a pin has no grant" });
+    }
+  }
+  for (const auto& service : aModel.grantedServices()) {
+    if (aModel.grants(service).size() < aModel.partitionCount()) {
+      return fail(SnapshotDamaged{ "service '" + service + "' lacks partitions" });
+    }
+  }
+  return {};
+}
+
+Result<SnapshotBody> decodeFrame(const std::string& aBytes)
+{
+  BOOST_LEAF_AUTO(frame, decode<SnapshotFrame>(aBytes));
+  if (frame.version != kSnapshotVersion) {
+    return fail(SnapshotDamaged{ "version " + std::to_string(frame.version) + " is unknown" });
+  }
+  if (frame.checksum != checksumOf(frame.body)) {
+    return fail(SnapshotDamaged{ "the checksum does not match" });
+  }
+  return decode<SnapshotBody>(frame.body.data);
+}
+
+} // namespace
+
+Applied FleetState::apply(Revision aRevision, const wire::Command& aCommand)
+{
+  Applied out;
+  mRevision = aRevision;
+  const RememberedCommand* first =
+    aCommand.commandId.empty() ? nullptr : mMemory.find(aCommand.commandId);
+  if (first != nullptr) {
+    answerResend(aCommand, *first, out);
+  } else {
+    CommandRules::Verdict verdict = checkEnvelope(aCommand);
+    if (verdict) {
+      auditRefusal(aCommand, verdict->code, 0, out);
+    } else {
+      verdict = applyBodies(aRevision, aCommand, out);
+    }
+    finish(aRevision, aCommand, verdict, out);
+  }
+  keepAudit(out);
+  return out;
+}
+
+void FleetState::answerResend(const wire::Command& aCommand, const RememberedCommand& aFirst,
+                              Applied& aOut)
+{
+  if (aFirst.digest == commandDigest(aCommand)) {
+    aOut.result = aFirst.result;
+    return;
+  }
+  aOut.result = { ErrorCode::CommandIdConflict,
+                  "command id '" + aCommand.commandId + "' was used for another command: " +
+                    aFirst.summary + ", with code " + std::string(enumName(aFirst.result.code)) +
+                    " at revision " + std::to_string(aFirst.result.revision),
+                  aFirst.result.revision };
+  auditRefusal(aCommand, aOut.result.code, 0, aOut);
+}
+
+CommandRules::Verdict FleetState::checkEnvelope(const wire::Command& aCommand) const
+{
+  if (!isPlainText(aCommand.commandId, kMaxCommandIdBytes) ||
+      !isPlainText(aCommand.issuer, kMaxIssuerBytes)) {
+    return refuse(ErrorCode::InvalidCommand, "a command id has at most 128 and an issuer at most "
+                                             "64 printable ASCII characters");
+  }
+  if (aCommand.bodies.empty()) {
+    return refuse(ErrorCode::InvalidCommand, "the command asks for nothing");
+  }
+  if (aCommand.commandId.empty() && !aCommand.issuer.empty() && aCommand.issuer != kSystemIssuer) {
+    return refuse(ErrorCode::InvalidCommand, "an operator's command needs a command id");
+  }
+  const bool isAllowed =
+    aCommand.commandId.empty() ||
+    std::all_of(aCommand.bodies.begin(), aCommand.bodies.end(), isOperatorBody);
+  if (!isAllowed) {
+    return refuse(ErrorCode::InvalidCommand, "only the system itself may send this command");
+  }
+  if (aCommand.expectedRevision && *aCommand.expectedRevision != mOperatorRevision) {
+    return refuse(ErrorCode::RevisionConflict, "expected revision " +
+                                                 std::to_string(*aCommand.expectedRevision) +
+                                                 ", but the last operators' change has revision " +
+                                                 std::to_string(mOperatorRevision));
+  }
+  return std::nullopt;
+}
+
+// Several bodies see the effects of those before them, so the model is copied to restore it if a
+// later body is refused. One body needs no copy: the rules don't touch the model. A copy costs
+// about 0.5 MB per keyed service at 16,384 partitions.
+CommandRules::Verdict FleetState::applyBodies(Revision aRevision, const wire::Command& aCommand,
+                                              Applied& aOut)
+{
+  if (aCommand.bodies.size() == 1) {
+    CommandRules::Verdict verdict = applyBody(aRevision, aCommand, aCommand.bodies.front(), aOut);
+    if (verdict) {
+      auditRefusal(aCommand, verdict->code, 0, aOut);
+    }
+    return verdict;
+  }
+  const FleetModel before = mModel;
+  const std::set<PinName> pinsBefore = mOperatorPins;
+  for (std::size_t i = 0; i < aCommand.bodies.size(); ++i) {
+    if (auto verdict = applyBody(aRevision, aCommand, aCommand.bodies[i], aOut)) {
+      mModel = before;
+      mOperatorPins = pinsBefore;
+      aOut = Applied();
+      auditRefusal(aCommand, verdict->code, i, aOut);
+      verdict->message = "statement " + std::to_string(i + 1) + ": " + verdict->message;
+      return verdict;
+    }
+  }
+  return std::nullopt;
+}
+
+CommandRules::Verdict FleetState::applyBody(Revision aRevision, const wire::Command& aCommand,
+                                            const wire::CommandBody& aBody, Applied& aOut)
+{
+  std::vector<wire::Change> changes;
+  auto verdict = CommandRules(mModel, aRevision, changes).decide(aBody);
+  if (verdict && (!verdict->keepsChanges || aCommand.bodies.size() > 1)) {
+    if (verdict->keepsChanges) {
+      verdict->message = "the pin must move first; ask to unpin it in a command of its own";
+    }
+    return verdict;
+  }
+  AuditRecord record = auditOf(aRevision, aCommand, aBody);
+  record.before = bodyValue(mModel, aBody);
+  for (const auto& it : changes) {
+    mModel.apply(it);
+  }
+  record.after = bodyValue(mModel, aBody);
+  // The system repeats its idempotent commands; repetitions without effect aren't worth a line.
+  if (!verdict && (!changes.empty() || !aCommand.commandId.empty())) {
+    aOut.audit.push_back(std::move(record));
+  }
+  if (!verdict) {
+    notePin(aCommand, aBody);
+  }
+  std::move(changes.begin(), changes.end(), std::back_inserter(aOut.changes));
+  return verdict;
+}
+
+void FleetState::notePin(const wire::Command& aCommand, const wire::CommandBody& aBody)
+{
+  if (const auto* pin = std::get_if<wire::PinKey>(&aBody)) {
+    if (!aCommand.commandId.empty()) {
+      mOperatorPins.insert({ pin->service, pin->key });
+    }
+  }
+  const bool removesPins = std::holds_alternative<wire::UnpinKey>(aBody) ||
+                           std::holds_alternative<wire::RemoveService>(aBody);
+  for (auto it = mOperatorPins.begin(); removesPins && it != mOperatorPins.end();) {
+    it = mModel.pins().count(*it) == 0 ? mOperatorPins.erase(it) : std::next(it);
+  }
+}
+
+void FleetState::finish(Revision aRevision, const wire::Command& aCommand,
+                        const CommandRules::Verdict& aVerdict, Applied& aOut)
+{
+  if (aVerdict) {
+    aOut.result = { aVerdict->code, aVerdict->message.substr(0, kMaxMessageBytes),
+                    mOperatorRevision };
+  } else {
+    aOut.result = { ErrorCode::None, std::string(), aRevision };
+    mOperatorRevision = aCommand.commandId.empty() ? mOperatorRevision : aRevision;
+  }
+  const bool isRemembered = !aCommand.commandId.empty() && !aCommand.bodies.empty() &&
+                            aCommand.commandId.size() <= kMaxCommandIdBytes;
+  if (isRemembered) {
+    mMemory.add({ aCommand.commandId, commandDigest(aCommand), summaryOf(aCommand), aOut.result });
+  }
+}
+
+void FleetState::auditRefusal(const wire::Command& aCommand, ErrorCode aCode, std::size_t aBody,
+                              Applied& aOut) const
+{
+  AuditRecord record;
+  if (aBody < aCommand.bodies.size()) {
+    record = auditOf(mRevision, aCommand, aCommand.bodies[aBody]);
+  }
+  record.revision = mRevision;
+  record.atUnixMillis = aCommand.issuedAtUnixMillis;
+  record.issuer = aCommand.issuer.substr(0, kMaxIssuerBytes);
+  record.commandId = aCommand.commandId.substr(0, kMaxCommandIdBytes);
+  record.code = aCode;
+  aOut.audit.push_back(std::move(record));
+}
+
+void FleetState::keepAudit(const Applied& aApplied)
+{
+  mAudit.insert(mAudit.end(), aApplied.audit.begin(), aApplied.audit.end());
+  while (mAudit.size() > kMaxRecentAuditRecords) {
+    mAudit.pop_front();
+  }
+}
+
+// Runs on a copy of what the decision reads, without the remembered commands: copying 65,536 of
+// them would take longer than the decision.
+Result<std::vector<wire::Change>> FleetState::dryRun(const wire::Command& aCommand) const
+{
+  Applied applied;
+  if (const RememberedCommand* first = mMemory.find(aCommand.commandId)) {
+    FleetState trial;
+    trial.answerResend(aCommand, *first, applied);
+    if (applied.result.code == ErrorCode::None) {
+      return std::vector<wire::Change>();
+    }
+  } else {
+    FleetState trial;
+    trial.mModel = mModel;
+    trial.mRevision = mRevision;
+    trial.mOperatorRevision = mOperatorRevision;
+    applied = trial.apply(mRevision + 1, aCommand);
+  }
+  if (applied.result.code != ErrorCode::None) {
+    return leaf::new_error(CommandRefused{ applied.result },
+                           ErrorInfo{ applied.result.code, applied.result.message });
+  }
+  return std::move(applied.changes);
+}
+
+std::string FleetState::encodeSnapshot() const
+{
+  SnapshotBody body;
+  body.revision = mRevision;
+  body.operatorRevision = mOperatorRevision;
+  body.changes = Bytes(wire::encodeChanges(mModel.toChanges()));
+  body.commands = mMemory.toList();
+  for (const auto& [service, key] : mOperatorPins) {
+    body.operatorPins.push_back(wire::Pin{ service, key, 0 });
+  }
+  body.audit.assign(mAudit.begin(), mAudit.end());
+  SnapshotFrame frame;
+  frame.body = Bytes(encode(body));
+  frame.checksum = checksumOf(frame.body);
+  return encode(frame);
+}
+
+Result<void> FleetState::restoreSnapshot(const std::string& aBytes)
+{
+  BOOST_LEAF_AUTO(body, decodeFrame(aBytes));
+  BOOST_LEAF_AUTO(changes, wire::decodeChanges(body.changes.data));
+  FleetState next;
+  for (const auto& it : changes) {
+    next.mModel.apply(it);
+  }
+  BOOST_LEAF_CHECK(checkModel(next.mModel));
+  next.mRevision = body.revision;
+  next.mOperatorRevision = body.operatorRevision;
+  for (auto& it : body.commands) {
+    next.mMemory.add(std::move(it));
+  }
+  for (const auto& it : body.operatorPins) {
+    next.mOperatorPins.insert({ it.service, it.key });
+  }
+  next.mAudit.assign(body.audit.begin(), body.audit.end());
+  *this = std::move(next);
+  return {};
+}
+
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/Planner.cc
@@ -0,0 +1,208 @@
+// One placement per service and call; its moves pass a budget of what is in flight already.
+
+#include "fleet/Planner.h"
+
+#include <algorithm>
+
+#include "fleet/BalancedPlacement.h"
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+// Partitions to place: all ordinary ones and those of present pins.
+std::vector<PartitionId> partitionsInUse(const FleetModel& aModel, const std::string& aService)
+{
+  std::vector<PartitionId> out(aModel.partitionCount());
+  for (PartitionId i = 0; i < out.size(); ++i) {
+    out[i] = i;
+  }
+  for (const auto& [name, pin] : aModel.pins()) {
+    if (pin.service == aService) {
+      out.push_back(pin.partition);
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+double weightFor(const wire::Node& aNode, const std::string& aService)
+{
+  return aService == kAccountService ? 1.0 : static_cast<double>(aNode.target.slots);
+}
+
+} // namespace
+
+Planner::Planner(PlannerSettings aSettings, std::unique_ptr<Placement> aPlacement)
+  : mSettings(aSettings)
+  , mPlacement(std::move(aPlacement))
+{
+  if (!mPlacement) {
+    mPlacement = std::make_unique<BalancedPlacement>();
+  }
+}
+
+Planner::~Planner() = default;
+
+std::vector<wire::CommandBody> Planner::plan(TimePoint aNow, const FleetModel& aModel,
+                                             const std::map<NodeId, NodeLoad>& aLoads)
+{
+  noteRegistrations(aNow, aModel);
+  std::vector<wire::CommandBody> out;
+  if (aModel.partitionCount() == 0) {
+    return out;
+  }
+  Budget budget = budgetOf(aModel);
+  for (const auto& service : aModel.grantedServices()) {
+    PlacementInput input;
+    input.service = service;
+    input.grants = &aModel.grants(service);
+    input.candidates = candidatesOf(aNow, aModel, service);
+    if (input.candidates.empty()) {
+      continue; // Nobody else could take the partitions: they stay where they are.
+    }
+    input.partitions = partitionsInUse(aModel, service);
+    input.partitionCount = aModel.partitionCount();
+    input.loads = aLoads;
+    planService(aModel, input, budget, out);
+  }
+  return out;
+}
+
+std::optional<TimePoint> Planner::nextDeadline(TimePoint aNow) const
+{
+  std::optional<TimePoint> out;
+  const auto consider = [&](TimePoint aAt) {
+    if (aAt > aNow && (!out || aAt < *out)) {
+      out = aAt;
+    }
+  };
+  for (const auto& [node, history] : mHistory) {
+    consider(history.registeredAt + mSettings.settleTime);
+    consider(history.restsUntil);
+  }
+  return out;
+}
+
+void Planner::noteRegistrations(TimePoint aNow, const FleetModel& aModel)
+{
+  for (const auto& [id, node] : aModel.nodes()) {
+    if (node.status != wire::NodeStatus::Lost && mHistory[id].incarnation != node.incarnation) {
+      noteRegistration(aNow, node);
+    }
+  }
+  for (auto it = mHistory.begin(); it != mHistory.end();) {
+    it = aModel.node(it->first) == nullptr ? mHistory.erase(it) : std::next(it);
+  }
+}
+
+void Planner::noteRegistration(TimePoint aNow, const wire::Node& aNode)
+{
+  History& history = mHistory[aNode.id];
+  history.incarnation = aNode.incarnation;
+  history.registeredAt = aNow;
+  history.registrations.push_back(aNow);
+  while (history.registrations.front() + mSettings.flapWindow < aNow ||
+         history.registrations.size() > mSettings.flapRegistrations) {
+    history.registrations.pop_front();
+  }
+  if (history.registrations.size() >= mSettings.flapRegistrations) {
+    history.restsUntil = aNow + mSettings.flapRest;
+  }
+}
+
+bool Planner::isSettled(TimePoint aNow, NodeId aNode) const
+{
+  const auto it = mHistory.find(aNode);
+  return it != mHistory.end() && it->second.registeredAt + mSettings.settleTime <= aNow;
+}
+
+bool Planner::isResting(TimePoint aNow, NodeId aNode) const
+{
+  const auto it = mHistory.find(aNode);
+  return it != mHistory.end() && aNow < it->second.restsUntil;
+}
+
+// A resting node holds little, so by share alone it would get every partition that loses its owner,
+// and lose it again with its next restart.
+std::vector<Candidate> Planner::candidatesOf(TimePoint aNow, const FleetModel& aModel,
+                                             const std::string& aService) const
+{
+  std::vector<Candidate> out;
+  for (const auto& [id, node] : aModel.nodes()) {
+    if (aModel.mayOwn(node, aService)) {
+      const bool rests = isResting(aNow, id);
+      out.push_back({ id, weightFor(node, aService), !rests && isSettled(aNow, id), !rests });
+    }
+  }
+  return out;
+}
+
+// Moves away from nodes that may not own count as urgent, all others as balancing.
+Planner::Budget Planner::budgetOf(const FleetModel& aModel) const
+{
+  Budget out;
+  for (const auto& service : aModel.grantedServices()) {
+    for (const auto& grant : aModel.grants(service)) {
+      if (grant.movingTo == kNoNode) {
+        continue;
+      }
+      const wire::Node* owner = aModel.node(grant.owner);
+      if (owner != nullptr && aModel.mayOwn(*owner, service)) {
+        out.balancing += 1;
+        out.perReceiver[grant.movingTo] += 1;
+      } else {
+        out.urgent += 1;
+      }
+    }
+  }
+  return out;
+}
+
+bool Planner::takeFromBudget(const PlannedMove& aMove, Budget& aBudget) const
+{
+  if (aMove.isUrgent) {
+    if (aBudget.urgent >= mSettings.maxUrgentMovesInFlight) {
+      return false;
+    }
+    aBudget.urgent += 1;
+    return true;
+  }
+  std::size_t& received = aBudget.perReceiver[aMove.to];
+  if (aBudget.balancing >= mSettings.maxMovesInFlight ||
+      received >= mSettings.maxMovesInFlightPerNode) {
+    return false;
+  }
+  aBudget.balancing += 1;
+  received += 1;
+  return true;
+}
+
+void Planner::planService(const FleetModel& aModel, PlacementInput& aInput, Budget& aBudget,
+                          std::vector<wire::CommandBody>& aOut) const
+{
+  std::map<NodeId, wire::Assign> assigns;
+  std::map<NodeId, wire::BeginMove> moves;
+  for (const auto& it : mPlacement->place(aInput)) {
+    if (it.from == kNoNode) {
+      wire::Assign& assign = assigns[it.to];
+      assign.service = aInput.service;
+      assign.node = it.to;
+      assign.incarnation = aModel.node(it.to)->incarnation;
+      assign.partitions.push_back(it.partition);
+    } else if (takeFromBudget(it, aBudget)) {
+      wire::BeginMove& move = moves[it.to];
+      move.service = aInput.service;
+      move.to = it.to;
+      move.partitions.push_back(it.partition);
+    }
+  }
+  for (auto& [node, assign] : assigns) {
+    aOut.emplace_back(std::move(assign));
+  }
+  for (auto& [node, move] : moves) {
+    aOut.emplace_back(std::move(move));
+  }
+}
+
+} // namespace camphorcleat::fleet
