Add the target stand-in and the fault proxy

Cause: the daemon needs targets and faulty links to be tested against. Change: package harness with target-standin (health, grants, fences, warm-up, records, admin port) and fault-proxy (delay, cut, silence, close after bytes, reset, refuse).

--- /dev/null
+++ b/packages/harness/Endpoint.h
@@ -0,0 +1,24 @@
+// Addresses in the form ip:port, as all options and plans write them.
+
+#ifndef CAMPHORCLEAT_HARNESS_ENDPOINT_H_
+#define CAMPHORCLEAT_HARNESS_ENDPOINT_H_
+
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/Errors.h"
+
+namespace camphorcleat::harness {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+/// Reads "127.0.0.1:8080". Fails with UsageError. Thread-safe.
+Result<Endpoint> parseEndpoint(const std::string& aText);
+
+/// The address as "ip:port". Thread-safe.
+std::string endpointText(const Endpoint& aEndpoint);
+
+} // namespace camphorcleat::harness
+
+#endif // CAMPHORCLEAT_HARNESS_ENDPOINT_H_
--- /dev/null
+++ b/packages/harness/FaultProxy.cc
@@ -0,0 +1,149 @@
+// Control requests of the fault proxy.
+
+#include "harness/FaultProxy.h"
+
+#include "harness/HarnessErrors.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+UsageError unusable(const std::string& aName, const std::string& aExpected)
+{
+  return UsageError{ "parameter " + aName + ": expected " + aExpected };
+}
+
+Result<void> readMillis(const UrlQuery& aQuery, const char* aName, Millis& aOut)
+{
+  if (aQuery.text(aName)) {
+    const auto value = aQuery.number(aName);
+    if (!value) {
+      return fail(unusable(aName, "whole milliseconds"));
+    }
+    aOut = Millis(*value);
+  }
+  return {};
+}
+
+Result<void> readFlag(const UrlQuery& aQuery, const char* aName, bool& aOut)
+{
+  if (const auto value = aQuery.text(aName)) {
+    if (*value != "0" && *value != "1") {
+      return fail(unusable(aName, "0 or 1"));
+    }
+    aOut = *value == "1";
+  }
+  return {};
+}
+
+template<class E>
+Result<void> readName(const UrlQuery& aQuery, const char* aName, E& aOut)
+{
+  if (const auto value = aQuery.text(aName)) {
+    const auto found = enumFromName<E>(*value);
+    if (!found) {
+      return fail(unusable(aName, "one of the names in the manual, not '" + *value + "'"));
+    }
+    aOut = *found;
+  }
+  return {};
+}
+
+Result<void> readByteLimit(const UrlQuery& aQuery, LinkSettings& aOut)
+{
+  if (const auto text = aQuery.text("close_after_bytes")) {
+    aOut.closeAfterBytes = aQuery.number("close_after_bytes");
+    if (!aOut.closeAfterBytes && *text != "none") {
+      return fail(unusable("close_after_bytes", "a number of bytes or none"));
+    }
+  }
+  return {};
+}
+
+Result<LinkSettings> readSettings(const UrlQuery& aQuery, LinkSettings aOut)
+{
+  BOOST_LEAF_CHECK(readMillis(aQuery, "delay_ms", aOut.delay));
+  BOOST_LEAF_CHECK(readMillis(aQuery, "jitter_ms", aOut.jitter));
+  BOOST_LEAF_CHECK(readName(aQuery, "cut", aOut.cut));
+  BOOST_LEAF_CHECK(readName(aQuery, "direction", aOut.closeDirection));
+  BOOST_LEAF_CHECK(readFlag(aQuery, "refuse", aOut.refuses));
+  BOOST_LEAF_CHECK(readByteLimit(aQuery, aOut));
+  return aOut;
+}
+
+} // namespace
+
+FaultProxy::FaultProxy(boost::asio::io_context& aLoop, std::uint64_t aSeed)
+  : mLoop(aLoop)
+  , mRandom(aSeed)
+{
+}
+
+Endpoint FaultProxy::add(const LinkRoute& aRoute)
+{
+  mLinks.push_back(std::make_unique<ProxyLink>(mLoop, aRoute, mRandom));
+  return mLinks.back()->endpoint();
+}
+
+std::vector<ProxyLink*> FaultProxy::matching(const std::string& aName) const
+{
+  const bool isPrefix = !aName.empty() && aName.back() == '*';
+  const std::string prefix = isPrefix ? aName.substr(0, aName.size() - 1) : aName;
+  std::vector<ProxyLink*> out;
+  for (const auto& it : mLinks) {
+    if (isPrefix ? it->name().compare(0, prefix.size(), prefix) == 0 : it->name() == aName) {
+      out.push_back(it.get());
+    }
+  }
+  return out;
+}
+
+AdminReply FaultProxy::control(const AdminRequest& aRequest)
+{
+  if (aRequest.method == "GET" && aRequest.query.path() == "/stats") {
+    return { 200, stats() };
+  }
+  if (aRequest.method == "POST" && aRequest.query.path() == "/set") {
+    return set(aRequest.query);
+  }
+  return adminRefusal(404, "expected GET /stats or POST /set");
+}
+
+AdminReply FaultProxy::set(const UrlQuery& aQuery)
+{
+  const std::vector<ProxyLink*> links = matching(aQuery.text("link").value_or(""));
+  if (links.empty()) {
+    return adminRefusal(404, "no link has the name '" + aQuery.text("link").value_or("") + "'");
+  }
+  return orElse(
+    [&]() -> Result<AdminReply> {
+      bool silences = false;
+      bool resets = false;
+      BOOST_LEAF_CHECK(readFlag(aQuery, "silence_open", silences));
+      BOOST_LEAF_CHECK(readFlag(aQuery, "reset", resets));
+      BOOST_LEAF_CHECK(readSettings(aQuery, LinkSettings()));
+      for (ProxyLink* it : links) {
+        BOOST_LEAF_AUTO(settings, readSettings(aQuery, it->settings()));
+        it->apply(settings);
+        if (silences) {
+          it->silenceOpen();
+        }
+        if (resets) {
+          it->resetOpen();
+        }
+      }
+      return AdminReply{ 200, R"({"links":)" + std::to_string(links.size()) + "}" };
+    },
+    [](const ErrorInfo& aInfo) { return adminRefusal(400, aInfo.message); });
+}
+
+std::string FaultProxy::stats() const
+{
+  QCborMap out;
+  for (const auto& it : mLinks) {
+    out.insert(QString::fromStdString(it->name()), toCborValue(it->stats()));
+  }
+  return writeJson(out);
+}
+
+} // namespace camphorcleat::harness
--- /dev/null
+++ b/packages/harness/ProxyLink.h
@@ -0,0 +1,67 @@
+// One listening address of the fault proxy and the connections made through it.
+
+#ifndef CAMPHORCLEAT_HARNESS_PROXYLINK_H_
+#define CAMPHORCLEAT_HARNESS_PROXYLINK_H_
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "harness/ProxyConnection.h"
+
+namespace camphorcleat::harness {
+
+/// Where a link listens and where it leads.
+struct LinkRoute
+{
+  std::string name;
+  Endpoint listen;
+  Endpoint server;
+
+  /// Reads "NAME=listen_ip:port>dest_ip:port". Fails with UsageError.
+  static Result<LinkRoute> parse(const std::string& aText);
+};
+
+/// All calls on the thread of the event loop.
+class ProxyLink
+{
+public:
+  /// Starts to listen. Throws boost::system::system_error if the address can't be bound.
+  /// aRandom must outlive the link.
+  ProxyLink(boost::asio::io_context& aLoop, LinkRoute aRoute, std::mt19937_64& aRandom);
+  ~ProxyLink();
+  ProxyLink(const ProxyLink&) = delete;
+  ProxyLink& operator=(const ProxyLink&) = delete;
+
+  const std::string& name() const { return mRoute.name; }
+  const LinkSettings& settings() const { return mState->settings; }
+  LinkStats stats() const;
+
+  /// The address bound.
+  Endpoint endpoint() const { return mRoute.listen; }
+
+  /// Applies settings to the open and to later connections.
+  void apply(const LinkSettings& aSettings);
+
+  /// The connections open now go silent for good.
+  void silenceOpen();
+
+  /// Resets the connections open now.
+  void resetOpen();
+
+private:
+  void bind(bool aListens);
+  void accept();
+
+  boost::asio::io_context& mLoop;
+  LinkRoute mRoute;
+  std::shared_ptr<LinkState> mState = std::make_shared<LinkState>();
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> mAcceptor;
+  std::set<std::shared_ptr<ProxyConnection>> mConnections;
+};
+
+} // namespace camphorcleat::harness
+
+#endif // CAMPHORCLEAT_HARNESS_PROXYLINK_H_
--- /dev/null
+++ b/packages/harness/TargetSession.cc
@@ -0,0 +1,386 @@
+// Requests, work and answers of one connection to the target stand-in.
+
+#include "harness/TargetSession.h"
+
+#include <algorithm>
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include "base/Hash.h"
+#include "harness/PatternBytes.h"
+#include "harness/TargetServer.h"
+
+namespace camphorcleat::harness {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t kMaxBodyBytes = 16U << 20U;
+constexpr std::uint64_t kMaxAnswerBytes = 1U << 30U;
+constexpr std::size_t kChunkBytes = 64U << 10U;
+
+struct Echo
+{
+  NodeId target = 0;
+  std::string service;
+  std::string key;
+  std::string request;
+  std::string account;
+  std::string method;
+  std::string path;
+  std::uint64_t bodyBytes = 0;
+  std::string bodySha256;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("target", &Echo::target), field("service", &Echo::service),
+                           field("key", &Echo::key), field("request", &Echo::request),
+                           field("account", &Echo::account), field("method", &Echo::method),
+                           field("path", &Echo::path), field("body_bytes", &Echo::bodyBytes),
+                           field("body_sha256", &Echo::bodySha256));
+  }
+};
+
+template<class T>
+std::optional<T> narrowed(std::optional<std::uint64_t> aValue)
+{
+  return aValue ? std::optional<T>(static_cast<T>(*aValue)) : std::nullopt;
+}
+
+} // namespace
+
+TargetSession::TargetSession(TargetServer& aServer, asio::ip::tcp::socket aSocket)
+  : mServer(&aServer)
+  , mSocket(std::move(aSocket))
+  , mTimer(aServer.loop())
+{
+  boost::system::error_code ec;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
+}
+
+void TargetSession::read()
+{
+  mParser.emplace();
+  mParser->body_limit(kMaxBodyBytes);
+  http::async_read(mSocket, mBuffer, *mParser,
+                   [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+                     if (self->mServer == nullptr) {
+                       return;
+                     }
+                     if (aError) {
+                       self->mServer->remove(self);
+                       return;
+                     }
+                     self->mRequest = self->mParser->release();
+                     self->handle();
+                   });
+}
+
+void TargetSession::handle()
+{
+  const std::string target(mRequest.target());
+  mQuery = UrlQuery(target);
+  if (mQuery.path() == "/health" && mRequest.method() == http::verb::get) {
+    handleHealth();
+  } else if (mQuery.path() == "/grant" && mRequest.method() == http::verb::post) {
+    handleGrant();
+  } else {
+    handleWork();
+  }
+}
+
+void TargetSession::handleHealth()
+{
+  reply(200, toJson(mServer->model().health(Clock::now())));
+}
+
+void TargetSession::handleGrant()
+{
+  const std::optional<GrantOrder> order = orElse(
+    [&]() -> Result<std::optional<GrantOrder>> {
+      BOOST_LEAF_AUTO(value, fromJson<GrantOrder>(mRequest.body()));
+      return std::optional<GrantOrder>(value);
+    },
+    [](const ErrorInfo&) { return std::optional<GrantOrder>(); });
+  if (!order) {
+    reply(400, R"({"message":"expected token and valid_until_clock_ms"})");
+  } else if (!mServer->model().grant(*order)) {
+    reply(409, R"({"message":"a higher token was seen"})");
+  } else {
+    reply(200, "{}");
+  }
+}
+
+void TargetSession::handleWork()
+{
+  TargetModel& model = mServer->model();
+  if (model.wouldExceed(Clock::now())) {
+    mServer->reapClosed();
+  }
+  const TimePoint now = Clock::now();
+  const bool isExcess = model.wouldExceed(now);
+  const auto fence = headerNumber("Camphorcleat-Fence");
+  const Admission admission =
+    model.admit(now, narrowed<PartitionId>(headerNumber("Camphorcleat-Partition")), fence);
+  const bool wasDecidedByLoad = admission == Admission::RunSlowly ||
+                                admission == Admission::RefuseShed || admission == Admission::Run;
+  if (isExcess && wasDecidedByLoad) {
+    mServer->record(event(TargetEventKind::Excess));
+  }
+  if (admission == Admission::Run || admission == Admission::RunSlowly) {
+    startWork(admission);
+  } else {
+    refuse(admission);
+  }
+}
+
+void TargetSession::refuse(Admission aAdmission)
+{
+  const bool isFence = aAdmission == Admission::RefuseFence;
+  TargetEvent refusal = event(isFence ? TargetEventKind::Fenced : TargetEventKind::Shed);
+  refusal.reason = aAdmission == Admission::RefuseDraining ? "draining"
+                   : isFence                               ? "fence"
+                                                           : "full";
+  mServer->record(std::move(refusal));
+  if (isFence) {
+    reply(412, R"({"message":"no live grant for this fence"})", "fence");
+  } else {
+    reply(503, R"({"message":"no free slot"})", "shed");
+  }
+}
+
+void TargetSession::startWork(Admission aAdmission)
+{
+  mHoldsSlot = true;
+  mServer->record(startEvent());
+  const TimePoint now = Clock::now();
+  const Duration work = mServer->model().serviceTime(now, mQuery.decimal("work_ms"), aAdmission);
+  const auto deadlineMs = headerNumber("Camphorcleat-Deadline-Ms");
+  const Duration allowed = deadlineMs ? Duration(Millis(*deadlineMs)) : Duration::max();
+  mTimer.expires_at(now + std::min(work, allowed));
+  mTimer.async_wait([self = shared_from_this(), number = mWorkNumber,
+                     isPastDeadline = work > allowed](boost::system::error_code aError) {
+    if (!aError && self->mServer != nullptr && self->mHoldsSlot && self->mWorkNumber == number) {
+      self->finishWork(isPastDeadline);
+    }
+  });
+  watchPeer();
+}
+
+void TargetSession::watchPeer()
+{
+  mSocket.async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = shared_from_this(), number = mWorkNumber](boost::system::error_code aError) {
+      if (!aError && self->mServer != nullptr && self->mHoldsSlot && self->mWorkNumber == number) {
+        self->checkPeer();
+      }
+    });
+}
+
+void TargetSession::checkPeer()
+{
+  if (!mHoldsSlot) {
+    return;
+  }
+  char byte = 0;
+  const ssize_t n = ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  if (!isOpen) {
+    endSlot(TargetEventKind::Cancel, "closed");
+    closeSilently();
+  }
+}
+
+void TargetSession::abort()
+{
+  if (mHoldsSlot) {
+    endSlot(TargetEventKind::Cancel, "restart");
+  }
+  boost::system::error_code ec;
+  mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+  mSocket.close(ec);
+  mTimer.cancel();
+  mServer = nullptr;
+}
+
+void TargetSession::finishWork(bool aIsPastDeadline)
+{
+  boost::system::error_code ec;
+  mSocket.cancel(ec); // Ends the wait of watchPeer().
+  if (aIsPastDeadline) {
+    endSlot(TargetEventKind::Cancel, "deadline");
+    reply(504, R"({"message":"deadline passed while running"})");
+    return;
+  }
+  const auto bytes = mQuery.number("bytes");
+  if (bytes && mRequest.method() != http::verb::head) {
+    startStream(std::min(*bytes, kMaxAnswerBytes));
+    return;
+  }
+  sendEcho();
+}
+
+void TargetSession::endSlot(TargetEventKind aKind, const char* aReason)
+{
+  mHoldsSlot = false;
+  ++mWorkNumber;
+  mServer->model().finish();
+  TargetEvent end = event(aKind);
+  if (aReason != nullptr) {
+    end.reason = aReason;
+  }
+  mServer->record(std::move(end));
+}
+
+void TargetSession::sendEcho()
+{
+  Echo echo;
+  echo.target = mServer->model().settings().id;
+  echo.service = header("Camphorcleat-Service");
+  echo.key = header("Camphorcleat-Key");
+  echo.request = header("Camphorcleat-Request-Id");
+  echo.account = header("Camphorcleat-Account");
+  echo.method = std::string(mRequest.method_string());
+  echo.path = std::string(mRequest.target());
+  echo.bodyBytes = mRequest.body().size();
+  echo.bodySha256 = sha256Hex(mRequest.body());
+  endSlot(TargetEventKind::End, nullptr);
+  reply(200, toJson(echo));
+}
+
+void TargetSession::startStream(std::uint64_t aBytes)
+{
+  // A caller can check the bytes only if it knows the seed, and the request id is the daemon's own.
+  // So a caller gives its own id in the query.
+  mSeed = mQuery.text("id").value_or(header("Camphorcleat-Request-Id"));
+  mStreamOffset = 0;
+  mStreamBytes = aBytes;
+  mChunk = "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: " +
+           std::to_string(aBytes) + "\r\n" +
+           (mRequest.keep_alive() ? "" : "Connection: close\r\n") + "\r\n";
+  continueStream();
+}
+
+void TargetSession::continueStream()
+{
+  const std::size_t n =
+    static_cast<std::size_t>(std::min<std::uint64_t>(kChunkBytes, mStreamBytes - mStreamOffset));
+  mChunk += patternBytes(mSeed, mStreamOffset, n);
+  mStreamOffset += n;
+  const bool isLast = mStreamOffset == mStreamBytes;
+  if (isLast) {
+    endSlot(TargetEventKind::End, nullptr);
+  }
+  asio::async_write(
+    mSocket, asio::buffer(mChunk),
+    [self = shared_from_this(), isLast](boost::system::error_code aError, std::size_t) {
+      if (self->mServer == nullptr) {
+        return;
+      }
+      if (aError) {
+        if (self->mHoldsSlot) {
+          self->endSlot(TargetEventKind::Cancel, "closed");
+        }
+        self->closeSilently();
+        return;
+      }
+      self->mChunk.clear();
+      if (!isLast) {
+        self->continueStream();
+      } else if (self->mRequest.keep_alive()) {
+        self->read();
+      } else {
+        self->closeSilently();
+      }
+    });
+}
+
+void TargetSession::reply(unsigned aStatus, const std::string& aBody, const char* aRefused)
+{
+  mResponse = { static_cast<http::status>(aStatus), mRequest.version() };
+  mResponse.set(http::field::content_type, "application/json");
+  if (aRefused != nullptr) {
+    mResponse.set("Camphorcleat-Refused", aRefused);
+  }
+  mResponse.keep_alive(mRequest.keep_alive());
+  mResponse.body() = aBody;
+  mResponse.prepare_payload();
+  if (mRequest.method() == http::verb::head) {
+    mResponse.body().clear(); // The length of the body stays announced.
+  }
+  http::async_write(mSocket, mResponse,
+                    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+                      if (self->mServer == nullptr) {
+                        return;
+                      }
+                      if (!aError && self->mResponse.keep_alive()) {
+                        self->read();
+                      } else {
+                        self->closeSilently();
+                      }
+                    });
+}
+
+void TargetSession::closeSilently()
+{
+  boost::system::error_code ec;
+  mSocket.shutdown(asio::socket_base::shutdown_both, ec);
+  mSocket.close(ec);
+  mTimer.cancel();
+  mServer->remove(shared_from_this());
+}
+
+std::optional<std::uint64_t> TargetSession::headerNumber(const char* aName) const
+{
+  std::uint64_t out = 0;
+  if (!boost::conversion::try_lexical_convert(header(aName), out)) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+std::string TargetSession::header(const char* aName) const
+{
+  return std::string(mRequest[aName]);
+}
+
+TargetEvent TargetSession::event(TargetEventKind aKind) const
+{
+  TargetEvent out;
+  out.kind = aKind;
+  out.service = header("Camphorcleat-Service");
+  out.key = header("Camphorcleat-Key");
+  out.account = header("Camphorcleat-Account");
+  out.request = header("Camphorcleat-Request-Id");
+  if (mRequest.count("Idempotency-Key") > 0) {
+    out.idempotencyKey = header("Idempotency-Key");
+  }
+  out.fence = headerNumber("Camphorcleat-Fence");
+  out.method = std::string(mRequest.method_string());
+  out.path = std::string(mRequest.target());
+  return out;
+}
+
+TargetEvent TargetSession::startEvent() const
+{
+  TargetEvent out = event(TargetEventKind::Start);
+  bool isSecretSeen = mServer->containsSecret(out.path);
+  std::vector<std::string> names;
+  for (const auto& it : mRequest) {
+    names.emplace_back(it.name_string());
+    isSecretSeen = isSecretSeen || mServer->containsSecret(std::string(it.value()));
+  }
+  out.headerNames = std::move(names);
+  if (isSecretSeen) {
+    out.secretSeen = true;
+  }
+  return out;
+}
+
+} // namespace camphorcleat::harness
