Add the load driver

Cause: scenarios need callers whose requests are due independently of earlier answers and that judge each answer. Change: load-driver reads a JSON plan, sends every request once over kept-alive connections, checks that the answer is complete and for its own request, and writes a record and a summary.

--- /dev/null
+++ b/packages/harness/LoadPlan.cc
@@ -0,0 +1,53 @@
+// Checks of load plans.
+
+#include "harness/LoadPlan.h"
+
+#include "harness/HarnessErrors.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+constexpr unsigned kMaxKeys = 10'000'000;        // 80 MB of Zipf table.
+constexpr unsigned kMaxAnswerBytes = 16U << 20U; // Held in memory for the check.
+constexpr double kMaxRatePerSecond = 100'000;
+
+Result<void> check(const LoadStreamPlan& aStream)
+{
+  const auto refuse = [&](const std::string& aReason) {
+    return fail(UsageError{ "stream '" + aStream.name + "': " + aReason });
+  };
+  if (!(aStream.ratePerSecond > 0) || aStream.ratePerSecond > kMaxRatePerSecond) {
+    return refuse("rate_per_second must be above 0 and at most 100000");
+  }
+  if (aStream.keys.value_or(1) == 0 || aStream.keys.value_or(1) > kMaxKeys) {
+    return refuse("keys must be between 1 and 10000000");
+  }
+  if (aStream.keyList && aStream.keyList->empty()) {
+    return refuse("key_list must not be empty");
+  }
+  if (aStream.zipf.value_or(0) < 0) {
+    return refuse("zipf must not be negative");
+  }
+  if (aStream.answerBytes.value_or(0) > kMaxAnswerBytes ||
+      aStream.bodyBytes.value_or(0) > kMaxAnswerBytes) {
+    return refuse("body_bytes and answer_bytes must be at most 16777216");
+  }
+  return {};
+}
+
+} // namespace
+
+Result<LoadPlan> parseLoadPlan(const std::string& aJson)
+{
+  BOOST_LEAF_AUTO(plan, fromJson<LoadPlan>(aJson));
+  if (plan.entries.empty() || plan.streams.empty()) {
+    return fail(UsageError{ "a plan needs at least one entry and one stream" });
+  }
+  for (const auto& it : plan.streams) {
+    BOOST_LEAF_CHECK(check(it));
+  }
+  return plan;
+}
+
+} // namespace camphorcleat::harness
