--- a/packages/daemon/Metrics.cc
+++ b/packages/daemon/Metrics.cc
@@ -7,6 +7,7 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
 namespace camphorcleat::daemon {
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -188,6 +188,8 @@
   std::string method;
   std::string path; ///< Path and query, as the caller sent them.
   std::vector<Header> headers;
+  bool hasBody = false; ///< Whether body chunks follow.
+  std::optional<std::uint64_t> contentLength;
   Millis deadline{ 0 }; ///< Time left when sent.
   std::string idempotencyKey;
   std::string bodyDigest; ///< SHA-256 of a body of at most 64 KiB; empty if it is larger.
