--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -339,17 +339,18 @@
 
 void ControlDuty::writeAudit(const std::vector<fleet::AuditRecord>& aRecords)
 {
-  for (const auto& it : aRecords) {
-    orElse(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(mAudit.append(it));
-        return true;
-      },
-      [](const ErrorInfo& aInfo) {
-        logEvent(LogLevel::Error, "audit_write_failed", { { "reason", aInfo.message } });
-        return false;
-      });
+  if (aRecords.empty()) {
+    return;
   }
+  orElse(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(mAudit.append(aRecords));
+      return true;
+    },
+    [](const ErrorInfo& aInfo) {
+      logEvent(LogLevel::Error, "audit_write_failed", { { "reason", aInfo.message } });
+      return false;
+    });
 }
 
 void ControlDuty::expireWaiting()
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <random>
 
+#include <QDir>
+
 #include "agreement/FileLogStore.h"
 #include "base/Log.h"
 #include "daemon/AgentDuty.h"
@@ -92,10 +94,11 @@
 
 Result<void> Daemon::Impl::startControl()
 {
+  QDir().mkpath(QString::fromStdString(settings.dataFolder));
   auto store =
     std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
   BOOST_LEAF_AUTO(stored, store->open());
-  BOOST_LEAF_AUTO(audit, fleet::AuditTrail::open(settings.dataFolder, settings.auditMaxBytes));
+  BOOST_LEAF_AUTO(audit, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
   storage = std::make_unique<StorageDuty>(std::move(store), *rings.control);
   control = std::make_unique<ControlDuty>(settings, rings, router, *storage, std::move(stored),
                                           std::move(audit));
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -179,7 +179,8 @@
   const TimePoint deadline =
     Clock::now() + deadlineOf(aStream->headers(), mSettings.defaultDeadline);
   std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
-                                  isKeyed, deadline, mRandom, mBudget)
+                                  isKeyed, deadline,
+                                  traffic::EntryShared{ mBudget, mHedge, mRandom })
     ->start();
 }
 
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -16,8 +16,9 @@
 #include "daemon/RingPump.h"
 #include "daemon/Settings.h"
 #include "daemon/SharedView.h"
+#include "traffic/HedgePolicy.h"
+#include "traffic/PowerOfTwoChooser.h"
 #include "traffic/RetryBudget.h"
-#include "traffic/TargetChooser.h"
 #include "transport/HttpFrontend.h"
 
 namespace camphorcleat::daemon {
@@ -91,6 +92,7 @@
   std::uint64_t mCounter = 0;
   std::unique_ptr<transport::HttpFrontend> mFrontend;
   traffic::RetryBudget mBudget;
+  traffic::HedgePolicy mHedge;
   std::unique_ptr<traffic::TargetChooser> mChooser;
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, Running> mAttempts;
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -97,14 +97,14 @@
 EntryExchange::EntryExchange(EntryExchangeHost& aHost, boost::asio::io_context& aIo,
                              std::shared_ptr<transport::CallerStream> aStream,
                              wire::RequestHead aHead, bool aIsKeyed, TimePoint aDeadline,
-                             std::mt19937_64& aRandom, traffic::RetryBudget& aBudget)
+                             const traffic::EntryShared& aShared)
   : mHost(aHost)
   , mStream(std::move(aStream))
   , mHead(std::move(aHead))
   , mIsKeyed(aIsKeyed)
   , mStartedAt(Clock::now())
   , mDeadline(aDeadline)
-  , mLogic(aRandom, aBudget)
+  , mLogic(aShared)
   , mTimer(aIo)
 {
 }
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -55,8 +55,7 @@
   /// aHead is the head of every attempt but for its id. The host outlives the exchange.
   EntryExchange(EntryExchangeHost& aHost, boost::asio::io_context& aIo,
                 std::shared_ptr<transport::CallerStream> aStream, wire::RequestHead aHead,
-                bool aIsKeyed, TimePoint aDeadline, std::mt19937_64& aRandom,
-                traffic::RetryBudget& aBudget);
+                bool aIsKeyed, TimePoint aDeadline, const traffic::EntryShared& aShared);
 
   const wire::RequestHead& head() const { return mHead; }
   bool isKeyed() const { return mIsKeyed; }
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -8,6 +8,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "traffic/TokenTimes.h"
 
 namespace camphorcleat::daemon {
 
@@ -216,7 +217,7 @@
   }
   answer = mRateHome.handle(now, aRequest, account->second.requestsPerSecond,
                             account->second.burstRequests, mView.leaseValidUntil(),
-                            mHomes[aRequest.account].since);
+                            traffic::HomeStart::AfterLoss);
   mRouter.reply(aFrom.link, answer);
 }
 
