--- /dev/null
+++ b/packages/transport/HttpFrontend.cc
@@ -0,0 +1,221 @@
+// Listener, time limits and drain of the HTTP server.
+
+#include "transport/HttpFrontend.h"
+
+#include <poll.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/Log.h"
+#include "transport/Endpoint.h"
+#include "transport/HttpSession.h"
+#include "transport/Ticker.h"
+
+namespace camphorcleat::transport {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis kTick{ 50 };
+// Accepting can fail for lack of descriptors, which needs time rather than an immediate retry.
+constexpr Millis kAcceptRetry{ 100 };
+
+} // namespace
+
+struct HttpFrontend::Impl
+{
+  asio::io_context& io;
+  std::string address;
+  std::shared_ptr<HttpShared> shared;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer acceptTimer;
+  Ticker ticker;
+  unsigned short port = 0;
+  std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+
+  Impl(asio::io_context& aIo, std::string aAddress, HttpLimits aLimits, HttpHandler& aHandler)
+    : io(aIo)
+    , address(std::move(aAddress))
+    , shared(std::make_shared<HttpShared>(aLimits, aHandler))
+    , acceptor(aIo)
+    , acceptTimer(aIo)
+    , ticker(aIo, kTick, [this](TimePoint aNow) { tick(aNow); })
+  {
+  }
+
+  void accept()
+  {
+    acceptor.async_accept(
+      [this, alive = isAlive](const boost::system::error_code& aEc, asio::ip::tcp::socket aSocket) {
+        if (!*alive || !acceptor.is_open()) {
+          return;
+        }
+        if (aEc) {
+          retryAccept(aEc);
+          return;
+        }
+        take(std::move(aSocket));
+        accept();
+      });
+  }
+
+  void retryAccept(const boost::system::error_code& aEc)
+  {
+    logEvent(LogLevel::Warning, "http_accept_failed", { { "reason", aEc.message() } });
+    acceptTimer.expires_after(kAcceptRetry);
+    acceptTimer.async_wait([this, alive = isAlive](const boost::system::error_code&) {
+      if (*alive && acceptor.is_open()) {
+        accept();
+      }
+    });
+  }
+
+  void take(asio::ip::tcp::socket aSocket)
+  {
+    const bool isFull = shared->sessions.size() >= shared->limits.maxConnections;
+    if (isFull) {
+      // A free place for a new caller is worth more than a connection that is idle.
+      closeOneIdle();
+    }
+    if (shared->sessions.size() >= shared->limits.maxConnections) {
+      logEvent(LogLevel::Warning, "http_connection_refused",
+               { { "reason", "connection limit reached" } });
+      return; // Closes the socket.
+    }
+    std::make_shared<HttpSession>(std::move(aSocket), shared)->start();
+    ticker.start();
+  }
+
+  void closeOneIdle()
+  {
+    for (const auto& it : shared->sessions) {
+      const auto session = it;
+      const std::size_t before = shared->sessions.size();
+      session->closeIfIdle();
+      if (shared->sessions.size() < before) {
+        return;
+      }
+    }
+  }
+
+  void tick(TimePoint aNow)
+  {
+    const std::vector<std::shared_ptr<HttpSession>> sessions(shared->sessions.begin(),
+                                                             shared->sessions.end());
+    if (sessions.empty()) {
+      ticker.stop();
+      return;
+    }
+    for (const auto& it : sessions) {
+      it->checkTime(aNow);
+    }
+    pollCallers(sessions);
+  }
+
+  // Finds callers that closed their connection while a request runs. One poll() for all of them
+  // also works while back pressure leaves input unread, where a read couldn't see the end.
+  void pollCallers(const std::vector<std::shared_ptr<HttpSession>>& aSessions)
+  {
+    std::vector<pollfd> fds;
+    std::vector<std::shared_ptr<HttpSession>> polled;
+    for (const auto& it : aSessions) {
+      if (it->isRunning()) {
+        fds.push_back(pollfd{ it->nativeSocket(), POLLRDHUP, 0 });
+        polled.push_back(it);
+      }
+    }
+    if (fds.empty() || ::poll(fds.data(), fds.size(), 0) <= 0) {
+      return;
+    }
+    for (std::size_t i = 0; i < fds.size(); ++i) {
+      if ((fds[i].revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0 && polled[i]->isRunning()) {
+        polled[i]->callerGone();
+      }
+    }
+  }
+
+  void closeAll()
+  {
+    *isAlive = false;
+    shared->isClosed = true;
+    boost::system::error_code ec;
+    acceptor.close(ec);
+    const auto sessions = std::exchange(shared->sessions, {});
+    for (const auto& it : sessions) {
+      it->close(false);
+    }
+    shared->sessionCount = 0;
+  }
+};
+
+HttpFrontend::HttpFrontend(asio::io_context& aIo, std::string aListenAddress, HttpLimits aLimits,
+                           HttpHandler& aHandler)
+  : mImpl(std::make_unique<Impl>(aIo, std::move(aListenAddress), aLimits, aHandler))
+{
+}
+
+HttpFrontend::~HttpFrontend()
+{
+  mImpl->closeAll();
+}
+
+Result<void> HttpFrontend::start()
+{
+  BOOST_LEAF_AUTO(endpoint, parseEndpoint(mImpl->address));
+  boost::system::error_code ec;
+  auto& acceptor = mImpl->acceptor;
+  acceptor.open(endpoint.protocol(), ec);
+  if (!ec) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    return fail(AddressError{ mImpl->address, "can't listen: " + ec.message() });
+  }
+  mImpl->port = acceptor.local_endpoint(ec).port();
+  mImpl->accept();
+  return {};
+}
+
+void HttpFrontend::beginDrain()
+{
+  mImpl->shared->isDraining = true;
+  const auto sessions = mImpl->shared->sessions;
+  for (const auto& it : sessions) {
+    it->closeIfIdle();
+  }
+}
+
+void HttpFrontend::stopAccepting()
+{
+  boost::system::error_code ec;
+  mImpl->acceptor.close(ec);
+  mImpl->acceptTimer.cancel();
+}
+
+std::size_t HttpFrontend::openRequests() const
+{
+  return mImpl->shared->openRequests;
+}
+
+std::size_t HttpFrontend::openConnections() const
+{
+  return mImpl->shared->sessionCount;
+}
+
+unsigned short HttpFrontend::port() const
+{
+  return mImpl->port;
+}
+
+} // namespace camphorcleat::transport
--- /dev/null
+++ b/packages/transport/HttpSession.cc
@@ -0,0 +1,625 @@
+// State machine of one caller connection.
+//
+// The connection is reused only after both the request's body was read to its end and the answer
+// was written to its end; in every other case it is closed, because the next bytes on it could
+// belong to either request.
+
+#include "transport/HttpSession.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include "base/Log.h"
+#include "transport/HttpHeaders.h"
+
+namespace camphorcleat::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Room for what follows a header in the same packet.
+constexpr std::size_t kReadAheadBytes = 64U << 10U;
+// An idle connection keeps at most this much of its buffer: 10,000 of them then hold 40 MB.
+constexpr std::size_t kIdleBufferBytes = 4U << 10U;
+// After a refusal, input is discarded up to these limits: closing with unread input would reset the
+// connection, and the caller could lose the answer.
+constexpr std::size_t kMaxDiscardBytes = 1U << 20U;
+constexpr Millis kLingerTime{ 1000 };
+constexpr unsigned kHttp10 = 10;
+constexpr unsigned kHttp11 = 11;
+
+class RequestStream final : public CallerStream
+{
+public:
+  RequestStream(std::shared_ptr<HttpSession> aSession, std::uint64_t aRequest)
+    : mSession(std::move(aSession))
+    , mRequest(aRequest)
+  {
+  }
+  ~RequestStream() override { mSession->abort(mRequest); }
+  RequestStream(const RequestStream&) = delete;
+  RequestStream& operator=(const RequestStream&) = delete;
+
+  const std::string& method() const override { return mMethod; }
+  const std::string& path() const override { return mPath; }
+  const std::vector<wire::Header>& headers() const override { return mHeaders; }
+  std::optional<std::uint64_t> contentLength() const override { return mContentLength; }
+  std::string callerAddress() const override { return mCallerAddress; }
+
+  void readBody(std::function<void(BodyPart)> aCallback) override
+  {
+    mSession->readBody(mRequest, std::move(aCallback));
+  }
+  void sendHead(unsigned aStatus, std::vector<wire::Header> aHeaders,
+                std::optional<std::uint64_t> aContentLength) override
+  {
+    mSession->sendHead(mRequest, aStatus, std::move(aHeaders), aContentLength);
+  }
+  void sendBody(std::string aData, bool aIsLast, std::function<void(bool aIsOpen)> aDone) override
+  {
+    mSession->sendBody(mRequest, std::move(aData), aIsLast, std::move(aDone));
+  }
+  void sendWhole(unsigned aStatus, std::vector<wire::Header> aHeaders, std::string aBody) override
+  {
+    const std::uint64_t length = aBody.size();
+    mSession->sendHead(mRequest, aStatus, std::move(aHeaders), length);
+    mSession->sendBody(mRequest, std::move(aBody), true, nullptr);
+  }
+  void abort() override { mSession->abort(mRequest); }
+  void onGone(std::function<void()> aCallback) override
+  {
+    mSession->onGone(mRequest, std::move(aCallback));
+  }
+
+private:
+  friend class camphorcleat::transport::HttpSession;
+  std::shared_ptr<HttpSession> mSession;
+  std::uint64_t mRequest;
+  std::string mMethod;
+  std::string mPath;
+  std::string mCallerAddress;
+  std::vector<wire::Header> mHeaders;
+  std::optional<std::uint64_t> mContentLength;
+};
+
+std::string addressText(const asio::ip::tcp::socket& aSocket)
+{
+  boost::system::error_code ec;
+  const auto remote = aSocket.remote_endpoint(ec);
+  if (ec) {
+    return "";
+  }
+  const std::string ip = remote.address().to_string(ec);
+  return (remote.address().is_v6() ? "[" + ip + "]" : ip) + ":" + std::to_string(remote.port());
+}
+
+bool isHttpError(const boost::system::error_code& aEc)
+{
+  return aEc.category() == http::make_error_code(http::error::end_of_stream).category();
+}
+
+} // namespace
+
+HttpSession::HttpSession(asio::ip::tcp::socket aSocket, std::shared_ptr<HttpShared> aShared)
+  : mSocket(std::move(aSocket))
+  , mShared(std::move(aShared))
+  , mBuffer(mShared->limits.maxHeaderBytes + kReadAheadBytes)
+{
+}
+
+void HttpSession::start()
+{
+  // The writer must not keep the session alive: a session that is closed has to be released.
+  mWriter = std::make_shared<HttpWriter>(mSocket, [weak = weak_from_this()](bool aIsOpen) {
+    if (const auto self = weak.lock()) {
+      self->onWriterIdle(aIsOpen);
+    }
+  });
+  mShared->sessions.insert(shared_from_this());
+  mShared->sessionCount = mShared->sessions.size();
+  boost::system::error_code ec;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
+  mCallerAddress = addressText(mSocket);
+  mReadDeadline = Clock::now() + mShared->limits.headerTimeout;
+  readHeader();
+}
+
+void HttpSession::refuse(unsigned aStatus, ErrorCode aCode, const std::string& aMessage)
+{
+  // No handler saw the request, so "not run" is true.
+  const std::string code(enumName(aCode));
+  const std::string body = code + ": " + aMessage + "\n";
+  mKeepAlive = false;
+  mHeadSent = true;
+  mAnswerQueued = true;
+  chooseFraming(aStatus, body.size());
+  std::string bytes = serializeHead(aStatus,
+                                    { { "Content-Type", "text/plain" },
+                                      { "Camphorcleat-Outcome", "not-run" },
+                                      { "Camphorcleat-Code", code } },
+                                    body.size());
+  mWriter->queue(std::move(bytes));
+  if (!mIsHead) {
+    mWriter->queue(body);
+  }
+  mReadDeadline = TimePoint::max();
+  mPhase = Phase::Reading;
+  mWriter->flush(shared_from_this());
+}
+
+bool HttpSession::isCurrent(std::uint64_t aRequest) const
+{
+  return mPhase == Phase::Running && aRequest == mRequest;
+}
+
+// Waits without a header timeout until the next request begins.
+void HttpSession::waitForRequest()
+{
+  if (mBuffer.size() > 0) {
+    mReadDeadline = Clock::now() + mShared->limits.headerTimeout;
+    readHeader();
+    return;
+  }
+  mPhase = Phase::Idle;
+  mBodyBuffer = std::vector<char>();
+  if (mBuffer.capacity() > kIdleBufferBytes) {
+    mBuffer.shrink_to_fit();
+  }
+  mReadDeadline = Clock::now() + mShared->limits.keepAliveTimeout;
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& aEc) {
+                       if (self->mPhase != Phase::Idle) {
+                         return;
+                       }
+                       if (aEc) {
+                         self->close(false);
+                         return;
+                       }
+                       self->mReadDeadline = Clock::now() + self->mShared->limits.headerTimeout;
+                       self->readHeader();
+                     });
+}
+
+void HttpSession::readHeader()
+{
+  mPhase = Phase::Reading;
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(mShared->limits.maxHeaderBytes));
+  mParser->body_limit(mShared->limits.maxBodyBytes);
+  http::async_read_header(mSocket, mBuffer, *mParser,
+                          [self = shared_from_this()](const boost::system::error_code& aEc,
+                                                      std::size_t) { self->onHeader(aEc); });
+}
+
+void HttpSession::onHeader(const boost::system::error_code& aEc)
+{
+  if (mPhase == Phase::Closed) {
+    return;
+  }
+  mIsHead = mParser->get().method() == http::verb::head;
+  if (aEc) {
+    onHeaderError(aEc);
+    return;
+  }
+  const std::string fault = faultOfHeader();
+  if (!fault.empty()) {
+    refuse(400, ErrorCode::BadRequest, fault);
+    return;
+  }
+  const auto expect = mParser->get().find(http::field::expect);
+  if (expect != mParser->get().end() &&
+      !equalHeaderNames({ expect->value().data(), expect->value().size() }, "100-continue")) {
+    refuse(417, ErrorCode::BadRequest, "only the expectation 100-continue is supported");
+    return;
+  }
+  startRequest();
+}
+
+void HttpSession::onHeaderError(const boost::system::error_code& aEc)
+{
+  if (aEc == http::error::header_limit || aEc == http::error::buffer_overflow) {
+    refuse(431, ErrorCode::HeaderTooLarge,
+           "header is longer than " + std::to_string(mShared->limits.maxHeaderBytes) + " bytes");
+  } else if (aEc == http::error::body_limit) {
+    refuse(413, ErrorCode::BodyTooLarge,
+           "body is longer than " + std::to_string(mShared->limits.maxBodyBytes) + " bytes");
+  } else if (isHttpError(aEc) && aEc != http::error::end_of_stream &&
+             aEc != http::error::partial_message) {
+    refuse(400, ErrorCode::BadRequest, "malformed request: " + aEc.message());
+  } else {
+    close(false);
+  }
+}
+
+// Rules beyond Beast's. Two readers of one message must never disagree about where it ends (request
+// smuggling), so everything ambiguous is refused.
+std::string HttpSession::faultOfHeader() const
+{
+  const auto& request = mParser->get();
+  const auto lengths = request.equal_range(http::field::content_length);
+  if (std::distance(lengths.first, lengths.second) > 1 ||
+      (lengths.first != lengths.second &&
+       lengths.first->value().find(',') != boost::beast::string_view::npos)) {
+    return "more than one Content-Length";
+  }
+  const auto codings = request.equal_range(http::field::transfer_encoding);
+  if (codings.first != codings.second) {
+    if (lengths.first != lengths.second) {
+      return "both Content-Length and Transfer-Encoding";
+    }
+    if (request.version() < kHttp11 || std::distance(codings.first, codings.second) > 1 ||
+        !boost::beast::iequals(codings.first->value(), "chunked")) {
+      return "Transfer-Encoding other than chunked";
+    }
+  }
+  if (request.version() != kHttp10 && request.version() != kHttp11) {
+    return "unsupported version of HTTP";
+  }
+  if (request.version() == kHttp11 && request.count(http::field::host) != 1) {
+    return "expected one Host header";
+  }
+  return "";
+}
+
+void HttpSession::startRequest()
+{
+  const auto& request = mParser->get();
+  mPhase = Phase::Running;
+  ++mRequest;
+  mReadDeadline = TimePoint::max();
+  mFraming = BodyFraming::None;
+  mBodyFailed = mBodyTimedOut = mHeadSent = mAnswerQueued = false;
+  mKeepAlive = request.keep_alive();
+  mNeedsContinue = request.count(http::field::expect) > 0 && request.version() == kHttp11;
+  ++mShared->openRequests;
+
+  auto stream = std::make_shared<RequestStream>(shared_from_this(), mRequest);
+  const auto method = request.method_string();
+  stream->mMethod.assign(method.data(), method.size());
+  stream->mPath.assign(request.target().data(), request.target().size());
+  stream->mCallerAddress = mCallerAddress;
+  for (const auto& it : request) {
+    stream->mHeaders.push_back({ std::string(it.name_string().data(), it.name_string().size()),
+                                 std::string(it.value().data(), it.value().size()) });
+  }
+  removeHopByHop(stream->mHeaders);
+  if (!mParser->chunked()) {
+    stream->mContentLength = mParser->content_length().value_or(0);
+  }
+  mShared->handler.onRequest(std::move(stream));
+}
+
+void HttpSession::queueContinue()
+{
+  if (mNeedsContinue && !mHeadSent) {
+    mWriter->queue("HTTP/1.1 100 Continue\r\n\r\n");
+    scheduleFlush();
+  }
+  mNeedsContinue = false;
+}
+
+void HttpSession::readBody(std::uint64_t aRequest, std::function<void(BodyPart)> aCallback)
+{
+  BodyPart part;
+  if (!isCurrent(aRequest) || mBodyFailed || mOnBody) {
+    part.error = ErrorCode::Cancelled;
+  } else if (mParser->is_done()) {
+    part.isLast = true;
+  } else {
+    mOnBody = std::move(aCallback);
+    queueContinue();
+    readSome();
+    return;
+  }
+  asio::post(mSocket.get_executor(),
+             [callback = std::move(aCallback), part = std::move(part)] { callback(part); });
+}
+
+void HttpSession::readSome()
+{
+  mBodyBuffer.resize(mShared->limits.chunkBytes);
+  auto& body = mParser->get().body();
+  body.data = mBodyBuffer.data();
+  body.size = mBodyBuffer.size();
+  mReadDeadline = Clock::now() + mShared->limits.bodyIdleTimeout;
+  http::async_read_some(mSocket, mBuffer, *mParser,
+                        [self = shared_from_this()](const boost::system::error_code& aEc,
+                                                    std::size_t) { self->onBodyRead(aEc); });
+}
+
+void HttpSession::onBodyRead(const boost::system::error_code& aEc)
+{
+  mReadDeadline = TimePoint::max();
+  BodyPart part = takeBodyPart(aEc);
+  if (!part.error && part.data.empty() && !part.isLast && mPhase == Phase::Running) {
+    readSome(); // Only framing was read so far.
+    return;
+  }
+  if (part.error) {
+    mBodyFailed = true;
+    mKeepAlive = false;
+  }
+  const bool isGone = part.error == ErrorCode::Cancelled && mPhase == Phase::Running;
+  deliver(std::move(part));
+  if (isGone) {
+    callerGone();
+  }
+}
+
+BodyPart HttpSession::takeBodyPart(const boost::system::error_code& aEc)
+{
+  BodyPart part;
+  if (mPhase != Phase::Running) {
+    part.error = ErrorCode::Cancelled;
+  } else if (mBodyTimedOut) {
+    part.error = ErrorCode::DeadlineExceeded;
+  } else if (aEc && aEc != http::error::need_buffer) {
+    const bool isMalformed =
+      isHttpError(aEc) && aEc != http::error::end_of_stream && aEc != http::error::partial_message;
+    part.error = aEc == http::error::body_limit ? ErrorCode::BodyTooLarge
+                 : isMalformed                  ? ErrorCode::BadRequest
+                                                : ErrorCode::Cancelled;
+  } else {
+    part.data.assign(mBodyBuffer.data(), mBodyBuffer.size() - mParser->get().body().size);
+    part.isLast = mParser->is_done();
+  }
+  return part;
+}
+
+void HttpSession::deliver(BodyPart aPart)
+{
+  if (mOnBody) {
+    const auto callback = std::exchange(mOnBody, nullptr);
+    callback(std::move(aPart));
+  }
+}
+
+void HttpSession::chooseFraming(unsigned aStatus, std::optional<std::uint64_t> aContentLength)
+{
+  const bool hasNoBody = mIsHead || aStatus == 204 || aStatus == 304;
+  if (hasNoBody) {
+    mFraming = BodyFraming::None;
+  } else if (aContentLength) {
+    mFraming = BodyFraming::Length;
+    mBodyBytesLeft = *aContentLength;
+  } else if (mParser && mParser->get().version() == kHttp10) {
+    mFraming = BodyFraming::UntilClose;
+    mKeepAlive = false;
+  } else {
+    mFraming = BodyFraming::Chunked;
+  }
+}
+
+std::string HttpSession::serializeHead(unsigned aStatus, const std::vector<wire::Header>& aHeaders,
+                                       std::optional<std::uint64_t> aContentLength)
+{
+  const bool isHttp10 = mParser && mParser->get().version() == kHttp10;
+  http::response<http::empty_body> head;
+  head.version(kHttp11);
+  head.result(aStatus);
+  for (const auto& it : aHeaders) {
+    if (!isFramingHeader(it.name)) {
+      head.insert(it.name, it.value);
+    }
+  }
+  if (aContentLength && aStatus != 204) {
+    head.set(http::field::content_length, std::to_string(*aContentLength));
+  } else if (mFraming == BodyFraming::Chunked) {
+    head.set(http::field::transfer_encoding, "chunked");
+  }
+  if (!mKeepAlive) {
+    head.set(http::field::connection, "close");
+  } else if (isHttp10) {
+    head.set(http::field::connection, "keep-alive");
+  }
+  http::response_serializer<http::empty_body> serializer(head);
+  serializer.split(true);
+  std::string out;
+  boost::system::error_code ec;
+  serializer.next(ec, [&](boost::system::error_code&, const auto& aBuffers) {
+    out = boost::beast::buffers_to_string(aBuffers);
+  });
+  return out;
+}
+
+void HttpSession::sendHead(std::uint64_t aRequest, unsigned aStatus,
+                           std::vector<wire::Header> aHeaders,
+                           std::optional<std::uint64_t> aContentLength)
+{
+  if (!isCurrent(aRequest) || mHeadSent) {
+    return;
+  }
+  mHeadSent = true;
+  mKeepAlive = mKeepAlive && !mShared->isDraining && mParser->is_done();
+  chooseFraming(aStatus, aContentLength);
+  mWriter->queue(serializeHead(aStatus, aHeaders, aContentLength));
+  scheduleFlush();
+}
+
+void HttpSession::sendBody(std::uint64_t aRequest, std::string aData, bool aIsLast,
+                           std::function<void(bool)> aDone)
+{
+  if (!isCurrent(aRequest) || !mHeadSent || mAnswerQueued) {
+    if (aDone) {
+      asio::post(mSocket.get_executor(), [done = std::move(aDone)] { done(false); });
+    }
+    return;
+  }
+  if (mFraming == BodyFraming::Length) {
+    const bool isTooLong = aData.size() > mBodyBytesLeft;
+    mBodyBytesLeft -= isTooLong ? 0 : aData.size();
+    if (isTooLong || (aIsLast && mBodyBytesLeft > 0)) {
+      logEvent(LogLevel::Warning, "answer_length_differs",
+               { { "caller", mCallerAddress }, { "reason", isTooLong ? "longer" : "shorter" } });
+      if (aDone) {
+        asio::post(mSocket.get_executor(), [done = std::move(aDone)] { done(false); });
+      }
+      close(true);
+      return;
+    }
+  }
+  mAnswerQueued = aIsLast;
+  mWriter->queueBody(mFraming, std::move(aData), aIsLast, std::move(aDone));
+  scheduleFlush();
+}
+
+void HttpSession::abort(std::uint64_t aRequest)
+{
+  if (isCurrent(aRequest) && !mAnswerQueued) {
+    mOnGone = nullptr;
+    close(true);
+  }
+}
+
+void HttpSession::onGone(std::uint64_t aRequest, std::function<void()> aCallback)
+{
+  if (isCurrent(aRequest)) {
+    mOnGone = std::move(aCallback);
+  }
+}
+
+// Flushes after the handlers that are queued already, so that a head and its body share a write.
+void HttpSession::scheduleFlush()
+{
+  if (mFlushScheduled || mWriter->isWriting()) {
+    return; // A write that runs flushes what was queued meanwhile when it ends.
+  }
+  mFlushScheduled = true;
+  asio::post(mSocket.get_executor(), [self = shared_from_this()] {
+    self->mFlushScheduled = false;
+    self->mWriter->flush(self);
+  });
+}
+
+void HttpSession::onWriterIdle(bool aIsOpen)
+{
+  if (mPhase == Phase::Closed) {
+    return;
+  }
+  if (!aIsOpen) {
+    callerGone();
+    return;
+  }
+  if (!mWriter->isIdle()) {
+    mWriter->flush(shared_from_this());
+  } else if (mAnswerQueued) {
+    finishRequest();
+  }
+}
+
+void HttpSession::finishRequest()
+{
+  const bool isReusable = mKeepAlive && mParser->is_done() && !mShared->isDraining;
+  leaveRequest();
+  mAnswerQueued = false;
+  if (isReusable) {
+    waitForRequest();
+  } else {
+    linger();
+  }
+}
+
+void HttpSession::leaveRequest()
+{
+  if (mPhase == Phase::Running) {
+    --mShared->openRequests;
+    mPhase = Phase::Reading;
+  }
+  mOnGone = nullptr;
+}
+
+void HttpSession::linger()
+{
+  mPhase = Phase::Lingering;
+  mReadDeadline = Clock::now() + kLingerTime;
+  boost::system::error_code ec;
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  if (mOnBody) {
+    mSocket.cancel(ec); // A body read that the handler started; its callback gets Cancelled.
+  }
+  discardSome();
+}
+
+void HttpSession::discardSome()
+{
+  mBodyBuffer.resize(mShared->limits.chunkBytes);
+  mSocket.async_read_some(
+    asio::buffer(mBodyBuffer),
+    [self = shared_from_this()](const boost::system::error_code& aEc, std::size_t aBytes) {
+      if (self->mPhase != Phase::Lingering) {
+        return;
+      }
+      self->mDiscardedBytes += aBytes;
+      if (aEc || self->mDiscardedBytes > kMaxDiscardBytes) {
+        self->close(false);
+      } else {
+        self->discardSome();
+      }
+    });
+}
+
+void HttpSession::checkTime(TimePoint aNow)
+{
+  const auto& limits = mShared->limits;
+  if (mWriter->isWriting() && aNow - mWriter->lastProgress() >= limits.bodyIdleTimeout) {
+    callerGone();
+  } else if (aNow >= mReadDeadline) {
+    if (mPhase == Phase::Running && !mWriter->isWriting()) {
+      // Cancels the body read only, so that the handler can still answer.
+      mBodyTimedOut = true;
+      mReadDeadline = TimePoint::max();
+      boost::system::error_code ec;
+      mSocket.cancel(ec);
+    } else {
+      callerGone();
+    }
+  }
+}
+
+void HttpSession::callerGone()
+{
+  const auto self = shared_from_this();
+  const auto callback = std::exchange(mOnGone, nullptr);
+  close(false);
+  if (callback) {
+    callback();
+  }
+}
+
+void HttpSession::closeIfIdle()
+{
+  if (mPhase == Phase::Idle) {
+    close(false);
+  }
+}
+
+void HttpSession::close(bool aReset)
+{
+  if (mPhase == Phase::Closed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  leaveRequest();
+  mPhase = Phase::Closed;
+  mReadDeadline = TimePoint::max();
+  boost::system::error_code ec;
+  if (aReset) {
+    mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+  }
+  mSocket.close(ec);
+  mWriter->close();
+  if (!mShared->isClosed) {
+    mShared->sessions.erase(self);
+    mShared->sessionCount = mShared->sessions.size();
+  }
+}
+
+} // namespace camphorcleat::transport
--- /dev/null
+++ b/packages/transport/HttpSession.h
@@ -0,0 +1,141 @@
+// One connection of a caller: requests in order, one at a time. Internal to the package.
+
+#ifndef CAMPHORCLEAT_TRANSPORT_HTTPSESSION_H_
+#define CAMPHORCLEAT_TRANSPORT_HTTPSESSION_H_
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "transport/HttpFrontend.h"
+#include "transport/HttpWriter.h"
+
+namespace camphorcleat::transport {
+
+class HttpSession;
+
+/// What the sessions of one frontend share. The sessions keep it alive.
+struct HttpShared
+{
+  HttpShared(HttpLimits aLimits, HttpHandler& aHandler)
+    : limits(aLimits)
+    , handler(aHandler)
+  {
+  }
+  const HttpLimits limits;
+  HttpHandler& handler;
+  std::unordered_set<std::shared_ptr<HttpSession>> sessions;
+  std::atomic<std::size_t> sessionCount{ 0 };
+  std::atomic<std::size_t> openRequests{ 0 };
+  bool isDraining = false;
+  bool isClosed = false;
+};
+
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+  HttpSession(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<HttpShared> aShared);
+
+  /// Reads the first request. The session registers itself with the frontend until it is closed.
+  void start();
+
+  /// Answers with an error, then closes. For connections above the limit.
+  void refuse(unsigned aStatus, ErrorCode aCode, const std::string& aMessage);
+
+  /// Applies the time limits.
+  void checkTime(TimePoint aNow);
+
+  /// Whether a request is with the handler.
+  bool isRunning() const { return mPhase == Phase::Running; }
+
+  /// The socket, to be polled for the caller's close.
+  int nativeSocket() { return mSocket.native_handle(); }
+
+  /// The caller closed its connection.
+  void callerGone();
+
+  /// Closes the connection if no request is read, run or answered.
+  void closeIfIdle();
+
+  /// Closes the connection now; with a reset if aReset.
+  void close(bool aReset);
+
+  // The part of CallerStream that acts on the connection. aRequest is the number of the request:
+  // calls for an earlier one do nothing.
+  void readBody(std::uint64_t aRequest, std::function<void(BodyPart)> aCallback);
+  void sendHead(std::uint64_t aRequest, unsigned aStatus, std::vector<wire::Header> aHeaders,
+                std::optional<std::uint64_t> aContentLength);
+  void sendBody(std::uint64_t aRequest, std::string aData, bool aIsLast,
+                std::function<void(bool)> aDone);
+  void abort(std::uint64_t aRequest);
+  void onGone(std::uint64_t aRequest, std::function<void()> aCallback);
+
+private:
+  enum class Phase
+  {
+    Idle,      ///< Waits for the first byte of a request.
+    Reading,   ///< Reads a header.
+    Running,   ///< A request is with the handler.
+    Lingering, ///< The last answer is sent; input is discarded until the caller closes.
+    Closed,
+  };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+  bool isCurrent(std::uint64_t aRequest) const;
+  void waitForRequest();
+  void readHeader();
+  void onHeader(const boost::system::error_code& aEc);
+  void onHeaderError(const boost::system::error_code& aEc);
+  std::string faultOfHeader() const;
+  void startRequest();
+  void queueContinue();
+  void readSome();
+  void onBodyRead(const boost::system::error_code& aEc);
+  BodyPart takeBodyPart(const boost::system::error_code& aEc);
+  void deliver(BodyPart aPart);
+  std::string serializeHead(unsigned aStatus, const std::vector<wire::Header>& aHeaders,
+                            std::optional<std::uint64_t> aContentLength);
+  void chooseFraming(unsigned aStatus, std::optional<std::uint64_t> aContentLength);
+  void scheduleFlush();
+  void onWriterIdle(bool aIsOpen);
+  void finishRequest();
+  void linger();
+  void discardSome();
+  void leaveRequest();
+
+  boost::asio::ip::tcp::socket mSocket;
+  std::shared_ptr<HttpShared> mShared;
+  std::shared_ptr<HttpWriter> mWriter;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  std::string mCallerAddress;
+  std::vector<char> mBodyBuffer;
+  std::function<void(BodyPart)> mOnBody;
+  std::function<void()> mOnGone;
+  Phase mPhase = Phase::Idle;
+  TimePoint mReadDeadline = TimePoint::max();
+  std::uint64_t mRequest = 0;
+  std::uint64_t mBodyBytesLeft = 0;
+  std::size_t mDiscardedBytes = 0;
+  BodyFraming mFraming = BodyFraming::None;
+  bool mIsHead = false;
+  bool mKeepAlive = false;
+  bool mNeedsContinue = false;
+  bool mBodyFailed = false;
+  bool mBodyTimedOut = false;
+  bool mHeadSent = false;
+  bool mAnswerQueued = false;
+  bool mFlushScheduled = false;
+};
+
+} // namespace camphorcleat::transport
+
+#endif // CAMPHORCLEAT_TRANSPORT_HTTPSESSION_H_
--- /dev/null
+++ b/packages/transport/PeerLink.cc
@@ -0,0 +1,185 @@
+// The table of links.
+
+#include "transport/PeerLink.h"
+
+#include <atomic>
+
+namespace camphorcleat::transport {
+
+namespace {
+
+// A frame header and the bookkeeping of a waiting message; counting it keeps a queue of tiny
+// messages bounded in memory, too.
+constexpr std::size_t kBytesPerMessage = 64;
+
+LinkId nextLinkId()
+{
+  static std::atomic<LinkId> sLast{ 0 };
+  return ++sLast;
+}
+
+} // namespace
+
+PeerLinks::Queued PeerLinks::queueForPeer(const Key& aKey, std::string aBytes)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mIsClosed || mAddresses.count(aKey.first) == 0) {
+    return {};
+  }
+  auto& link = mDialed[aKey];
+  const bool isNew = link == nullptr;
+  if (isNew) {
+    link = std::make_shared<PeerLink>(nextLinkId(), true);
+    link->peer = aKey.first;
+    link->lane = aKey.second;
+    mLinks[link->id] = link;
+  }
+  Queued out = queueLocked(link, std::move(aBytes));
+  out.isNew = isNew;
+  return out;
+}
+
+PeerLinks::Queued PeerLinks::queueForLink(LinkId aLink, std::string aBytes)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto it = mLinks.find(aLink);
+  if (mIsClosed || it == mLinks.end() || !it->second->isOpen) {
+    return {};
+  }
+  return queueLocked(it->second, std::move(aBytes));
+}
+
+PeerLinks::Queued PeerLinks::queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes)
+{
+  Queued out;
+  out.link = aLink;
+  const std::size_t bytes = aBytes.size() + kBytesPerMessage;
+  const std::size_t waiting = aLink->outboxBytes + aLink->socketBytes;
+  // A message longer than the whole limit passes if nothing else waits.
+  if (waiting > 0 && waiting + bytes > mMaxBufferedBytes) {
+    out.result.status = SendStatus::Full;
+    return out;
+  }
+  aLink->outbox.push_back(std::move(aBytes));
+  aLink->outboxBytes += bytes;
+  out.result = { SendStatus::Accepted, aLink->id };
+  out.needsFlush = aLink->isOpen && !aLink->isFlushPosted;
+  aLink->isFlushPosted = aLink->isFlushPosted || out.needsFlush;
+  return out;
+}
+
+std::vector<std::string> PeerLinks::takeOutbox(PeerLink& aLink)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aLink.isFlushPosted = false;
+  aLink.socketBytes += aLink.outboxBytes;
+  aLink.outboxBytes = 0;
+  return std::exchange(aLink.outbox, {});
+}
+
+void PeerLinks::setSocketBytes(PeerLink& aLink, std::size_t aBytes)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aLink.socketBytes = aBytes;
+}
+
+std::shared_ptr<PeerLink> PeerLinks::addAccepted()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto link = std::make_shared<PeerLink>(nextLinkId(), false);
+  mLinks[link->id] = link;
+  ++mAcceptedCount;
+  return link;
+}
+
+void PeerLinks::setLane(PeerLink& aLink, Lane aLane)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aLink.lane = aLane;
+}
+
+bool PeerLinks::open(PeerLink& aLink, NodeId aPeer)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  aLink.peer = aPeer;
+  aLink.isOpen = true;
+  return !aLink.outbox.empty();
+}
+
+void PeerLinks::remove(PeerLink& aLink)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mLinks.erase(aLink.id) == 0) {
+    return;
+  }
+  if (!aLink.wasDialed) {
+    --mAcceptedCount;
+    return;
+  }
+  const auto it = mDialed.find({ aLink.peer, aLink.lane });
+  if (it != mDialed.end() && it->second->id == aLink.id) {
+    mDialed.erase(it);
+  }
+}
+
+bool PeerLinks::isLinked(const Key& aKey) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto it = mDialed.find(aKey);
+  return it != mDialed.end() && it->second->isOpen;
+}
+
+std::vector<std::shared_ptr<PeerLink>> PeerLinks::all() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<std::shared_ptr<PeerLink>> out;
+  out.reserve(mLinks.size());
+  for (const auto& it : mLinks) {
+    out.push_back(it.second);
+  }
+  return out;
+}
+
+std::size_t PeerLinks::acceptedCount() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mAcceptedCount;
+}
+
+std::vector<std::shared_ptr<PeerLink>> PeerLinks::setAddress(NodeId aNode, std::string aAddress)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<std::shared_ptr<PeerLink>> out;
+  const auto it = mAddresses.find(aNode);
+  if (it != mAddresses.end() && it->second == aAddress) {
+    return out;
+  }
+  for (const Lane lane : { Lane::Control, Lane::Data }) {
+    const auto link = mDialed.find({ aNode, lane });
+    if (link != mDialed.end()) {
+      out.push_back(link->second);
+      mDialed.erase(link); // The next message dials the new address.
+    }
+  }
+  if (aAddress.empty()) {
+    mAddresses.erase(aNode);
+  } else {
+    mAddresses[aNode] = std::move(aAddress);
+  }
+  return out;
+}
+
+std::string PeerLinks::address(NodeId aNode) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto it = mAddresses.find(aNode);
+  return it == mAddresses.end() ? "" : it->second;
+}
+
+void PeerLinks::close()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mIsClosed = true;
+}
+
+} // namespace camphorcleat::transport
--- /dev/null
+++ b/packages/transport/PeerLink.h
@@ -0,0 +1,111 @@
+// State of one connection between peers. Internal to the package.
+
+#ifndef CAMPHORCLEAT_TRANSPORT_PEERLINK_H_
+#define CAMPHORCLEAT_TRANSPORT_PEERLINK_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "transport/PeerHub.h"
+#include "transport/PeerSocket.h"
+
+namespace camphorcleat::transport {
+
+struct PeerLink
+{
+  PeerLink(LinkId aId, bool aWasDialed)
+    : id(aId)
+    , wasDialed(aWasDialed)
+  {
+  }
+
+  const LinkId id;
+  const bool wasDialed;
+
+  // Guarded by the mutex of PeerLinks, except that the hub's thread, which alone changes peer, lane
+  // and isOpen, reads those three without it.
+  NodeId peer = kNoNode;
+  Lane lane = Lane::Control;
+  bool isOpen = false; ///< The peer's Hello was accepted.
+  bool isFlushPosted = false;
+  std::vector<std::string> outbox;
+  std::size_t outboxBytes = 0;
+  std::size_t socketBytes = 0; ///< Given to the connection and not written yet.
+
+  // Hub's thread only.
+  std::shared_ptr<PeerSocket> socket;
+  TimePoint setUpDeadline = TimePoint::max();
+  TimePoint lastPing;
+  bool isLost = false;
+};
+
+/// The links of a hub, shared by its thread and the threads that send. Each method is thread-safe.
+class PeerLinks
+{
+public:
+  using Key = std::pair<NodeId, Lane>;
+  struct Queued
+  {
+    SendResult result;
+    std::shared_ptr<PeerLink> link;
+    bool isNew = false;      ///< The link has to be dialed.
+    bool needsFlush = false; ///< The hub's thread has to be told.
+  };
+
+  explicit PeerLinks(std::size_t aMaxBufferedBytes)
+    : mMaxBufferedBytes(aMaxBufferedBytes)
+  {
+  }
+
+  /// Queues a message for the dialed link of a peer, which is made if there is none.
+  Queued queueForPeer(const Key& aKey, std::string aBytes);
+
+  /// Queues a message for an open link.
+  Queued queueForLink(LinkId aLink, std::string aBytes);
+
+  /// Takes everything that waits on an open link.
+  std::vector<std::string> takeOutbox(PeerLink& aLink);
+
+  /// Notes how many bytes the connection still holds.
+  void setSocketBytes(PeerLink& aLink, std::size_t aBytes);
+
+  std::shared_ptr<PeerLink> addAccepted();
+  void setLane(PeerLink& aLink, Lane aLane);
+
+  /// Marks a link as open; true if messages wait on it.
+  bool open(PeerLink& aLink, NodeId aPeer);
+
+  /// Removes a link and what waits on it.
+  void remove(PeerLink& aLink);
+
+  bool isLinked(const Key& aKey) const;
+  std::vector<std::shared_ptr<PeerLink>> all() const;
+  std::size_t acceptedCount() const;
+
+  /// Sets an address; returns the dialed links to the old one.
+  std::vector<std::shared_ptr<PeerLink>> setAddress(NodeId aNode, std::string aAddress);
+  std::string address(NodeId aNode) const;
+
+  /// Makes every further message unreachable.
+  void close();
+
+private:
+  Queued queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes);
+
+  const std::size_t mMaxBufferedBytes;
+  mutable std::mutex mMutex;
+  std::map<NodeId, std::string> mAddresses;
+  std::map<Key, std::shared_ptr<PeerLink>> mDialed;
+  std::map<LinkId, std::shared_ptr<PeerLink>> mLinks;
+  std::size_t mAcceptedCount = 0;
+  bool mIsClosed = false;
+};
+
+} // namespace camphorcleat::transport
+
+#endif // CAMPHORCLEAT_TRANSPORT_PEERLINK_H_
--- /dev/null
+++ b/packages/transport/PeerSocket.h
@@ -0,0 +1,140 @@
+// websocketpp set up for PeerHub. Internal to the package.
+//
+// One configuration serves dialed and accepted connections, so that both have the same type. All of
+// it runs on the hub's thread, hence without locks. websocketpp tells neither how many bytes a
+// connection received nor when a write ended; MeteredConnection adds both by wrapping the two
+// transport calls that every frame goes through.
+
+#ifndef CAMPHORCLEAT_TRANSPORT_PEERSOCKET_H_
+#define CAMPHORCLEAT_TRANSPORT_PEERSOCKET_H_
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/concurrency/none.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/logger/stub.hpp>
+#include <websocketpp/server.hpp>
+#include <websocketpp/transport/asio/endpoint.hpp>
+
+#include "base/Time.h"
+
+namespace camphorcleat::transport {
+
+/// Frame masks guard proxies against crafted payloads (RFC 6455, section 10.3). There is none
+/// between daemons, so a plain generator is enough.
+class MaskGenerator
+{
+public:
+  std::uint32_t operator()() { return static_cast<std::uint32_t>(mRandom()); }
+
+private:
+  std::minstd_rand mRandom{ std::random_device{}() };
+};
+
+template<class Config>
+class MeteredConnection : public websocketpp::transport::asio::connection<Config>
+{
+  using Base = websocketpp::transport::asio::connection<Config>;
+
+public:
+  using Base::Base;
+
+  /// Called after each write, on the hub's thread.
+  void setOnWritten(std::function<void()> aFunction) { mOnWritten = std::move(aFunction); }
+
+  /// When bytes last arrived, or the connection was made.
+  TimePoint lastReceived() const { return mLastReceived; }
+
+  /// Since when the current write runs; TimePoint::max() if none runs.
+  TimePoint writingSince() const { return mWritingSince; }
+
+  // The names are given by websocketpp. NOLINTBEGIN(readability-identifier-naming)
+  void async_read_at_least(size_t aMinBytes, char* aBuffer, size_t aBytes,
+                           websocketpp::transport::read_handler aHandler)
+  {
+    Base::async_read_at_least(
+      aMinBytes, aBuffer, aBytes,
+      [this, handler = std::move(aHandler)](const std::error_code& aEc, size_t aCount) {
+        if (aCount > 0) {
+          mLastReceived = Clock::now();
+        }
+        handler(aEc, aCount);
+      });
+  }
+
+  void async_write(const char* aData, size_t aBytes, websocketpp::transport::write_handler aHandler)
+  {
+    Base::async_write(aData, aBytes, metered(std::move(aHandler)));
+  }
+
+  void async_write(const std::vector<websocketpp::transport::buffer>& aBuffers,
+                   websocketpp::transport::write_handler aHandler)
+  {
+    Base::async_write(aBuffers, metered(std::move(aHandler)));
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  // Base keeps the connection alive until the handler has run.
+  websocketpp::transport::write_handler metered(websocketpp::transport::write_handler aHandler)
+  {
+    mWritingSince = Clock::now();
+    return [this, handler = std::move(aHandler)](const std::error_code& aEc) {
+      mWritingSince = TimePoint::max();
+      handler(aEc);
+      if (mOnWritten) {
+        mOnWritten();
+      }
+    };
+  }
+
+  std::function<void()> mOnWritten;
+  TimePoint mLastReceived = Clock::now();
+  TimePoint mWritingSince = TimePoint::max();
+};
+
+template<class Config>
+class MeteredEndpoint : public websocketpp::transport::asio::endpoint<Config>
+{
+public:
+  // The names are given by websocketpp.
+  using transport_con_type = MeteredConnection<Config>;
+  using transport_con_ptr = typename transport_con_type::ptr;
+};
+
+struct PeerSocketConfig : public websocketpp::config::core
+{
+  using type = PeerSocketConfig;
+  using concurrency_type = websocketpp::concurrency::none;
+  using alog_type = websocketpp::log::stub;
+  using elog_type = websocketpp::log::stub;
+  using rng_type = MaskGenerator;
+  static const bool enable_multithreading = false;
+  // A peer that breaks the protocol is cut off at once.
+  static const bool drop_on_protocol_error = true;
+
+  struct transport_config : public websocketpp::config::core::transport_config
+  {
+    using concurrency_type = type::concurrency_type;
+    using alog_type = type::alog_type;
+    using elog_type = type::elog_type;
+    using request_type = type::request_type;
+    using response_type = type::response_type;
+    using socket_type = websocketpp::transport::asio::basic_socket::endpoint;
+    static const bool enable_multithreading = false;
+  };
+  using transport_type = MeteredEndpoint<transport_config>;
+};
+
+using PeerServer = websocketpp::server<PeerSocketConfig>;
+using PeerClient = websocketpp::client<PeerSocketConfig>;
+using PeerSocket = websocketpp::connection<PeerSocketConfig>;
+
+} // namespace camphorcleat::transport
+
+#endif // CAMPHORCLEAT_TRANSPORT_PEERSOCKET_H_
--- /dev/null
+++ b/packages/transport/TargetClient.cc
@@ -0,0 +1,117 @@
+// Start of exchanges and their time limits.
+
+#include "transport/TargetClient.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "transport/TargetFetch.h"
+#include "transport/TargetPool.h"
+#include "transport/TargetRun.h"
+#include "transport/Ticker.h"
+
+namespace camphorcleat::transport {
+
+namespace {
+
+constexpr Millis kTick{ 10 };
+
+} // namespace
+
+struct TargetClient::Impl
+{
+  std::shared_ptr<TargetPool> pool;
+  Ticker ticker;
+
+  Impl(boost::asio::io_context& aIo, TargetClientConfig aConfig)
+    : pool(std::make_shared<TargetPool>(aIo, std::move(aConfig)))
+    , ticker(aIo, kTick, [this](TimePoint aNow) { tick(aNow); })
+  {
+  }
+
+  void tick(TimePoint aNow)
+  {
+    pool->closeIdle(aNow);
+    const std::vector<std::shared_ptr<TargetRun>> running(pool->running.begin(),
+                                                          pool->running.end());
+    for (const auto& it : running) {
+      it->checkTime(aNow);
+    }
+    if (pool->running.empty() && pool->idle.empty()) {
+      ticker.stop();
+    }
+  }
+};
+
+TargetClient::TargetClient(boost::asio::io_context& aIo, TargetClientConfig aConfig)
+  : mImpl(std::make_unique<Impl>(aIo, std::move(aConfig)))
+{
+}
+
+TargetClient::~TargetClient()
+{
+  mImpl->pool->isClosed = true;
+  const auto running = mImpl->pool->running;
+  for (const auto& it : running) {
+    it->drop();
+  }
+  mImpl->pool->idle.clear();
+}
+
+std::shared_ptr<TargetExchange> TargetClient::start(TargetRequest aRequest,
+                                                    std::shared_ptr<TargetHandler> aHandler,
+                                                    TimePoint aDeadline)
+{
+  const auto run =
+    std::make_shared<TargetRun>(mImpl->pool, std::move(aRequest), std::move(aHandler), aDeadline);
+  mImpl->pool->running.insert(run);
+  mImpl->ticker.start();
+  boost::asio::post(mImpl->pool->io, [run] { run->begin(); });
+  return run;
+}
+
+std::shared_ptr<TargetExchange> TargetClient::start(TargetRequest aRequest, TargetHandler& aHandler,
+                                                    TimePoint aDeadline)
+{
+  return start(std::move(aRequest),
+               std::shared_ptr<TargetHandler>(std::shared_ptr<void>(), &aHandler), aDeadline);
+}
+
+void TargetClient::fetch(std::string aMethod, std::string aPath, std::string aBody, Millis aTimeout,
+                         std::function<void(FetchResult)> aCallback)
+{
+  auto guarded = [pool = std::weak_ptr<TargetPool>(mImpl->pool),
+                  callback = std::move(aCallback)](FetchResult aResult) {
+    const auto alive = pool.lock();
+    if (alive && !alive->isClosed) {
+      callback(std::move(aResult));
+    }
+  };
+  if (!mImpl->pool->endpoint) {
+    boost::asio::post(mImpl->pool->io, [guarded] {
+      FetchResult result;
+      result.code = ErrorCode::TargetDown;
+      result.message = "target address is not ip:port";
+      guarded(std::move(result));
+    });
+    return;
+  }
+  startFetch(mImpl->pool->io, *mImpl->pool->endpoint,
+             FetchRequest{ mImpl->pool->config.address, std::move(aMethod), std::move(aPath),
+                           std::move(aBody), aTimeout },
+             std::move(guarded));
+}
+
+std::size_t TargetClient::openConnections() const
+{
+  return mImpl->pool->open;
+}
+
+std::uint64_t TargetClient::resets() const
+{
+  return mImpl->pool->resets;
+}
+
+} // namespace camphorcleat::transport
--- /dev/null
+++ b/packages/transport/testing/TransportFakes.h
@@ -0,0 +1,191 @@
+// Helpers of the transport tests: a thread for the code under test, plain blocking sockets, and a
+// hand-written target that misbehaves at a chosen point.
+
+#ifndef CAMPHORCLEAT_TRANSPORT_TESTING_TRANSPORTFAKES_H_
+#define CAMPHORCLEAT_TRANSPORT_TESTING_TRANSPORTFAKES_H_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "base/DutyThread.h"
+#include "base/Time.h"
+
+namespace camphorcleat::transport::testing {
+
+using boost::asio::ip::tcp;
+
+/// Waits until the condition holds; false after aLimit.
+template<class Condition>
+bool waitFor(Condition&& aCondition, Millis aLimit = Millis(3000))
+{
+  const TimePoint end = Clock::now() + aLimit;
+  while (!aCondition()) {
+    if (Clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(Millis(1));
+  }
+  return true;
+}
+
+/// Runs a function on a duty thread and waits for its result.
+template<class Function>
+auto runOn(DutyThread& aThread, Function aFunction) -> decltype(aFunction())
+{
+  std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
+  auto result = task.get_future();
+  boost::asio::post(aThread.context(), [&] { task(); });
+  return result.get();
+}
+
+/// A blocking client connection whose reads end after two seconds.
+class PlainSocket
+{
+public:
+  explicit PlainSocket(unsigned short aPort)
+    : mSocket(mIo)
+  {
+    mSocket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), aPort));
+    limitReads();
+  }
+  explicit PlainSocket(tcp::socket aSocket)
+    : mSocket(std::move(aSocket))
+  {
+    limitReads();
+  }
+
+  void write(const std::string& aBytes)
+  {
+    boost::system::error_code ec;
+    boost::asio::write(mSocket, boost::asio::buffer(aBytes), ec);
+  }
+
+  /// Reads what is there, at most aLimit bytes; empty at the end, a reset or the time limit.
+  std::string readSome(std::size_t aLimit = 65536)
+  {
+    std::string buf(aLimit, '\0');
+    const ssize_t n = ::recv(mSocket.native_handle(), buf.data(), buf.size(), 0);
+    mWasReset = n < 0 && errno == ECONNRESET;
+    mHasEnded = n == 0 || mWasReset;
+    buf.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return buf;
+  }
+
+  /// Reads until the text appears or the connection ends.
+  std::string readUntil(const std::string& aText)
+  {
+    std::string out;
+    while (out.find(aText) == std::string::npos) {
+      const std::string buf = readSome();
+      if (buf.empty()) {
+        break;
+      }
+      out += buf;
+    }
+    return out;
+  }
+  std::string readAll()
+  {
+    std::string out;
+    for (std::string buf = readSome(); !buf.empty(); buf = readSome()) {
+      out += buf;
+    }
+    return out;
+  }
+
+  void close()
+  {
+    boost::system::error_code ec;
+    mSocket.close(ec);
+  }
+  void reset()
+  {
+    mSocket.set_option(boost::asio::socket_base::linger(true, 0));
+    close();
+  }
+  bool hasEnded() const { return mHasEnded; }
+  bool wasReset() const { return mWasReset; }
+  int native() { return mSocket.native_handle(); }
+
+private:
+  void limitReads()
+  {
+    const timeval limit{ 2, 0 };
+    ::setsockopt(mSocket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+
+  boost::asio::io_context mIo;
+  tcp::socket mSocket;
+  bool mHasEnded = false;
+  bool mWasReset = false;
+};
+
+/// A listener that runs a script for each connection, one after another, on its own thread.
+class FakeServer
+{
+public:
+  using Script = std::function<void(PlainSocket&, int aConnection)>;
+
+  explicit FakeServer(Script aScript)
+    : mAcceptor(mIo, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    , mScript(std::move(aScript))
+    , mThread([this] { run(); })
+  {
+  }
+  ~FakeServer()
+  {
+    mIsStopping = true;
+    boost::asio::io_context io;
+    tcp::socket wake(io);
+    boost::system::error_code ec;
+    wake.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port()), ec);
+    mThread.join();
+  }
+  FakeServer(const FakeServer&) = delete;
+  FakeServer& operator=(const FakeServer&) = delete;
+
+  unsigned short port() const { return mAcceptor.local_endpoint().port(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+  int connections() const { return mConnections; }
+
+private:
+  void run()
+  {
+    for (;;) {
+      tcp::socket socket(mIo);
+      boost::system::error_code ec;
+      mAcceptor.accept(socket, ec);
+      if (mIsStopping || ec) {
+        return;
+      }
+      PlainSocket plain(std::move(socket));
+      mScript(plain, ++mConnections);
+    }
+  }
+
+  boost::asio::io_context mIo;
+  tcp::acceptor mAcceptor;
+  Script mScript;
+  std::atomic<bool> mIsStopping{ false };
+  std::atomic<int> mConnections{ 0 };
+  std::thread mThread;
+};
+
+} // namespace camphorcleat::transport::testing
+
+#endif // CAMPHORCLEAT_TRANSPORT_TESTING_TRANSPORTFAKES_H_
