--- /dev/null
+++ b/packages/traffic/Backoff.cc
@@ -0,0 +1,17 @@
+// Draws delays below a doubling ceiling.
+
+#include "traffic/Backoff.h"
+
+#include <algorithm>
+
+namespace camphorcleat::traffic {
+
+Duration Backoff::next()
+{
+  std::uniform_int_distribution<Duration::rep> delays(0, mCeiling.count());
+  const Duration out(delays(*mRandom));
+  mCeiling = std::min(mCeiling * 2, mLast);
+  return out;
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/ColdStartRamp.cc
@@ -0,0 +1,42 @@
+// Linear ramp from the cold slots to the slots.
+
+#include "traffic/ColdStartRamp.h"
+
+#include <algorithm>
+
+namespace camphorcleat::traffic {
+
+void ColdStartRamp::configure(std::uint32_t aSlots, std::uint32_t aColdSlots, Millis aWarmUp)
+{
+  mSlots = aSlots;
+  mColdSlots = std::min(aColdSlots, aSlots);
+  mWarmUp = std::max<Duration>(aWarmUp, Duration::zero());
+}
+
+void ColdStartRamp::start(TimePoint aNow)
+{
+  mStartedAt = aNow;
+}
+
+std::uint32_t ColdStartRamp::limit(TimePoint aNow) const
+{
+  if (!mStartedAt || aNow - *mStartedAt >= mWarmUp) {
+    return mSlots;
+  }
+  const Duration elapsed = std::max(aNow - *mStartedAt, Duration::zero());
+  const double share = toSeconds(elapsed) / toSeconds(mWarmUp);
+  return mColdSlots + static_cast<std::uint32_t>((mSlots - mColdSlots) * share);
+}
+
+std::optional<TimePoint> ColdStartRamp::nextStep(TimePoint aNow) const
+{
+  const std::uint32_t now = limit(aNow);
+  if (now >= mSlots) {
+    return std::nullopt;
+  }
+  // One microsecond more, so that rounding does not leave the limit just below the step.
+  const double share = static_cast<double>(now + 1 - mColdSlots) / (mSlots - mColdSlots);
+  return std::max(*mStartedAt + fromSeconds(toSeconds(mWarmUp) * share), aNow) + Micros(1);
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/EntryRequest.cc
@@ -0,0 +1,274 @@
+// Steps of one request at the entry daemon.
+
+#include "traffic/EntryRequest.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "traffic/RetryPolicy.h"
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+constexpr Millis kFirstPaidDelay{ 5 };
+constexpr Millis kFirstBridgeDelay{ 2 }; // A planned move takes a few milliseconds.
+constexpr Millis kLastDelay{ 100 };
+// A longer list would leave too few targets to choose from.
+constexpr std::size_t kMaxExcluded = 8;
+
+} // namespace
+
+EntryRequest::EntryRequest(const EntryShared& aShared)
+  : mShared(aShared)
+  , mPaidBackoff(kFirstPaidDelay, kLastDelay, aShared.random)
+  , mBridgeBackoff(kFirstBridgeDelay, kLastDelay, aShared.random)
+{
+}
+
+std::vector<EntryAction> EntryRequest::step(TimePoint aNow, const EntryEvent& aEvent)
+{
+  mOut.clear();
+  if (!mIsFinished && (mIsStarted || std::holds_alternative<Started>(aEvent))) {
+    std::visit([&](const auto& aIt) { on(aNow, aIt); }, aEvent);
+    setTimer();
+  }
+  return std::move(mOut);
+}
+
+void EntryRequest::on(TimePoint aNow, const Started& aEvent)
+{
+  if (mIsStarted) {
+    return;
+  }
+  mIsStarted = true;
+  mStarted = aEvent;
+  mShared.retryBudget.noteRequest();
+  if (HedgePolicy::mayHedge(aEvent.isKeyed, aEvent.isIdempotent)) {
+    mShared.hedgePolicy.noteRequest();
+  }
+  if (aEvent.deadline <= aNow) {
+    deadlinePassed();
+    return;
+  }
+  askRoute(Route::ForAttempt);
+}
+
+void EntryRequest::on(TimePoint aNow, const RouteKnown& aEvent)
+{
+  const Route route = std::exchange(mRoute, Route::None);
+  if (route == Route::None || mUsed || (route == Route::ForHedge && mAttempts.empty())) {
+    return;
+  }
+  const bool isResend = mMayHaveRun || mStarted.isResend || !mAttempts.empty();
+  const std::uint32_t number = ++mAttemptCount;
+  mAttempts[number] = Attempt{ aEvent.node, aNow };
+  mOut.emplace_back(StartAttempt{ number, aEvent.node, isResend });
+  if (!mFirstStart) {
+    mFirstStart = aNow;
+    if (HedgePolicy::mayHedge(mStarted.isKeyed, mStarted.isIdempotent)) {
+      const auto delay = mShared.hedgePolicy.delay(aNow);
+      mHedgeAt = delay ? std::make_optional(aNow + *delay) : std::nullopt;
+    }
+  }
+}
+
+void EntryRequest::on(TimePoint aNow, const RouteUnknown&)
+{
+  const Route route = std::exchange(mRoute, Route::None);
+  if (route == Route::ForAttempt) {
+    mExclude.clear();
+    failed(aNow, AttemptFailed{ 0, wire::Outcome::NotRun, ErrorCode::NoOwner,
+                                "no target is known for this request", Millis(0) });
+  }
+}
+
+void EntryRequest::on(TimePoint aNow, const AttemptFailed& aEvent)
+{
+  const auto it = mAttempts.find(aEvent.attempt);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  const NodeId node = it->second.node;
+  mAttempts.erase(it);
+  if (mUsed) {
+    mIsFinished = *mUsed == aEvent.attempt; // The embedder breaks the answer off.
+    return;
+  }
+  if (!mStarted.isKeyed && mExclude.size() < kMaxExcluded) {
+    mExclude.push_back(node);
+  }
+  failed(aNow, aEvent);
+}
+
+void EntryRequest::on(TimePoint aNow, const AttemptHead& aEvent)
+{
+  use(aNow, aEvent.attempt);
+}
+
+void EntryRequest::on(TimePoint aNow, const AttemptDone& aEvent)
+{
+  use(aNow, aEvent.attempt);
+  if (mUsed && *mUsed == aEvent.attempt) {
+    mAttempts.clear();
+    mIsFinished = true;
+  }
+}
+
+void EntryRequest::on(TimePoint aNow, const TimerFired&)
+{
+  if (mTimer && *mTimer <= aNow) {
+    mTimer.reset();
+  }
+  if (mUsed) {
+    return;
+  }
+  const Duration grace = mAttempts.empty() ? Duration::zero() : Duration(kVerdictGrace);
+  if (aNow >= mStarted.deadline + grace) {
+    deadlinePassed();
+    return;
+  }
+  if (mRetryAt && *mRetryAt <= aNow) {
+    mRetryAt.reset();
+    askRoute(Route::ForAttempt);
+  }
+  if (mHedgeAt && *mHedgeAt <= aNow) {
+    mHedgeAt.reset();
+    if (mAttempts.size() == 1 && mRoute == Route::None && mShared.hedgePolicy.tryTake()) {
+      askRoute(Route::ForHedge);
+    }
+  }
+}
+
+void EntryRequest::on(TimePoint, const CallerGone&)
+{
+  cancelAllBut(0);
+  mIsFinished = true;
+}
+
+void EntryRequest::askRoute(Route aRoute)
+{
+  mRoute = aRoute;
+  AskRoute ask;
+  ask.exclude = mExclude;
+  ask.mustBeNewer = mIsRouteWrong;
+  if (aRoute == Route::ForHedge) {
+    ask.exclude.push_back(mAttempts.begin()->second.node);
+  }
+  mOut.emplace_back(std::move(ask));
+}
+
+void EntryRequest::failed(TimePoint aNow, const AttemptFailed& aFailure)
+{
+  mMayHaveRun = mMayHaveRun || aFailure.outcome != wire::Outcome::NotRun;
+  mIsRouteWrong = aFailure.code == ErrorCode::NotOwner;
+  mLastFailure = aFailure;
+  if (!mAttempts.empty()) {
+    return; // The other attempt decides.
+  }
+  mHedgeAt.reset();
+  mRoute = Route::None;
+  if (!planRetry(aNow, aFailure)) {
+    fail(aFailure);
+  }
+}
+
+bool EntryRequest::planRetry(TimePoint aNow, const AttemptFailed& aFailure)
+{
+  if (mMayHaveRun && !mayRepeat()) {
+    return false;
+  }
+  const RetryKind kind = retryKindOf(aFailure.outcome, aFailure.code, mayRepeat());
+  if (kind == RetryKind::Final || mAttemptCount >= kMaxAttempts) {
+    return false;
+  }
+  Duration delay = (kind == RetryKind::Bridge ? mBridgeBackoff : mPaidBackoff).next();
+  if (kind == RetryKind::Bridge) {
+    // Also bounds the route requests of a request that never gets as far as an attempt.
+    delay = std::max<Duration>(delay, Millis(1));
+  } else if (mStarted.isKeyed) {
+    delay = std::max<Duration>(delay, aFailure.retryAfter); // No other node can take it.
+  }
+  if (aNow + delay >= mStarted.deadline) {
+    return false;
+  }
+  if (kind == RetryKind::Paid && !mShared.retryBudget.tryTake()) {
+    return false;
+  }
+  mRetryAt = aNow + delay;
+  return true;
+}
+
+void EntryRequest::use(TimePoint aNow, std::uint32_t aAttempt)
+{
+  if (mUsed || mAttempts.count(aAttempt) == 0) {
+    return;
+  }
+  mUsed = aAttempt;
+  mRoute = Route::None;
+  mRetryAt.reset();
+  mHedgeAt.reset();
+  if (HedgePolicy::mayHedge(mStarted.isKeyed, mStarted.isIdempotent)) {
+    mShared.hedgePolicy.noteLatency(aNow, aNow - *mFirstStart);
+  }
+  cancelAllBut(aAttempt);
+  mOut.emplace_back(UseAttempt{ aAttempt });
+}
+
+void EntryRequest::deadlinePassed()
+{
+  mMayHaveRun = mMayHaveRun || !mAttempts.empty();
+  cancelAllBut(0);
+  AttemptFailed failure;
+  failure.outcome = wire::Outcome::NotRun;
+  failure.code = ErrorCode::DeadlineExceeded;
+  failure.message = "the deadline passed before an answer began";
+  if (mLastFailure) {
+    failure.message += "; last failure: " + mLastFailure->message;
+  }
+  fail(failure);
+}
+
+void EntryRequest::fail(const AttemptFailed& aFailure)
+{
+  FailRequest out{ aFailure.outcome, aFailure.code, aFailure.message, aFailure.retryAfter };
+  if (mMayHaveRun) {
+    out.outcome = wire::Outcome::Unknown;
+    if (aFailure.outcome == wire::Outcome::NotRun && aFailure.code != ErrorCode::DeadlineExceeded) {
+      // The last refusal says nothing about the attempt before it.
+      out.code = ErrorCode::OutcomeUnknown;
+    }
+  }
+  mIsFinished = true;
+  mOut.emplace_back(std::move(out));
+}
+
+void EntryRequest::cancelAllBut(std::uint32_t aAttempt)
+{
+  for (auto it = mAttempts.begin(); it != mAttempts.end();) {
+    if (it->first == aAttempt) {
+      ++it;
+      continue;
+    }
+    mOut.emplace_back(CancelAttempt{ it->first });
+    it = mAttempts.erase(it);
+  }
+}
+
+void EntryRequest::setTimer()
+{
+  if (mIsFinished || mUsed) {
+    return;
+  }
+  const Duration grace = mAttempts.empty() ? Duration::zero() : Duration(kVerdictGrace);
+  TimePoint at = mStarted.deadline + grace;
+  for (const auto& it : { mRetryAt, mHedgeAt }) {
+    at = it ? std::min(at, *it) : at;
+  }
+  if (mTimer != at) {
+    mTimer = at;
+    mOut.emplace_back(SetTimer{ at });
+  }
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/LatencyTracker.h
@@ -0,0 +1,52 @@
+// A quantile of recent latencies.
+//
+// Boost.Accumulators estimates quantiles in constant memory (P-square algorithm) but has no sliding
+// window for them. Two estimates cover windows that follow each other: the current one, and the
+// last complete one, which answers until the current one has enough samples.
+
+#ifndef CAMPHORCLEAT_TRAFFIC_LATENCYTRACKER_H_
+#define CAMPHORCLEAT_TRAFFIC_LATENCYTRACKER_H_
+
+#include <optional>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include "base/Time.h"
+
+namespace camphorcleat::traffic {
+
+/// Not thread-safe. Times must not decrease between calls.
+class LatencyTracker
+{
+public:
+  /// Fewer samples make no estimate of a high quantile.
+  static constexpr std::size_t kLeastSamples = 100;
+
+  /// 0 < aQuantile < 1; aWindow > 0.
+  explicit LatencyTracker(double aQuantile = 0.95, Millis aWindow = Millis(5'000));
+
+  void add(TimePoint aNow, Duration aLatency);
+
+  /// The quantile of the last one to two windows; nothing before there are enough samples.
+  std::optional<Duration> quantile(TimePoint aNow) const;
+
+private:
+  using Estimate = boost::accumulators::accumulator_set<
+    double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                       boost::accumulators::tag::p_square_quantile>>;
+
+  Estimate newEstimate() const;
+
+  double mQuantile;
+  Duration mWindow;
+  Estimate mCurrent;
+  std::optional<TimePoint> mWindowStart;
+  std::optional<Duration> mPrevious;
+};
+
+} // namespace camphorcleat::traffic
+
+#endif // CAMPHORCLEAT_TRAFFIC_LATENCYTRACKER_H_
--- /dev/null
+++ b/packages/traffic/LeastReportedLoadChooser.cc
@@ -0,0 +1,20 @@
+// Minimum over reported loads.
+
+#include "traffic/LeastReportedLoadChooser.h"
+
+namespace camphorcleat::traffic {
+
+std::optional<std::size_t> LeastReportedLoadChooser::choose(
+  const std::vector<Candidate>& aCandidates)
+{
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const bool isBetter = !best || aCandidates[i].reportedLoad < aCandidates[*best].reportedLoad;
+    if (aCandidates[i].isUsable && isBetter) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/OwnerLogic.cc
@@ -0,0 +1,494 @@
+// Steps of the owner role.
+
+#include "traffic/OwnerLogic.h"
+
+#include <algorithm>
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// Told to callers that were refused for lack of room at the target.
+constexpr Millis kBusyRetryAfter{ 100 };
+
+PartitionKey partitionKeyOf(const RequestArrived& aRequest)
+{
+  return { aRequest.service, aRequest.partition };
+}
+
+std::optional<MemoryKey> memoryKeyOf(const RequestArrived& aRequest)
+{
+  if (aRequest.isIdempotent || aRequest.idempotencyKey.empty()) {
+    return std::nullopt;
+  }
+  return MemoryKey{ partitionKeyOf(aRequest), aRequest.account, aRequest.idempotencyKey };
+}
+
+Millis roundedUp(Micros aTime)
+{
+  return Millis((aTime.count() + 999) / 1000);
+}
+
+} // namespace
+
+OwnerLogic::OwnerLogic(const OwnerConfig& aConfig, const OwnershipView& aView, Incarnation aDrawer)
+  : mConfig(aConfig)
+  , mView(aView)
+  , mQueue(aConfig.maxQueued)
+  , mGate(aConfig.admission)
+  , mTokens(aDrawer, aConfig.tokens)
+  , mMemory(aConfig.memory)
+{
+}
+
+std::vector<OwnerAction> OwnerLogic::step(TimePoint aNow, const OwnerEvent& aEvent)
+{
+  ++mStep;
+  mOut.clear();
+  std::visit([&](const auto& aIt) { on(aNow, aIt); }, aEvent);
+  settle(aNow);
+  mNextWake = wakeAt(aNow);
+  return std::move(mOut);
+}
+
+void OwnerLogic::on(TimePoint aNow, const RequestArrived& aEvent)
+{
+  if (mWaiting.count(aEvent.id) != 0 || mRunning.count(aEvent.id) != 0) {
+    return; // A duplicate of a request in progress.
+  }
+  if (aEvent.deadline <= aNow) {
+    refuse(aEvent, wire::Outcome::NotRun, ErrorCode::DeadlineExceeded, "deadline has passed");
+    return;
+  }
+  if (auto fault = ownershipFault(aNow, aEvent)) {
+    refuse(aEvent, wire::Outcome::NotRun, fault->code, std::move(fault->message));
+    return;
+  }
+  if (!passesMemory(aNow, aEvent)) {
+    return;
+  }
+  if (auto fault = targetFault()) {
+    if (const auto key = memoryKeyOf(aEvent)) {
+      mMemory.release(*key);
+    }
+    refuse(aEvent, wire::Outcome::NotRun, fault->code, std::move(fault->message));
+    return;
+  }
+  enqueue(aNow, aEvent);
+}
+
+void OwnerLogic::on(TimePoint aNow, const RequestCancelled& aEvent)
+{
+  const auto waiting = mWaiting.find(aEvent.id);
+  if (waiting != mWaiting.end()) {
+    const std::string account = waiting->second.request.account;
+    if (const auto key = memoryKeyOf(waiting->second.request)) {
+      mMemory.release(*key);
+    }
+    mQueue.remove(aEvent.id);
+    mWaiting.erase(waiting);
+    updateAccount(aNow, account);
+    return;
+  }
+  const auto running = mRunning.find(aEvent.id);
+  if (running != mRunning.end() && !running->second.isCancelled) {
+    running->second.isCancelled = true;
+    mRunningDeadlines.erase({ running->second.deadline, aEvent.id });
+    mOut.emplace_back(CancelAtTarget{ aEvent.id });
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const TokensAnswered& aEvent)
+{
+  const TokenCache::Reply reply = mTokens.accept(aNow, aEvent.answer, aEvent.sentAt);
+  if (reply.isAccepted) {
+    applyReply(aNow, aEvent.answer.account, reply);
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const TokenHomeUnreachable& aEvent)
+{
+  mTokens.unreachable(aNow, aEvent.account);
+}
+
+void OwnerLogic::on(TimePoint aNow, const TargetReport& aEvent)
+{
+  mGate.report(aNow, aEvent);
+  if (!mGate.isReachable()) {
+    refuseAllWaiting(aNow, ErrorCode::TargetDown, "the target is not reachable");
+  }
+  if (mGate.isDraining() && !mDrainSince) {
+    mDrainSince = aNow;
+  } else if (!mGate.isDraining() && !mIsLeaving) {
+    mDrainSince.reset();
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const TargetConnectionReset&)
+{
+  mGate.connectionReset(aNow);
+}
+
+void OwnerLogic::on(TimePoint aNow, const ResponseStarted& aEvent)
+{
+  const auto it = mRunning.find(aEvent.id);
+  if (it == mRunning.end() || aEvent.isFenced) {
+    return;
+  }
+  const auto inFlight = static_cast<std::uint32_t>(mRunning.size());
+  if (aEvent.isShed) {
+    mGate.shed(aNow, inFlight);
+  } else {
+    mGate.answered(aNow, aNow - it->second.startedAt, inFlight);
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const RequestEnded& aEvent)
+{
+  const auto it = mRunning.find(aEvent.id);
+  if (it == mRunning.end()) {
+    return;
+  }
+  const Running running = std::move(it->second);
+  mRunning.erase(it);
+  mRunningDeadlines.erase({ running.deadline, aEvent.id });
+  if (running.memoryKey && aEvent.outcome == wire::Outcome::NotRun) {
+    mMemory.release(*running.memoryKey);
+  } else if (running.memoryKey) {
+    const bool isAnswered = aEvent.outcome == wire::Outcome::Answered;
+    mMemory.finish(aNow, *running.memoryKey, isAnswered ? aEvent.answer : std::nullopt);
+  }
+  if (!running.isKeyed) {
+    return;
+  }
+  const auto count = mRunningOf.find(running.partition);
+  if (--count->second == 0) {
+    mRunningOf.erase(count);
+    if (mStopping.erase(running.partition) != 0) {
+      mOut.emplace_back(PartitionIdle{ running.partition.service, running.partition.partition });
+    }
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const StopPartition& aEvent)
+{
+  const PartitionKey key{ aEvent.service, aEvent.partition };
+  mStopped[key] = mView.tokenOf(aEvent.service, aEvent.partition).value_or(0);
+  std::vector<RequestId> ids;
+  for (const auto& [id, waiting] : mWaiting) {
+    if (waiting.request.isKeyed && partitionKeyOf(waiting.request) == key) {
+      ids.push_back(id);
+    }
+  }
+  for (const auto& id : ids) {
+    refuseWaiting(aNow, id, ErrorCode::NotOwner, "the partition is being handed over");
+  }
+  if (mRunningOf.count(key) == 0) {
+    mOut.emplace_back(PartitionIdle{ aEvent.service, aEvent.partition });
+  } else {
+    mStopping.insert(key);
+  }
+}
+
+void OwnerLogic::on(TimePoint aNow, const BeginDrain&)
+{
+  mIsLeaving = true;
+  if (!mDrainSince) {
+    mDrainSince = aNow;
+  }
+}
+
+// The checks that are made at the arrival and again right before the dispatch.
+std::optional<OwnerLogic::Fault> OwnerLogic::ownershipFault(TimePoint aNow,
+                                                            const RequestArrived& aRequest)
+{
+  const Duration left = mView.leaseValidUntil() - aNow;
+  const bool hasLease =
+    mView.checksGrants() ? left > Duration::zero() : left >= Duration(mConfig.leastLease);
+  if (!hasLease) {
+    // An unkeyed request can run elsewhere; a keyed one has to wait for the new owner.
+    return Fault{ aRequest.isKeyed ? ErrorCode::NotOwner : ErrorCode::LeaseExpired,
+                  "the lease of this daemon is ending" };
+  }
+  if (aRequest.isKeyed && (isStopped(partitionKeyOf(aRequest)) ||
+                           !mView.tokenOf(aRequest.service, aRequest.partition))) {
+    return Fault{ ErrorCode::NotOwner, "this daemon does not own partition " +
+                                         std::to_string(aRequest.partition) + " of " +
+                                         aRequest.service };
+  }
+  if (!mView.isConfigFresh(aNow)) {
+    return Fault{ ErrorCode::ConfigStale, "the configuration is not confirmed" };
+  }
+  return std::nullopt;
+}
+
+std::optional<OwnerLogic::Fault> OwnerLogic::targetFault() const
+{
+  if (mDrainSince) {
+    return Fault{ ErrorCode::Draining, "the target takes no new work" };
+  }
+  if (!mGate.isReachable()) {
+    return Fault{ ErrorCode::TargetDown, "the target is not reachable" };
+  }
+  return std::nullopt;
+}
+
+bool OwnerLogic::passesMemory(TimePoint aNow, const RequestArrived& aRequest)
+{
+  using Verdict = RequestMemory::Verdict;
+  const auto key = memoryKeyOf(aRequest);
+  if (!key) {
+    if (aRequest.isIdempotent || !aRequest.isResend) {
+      return true;
+    }
+    refuse(aRequest, wire::Outcome::Unknown, ErrorCode::OutcomeUnknown,
+           "a resend without an idempotency key may already have run");
+    return false;
+  }
+  auto result = mMemory.begin(aNow, *key, aRequest.requestDigest, aRequest.isResend);
+  switch (result.verdict) {
+    case Verdict::Run:
+      return true;
+    case Verdict::Replay:
+      mOut.emplace_back(ReplayAnswer{ aRequest.id, std::move(*result.answer) });
+      break;
+    case Verdict::Unknown:
+      refuse(aRequest, wire::Outcome::Unknown, ErrorCode::OutcomeUnknown,
+             "the first request with this idempotency key has no known answer");
+      break;
+    case Verdict::Conflict:
+      refuse(aRequest, wire::Outcome::NotRun, ErrorCode::IdempotencyConflict,
+             "the idempotency key was used with another request");
+      break;
+    case Verdict::Full:
+      refuse(aRequest, wire::Outcome::NotRun, ErrorCode::Overloaded,
+             "too many idempotency keys in 10 minutes", kBusyRetryAfter);
+      break;
+    case Verdict::TooLong:
+      refuse(aRequest, wire::Outcome::NotRun, ErrorCode::BadRequest,
+             "the idempotency key is longer than " + std::to_string(mConfig.memory.maxKeyBytes) +
+               " bytes");
+      break;
+  }
+  return false;
+}
+
+void OwnerLogic::enqueue(TimePoint aNow, const RequestArrived& aRequest)
+{
+  const std::string account = aRequest.isOpenRoute ? std::string() : aRequest.account;
+  mWaiting[aRequest.id] = Waiting{ aRequest, mStep, false };
+  mWaiting[aRequest.id].request.account = account;
+  if (!account.empty() && !mTokens.noteArrival(aNow, account)) {
+    refuseWaiting(aNow, aRequest.id, ErrorCode::Overloaded, "too many accounts in use",
+                  kBusyRetryAfter);
+    return;
+  }
+  QueuedRequest queued;
+  queued.id = aRequest.id;
+  queued.account = account;
+  queued.deadline = std::min(aRequest.deadline, aNow + mConfig.maxQueueWait);
+  if (const auto dropped = mQueue.push(std::move(queued))) {
+    refuseWaiting(aNow, dropped->id, ErrorCode::QueueFull, "the queue of the target is full",
+                  kBusyRetryAfter);
+  }
+  updateAccount(aNow, account);
+}
+
+void OwnerLogic::refuse(const RequestArrived& aRequest, wire::Outcome aOutcome, ErrorCode aCode,
+                        std::string aMessage, Millis aRetryAfter)
+{
+  mOut.emplace_back(Refuse{ aRequest.id, aOutcome, aCode, std::move(aMessage), aRetryAfter });
+}
+
+// Refuses a request that passed its arrival and was not dispatched.
+void OwnerLogic::refuseWaiting(TimePoint aNow, const RequestId& aId, ErrorCode aCode,
+                               const std::string& aMessage, Millis aRetryAfter)
+{
+  const auto it = mWaiting.find(aId);
+  const RequestArrived request = std::move(it->second.request);
+  mWaiting.erase(it);
+  mQueue.remove(aId);
+  if (const auto key = memoryKeyOf(request)) {
+    mMemory.release(*key);
+  }
+  refuse(request, wire::Outcome::NotRun, aCode, aMessage, aRetryAfter);
+  updateAccount(aNow, request.account);
+}
+
+void OwnerLogic::refuseAllWaiting(TimePoint aNow, ErrorCode aCode, const std::string& aMessage)
+{
+  while (!mWaiting.empty()) {
+    refuseWaiting(aNow, mWaiting.begin()->first, aCode, aMessage, kBusyRetryAfter);
+  }
+}
+
+void OwnerLogic::applyReply(TimePoint aNow, const std::string& aAccount,
+                            const TokenCache::Reply& aReply)
+{
+  std::uint32_t covered = aReply.covered;
+  for (const auto& id : mQueue.idsOf(aAccount)) {
+    Waiting& waiting = mWaiting.at(id);
+    if (covered > 0) {
+      --covered;
+      waiting.isInRate = true;
+    } else if (aReply.isOverRate && !waiting.isInRate && waiting.step <= aReply.mark) {
+      refuseWaiting(aNow, id, ErrorCode::OverRate, "the account is above its rate",
+                    std::max(roundedUp(aReply.retryAfter), Millis(1)));
+    }
+  }
+  updateAccount(aNow, aAccount);
+}
+
+// Brings token demand and the block in the queue up to date with the account's queue.
+void OwnerLogic::updateAccount(TimePoint aNow, const std::string& aAccount)
+{
+  if (aAccount.empty()) {
+    return;
+  }
+  mTokens.setWaiting(aNow, aAccount, mQueue.sizeOf(aAccount));
+  if (mTokens.available(aNow, aAccount) > 0) {
+    mQueue.unblock(aAccount);
+  }
+}
+
+bool OwnerLogic::isStopped(const PartitionKey& aPartition)
+{
+  const auto it = mStopped.find(aPartition);
+  if (it == mStopped.end()) {
+    return false;
+  }
+  const auto token = mView.tokenOf(aPartition.service, aPartition.partition);
+  if (!token || *token == it->second) {
+    return true;
+  }
+  mStopped.erase(it); // Granted anew.
+  return false;
+}
+
+void OwnerLogic::settle(TimePoint aNow)
+{
+  expireQueue(aNow);
+  cancelOverdue(aNow);
+  dispatchAll(aNow);
+  drawTokens(aNow);
+  finishDrain();
+}
+
+void OwnerLogic::expireQueue(TimePoint aNow)
+{
+  if (mDrainSince && aNow - *mDrainSince >= mConfig.drainQueueTime) {
+    refuseAllWaiting(aNow, ErrorCode::Draining, "the target takes no new work");
+  }
+  for (const auto& it : mQueue.expire(aNow)) {
+    if (mWaiting.at(it.id).request.deadline <= aNow) {
+      refuseWaiting(aNow, it.id, ErrorCode::DeadlineExceeded,
+                    "the deadline passed before the request could start");
+    } else {
+      refuseWaiting(aNow, it.id, ErrorCode::Overloaded,
+                    "the request could not start within " +
+                      std::to_string(mConfig.maxQueueWait.count()) + " ms",
+                    kBusyRetryAfter);
+    }
+  }
+}
+
+void OwnerLogic::cancelOverdue(TimePoint aNow)
+{
+  while (!mRunningDeadlines.empty() && mRunningDeadlines.begin()->first <= aNow) {
+    const RequestId id = mRunningDeadlines.begin()->second;
+    mRunningDeadlines.erase(mRunningDeadlines.begin());
+    mRunning.at(id).isCancelled = true;
+    mOut.emplace_back(CancelAtTarget{ id });
+  }
+}
+
+void OwnerLogic::dispatchAll(TimePoint aNow)
+{
+  while (mRunning.size() < mGate.limit(aNow)) {
+    const QueuedRequest* next = mQueue.front();
+    if (next == nullptr) {
+      return;
+    }
+    if (!next->account.empty() && mTokens.available(aNow, next->account) == 0) {
+      const std::string account = next->account;
+      mQueue.block(account);
+      continue;
+    }
+    dispatchOne(aNow, mQueue.popFront());
+  }
+}
+
+void OwnerLogic::dispatchOne(TimePoint aNow, const QueuedRequest& aQueued)
+{
+  const RequestArrived& request = mWaiting.at(aQueued.id).request;
+  if (const auto fault = ownershipFault(aNow, request)) {
+    refuseWaiting(aNow, aQueued.id, fault->code, fault->message);
+    return;
+  }
+  if (request.deadline <= aNow + mGate.floorLatency()) {
+    refuseWaiting(aNow, aQueued.id, ErrorCode::DeadlineExceeded,
+                  "the request can't finish by its deadline");
+    return;
+  }
+  Running running;
+  running.partition = partitionKeyOf(request);
+  running.isKeyed = request.isKeyed;
+  running.memoryKey = memoryKeyOf(request);
+  running.startedAt = aNow;
+  running.deadline = request.deadline;
+  FencingToken token = 0;
+  if (request.isKeyed) {
+    token = *mView.tokenOf(request.service, request.partition);
+    ++mRunningOf[running.partition];
+    if (!mView.checksGrants()) {
+      running.deadline = std::min(running.deadline, mView.leaseValidUntil());
+    }
+  }
+  if (!aQueued.account.empty()) {
+    mTokens.spend(aNow, aQueued.account);
+  }
+  mOut.emplace_back(Dispatch{ aQueued.id, token, running.deadline });
+  mRunningDeadlines.emplace(running.deadline, aQueued.id);
+  mRunning.emplace(aQueued.id, std::move(running));
+  mWaiting.erase(aQueued.id);
+  updateAccount(aNow, aQueued.account);
+}
+
+void OwnerLogic::drawTokens(TimePoint aNow)
+{
+  for (auto& it : mTokens.due(aNow, mStep)) {
+    mOut.emplace_back(DrawTokens{ std::move(it) });
+  }
+}
+
+void OwnerLogic::finishDrain()
+{
+  if (mIsLeaving && !mIsDrainReported && mWaiting.empty() && mRunning.empty()) {
+    mIsDrainReported = true;
+    mOut.emplace_back(DrainComplete{});
+  }
+}
+
+std::optional<TimePoint> OwnerLogic::wakeAt(TimePoint aNow) const
+{
+  std::optional<TimePoint> at;
+  const auto earliest = [&at](std::optional<TimePoint> aTime) {
+    if (aTime) {
+      at = at ? std::min(*at, *aTime) : aTime;
+    }
+  };
+  earliest(mTokens.nextWake());
+  earliest(mQueue.nextDeadline());
+  if (!mRunningDeadlines.empty()) {
+    earliest(mRunningDeadlines.begin()->first);
+  }
+  if (!mWaiting.empty()) {
+    earliest(mGate.nextStep(aNow));
+    if (mDrainSince) {
+      earliest(*mDrainSince + mConfig.drainQueueTime);
+    }
+  }
+  return at;
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/PowerOfTwoChooser.cc
@@ -0,0 +1,72 @@
+// Zone preference and comparison of two candidates.
+
+#include "traffic/PowerOfTwoChooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// A target whose latency isn't known yet is taken as fast, so that it gets its first requests.
+constexpr Duration kLeastLatency = Millis(1);
+
+double fullness(const std::vector<Candidate>& aCandidates, const std::vector<std::size_t>& aFrom)
+{
+  double inFlight = 0;
+  double limit = 0;
+  for (const std::size_t it : aFrom) {
+    inFlight += aCandidates[it].inFlight;
+    limit += aCandidates[it].limit;
+  }
+  return limit == 0 ? 1 : inFlight / limit;
+}
+
+double expectedTime(const Candidate& aCandidate)
+{
+  const double latency = toSeconds(std::max(aCandidate.averageLatency, kLeastLatency));
+  return (aCandidate.inFlight + 1) * latency / std::max<std::uint32_t>(aCandidate.limit, 1);
+}
+
+} // namespace
+
+PowerOfTwoChooser::PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom)
+  : mOwnZone(std::move(aOwnZone))
+  , mRandom(aRandom)
+{
+}
+
+std::optional<std::size_t> PowerOfTwoChooser::choose(const std::vector<Candidate>& aCandidates)
+{
+  std::vector<std::size_t> own;
+  std::vector<std::size_t> others;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aCandidates[i].isUsable) {
+      (aCandidates[i].zone == mOwnZone ? own : others).push_back(i);
+    }
+  }
+  if (own.empty() && others.empty()) {
+    return std::nullopt;
+  }
+  const bool useOwn =
+    !own.empty() && (others.empty() ||
+                     fullness(aCandidates, own) <= fullness(aCandidates, others) + kFullnessMargin);
+  return betterOfTwo(aCandidates, useOwn ? own : others);
+}
+
+std::size_t PowerOfTwoChooser::betterOfTwo(const std::vector<Candidate>& aCandidates,
+                                           const std::vector<std::size_t>& aFrom)
+{
+  if (aFrom.size() == 1) {
+    return aFrom.front();
+  }
+  std::uniform_int_distribution<std::size_t> firsts(0, aFrom.size() - 1);
+  std::uniform_int_distribution<std::size_t> steps(1, aFrom.size() - 1);
+  const std::size_t i = firsts(mRandom);
+  const std::size_t first = aFrom[i];
+  const std::size_t second = aFrom[(i + steps(mRandom)) % aFrom.size()];
+  return expectedTime(aCandidates[first]) <= expectedTime(aCandidates[second]) ? first : second;
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/PowerOfTwoChooser.h
@@ -0,0 +1,39 @@
+// Power of two choices by in-flight count and latency, own zone first.
+//
+// Two random candidates are compared by the time a new request would probably take there. That
+// needs no load report, and many entry daemons don't all choose the same target. The own zone is
+// used as long as it isn't fuller than the others, because a request to another zone pays the
+// distance.
+
+#ifndef CAMPHORCLEAT_TRAFFIC_POWEROFTWOCHOOSER_H_
+#define CAMPHORCLEAT_TRAFFIC_POWEROFTWOCHOOSER_H_
+
+#include <random>
+
+#include "traffic/TargetChooser.h"
+
+namespace camphorcleat::traffic {
+
+class PowerOfTwoChooser : public TargetChooser
+{
+public:
+  /// The own zone counts as fuller only above this difference of in-flight per slot, since single
+  /// requests would otherwise decide between idle zones.
+  static constexpr double kFullnessMargin = 0.1;
+
+  /// aRandom must outlive this object.
+  PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom);
+
+  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) override;
+
+private:
+  std::size_t betterOfTwo(const std::vector<Candidate>& aCandidates,
+                          const std::vector<std::size_t>& aFrom);
+
+  std::string mOwnZone;
+  std::mt19937_64& mRandom;
+};
+
+} // namespace camphorcleat::traffic
+
+#endif // CAMPHORCLEAT_TRAFFIC_POWEROFTWOCHOOSER_H_
--- /dev/null
+++ b/packages/traffic/RateBucket.cc
@@ -0,0 +1,343 @@
+// Refill, grants, reports and expiry of one account's bucket.
+
+#include "traffic/RateBucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "traffic/TokenTimes.h"
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// Promises are limited to what the rate yields in this time, so that waits stay short.
+constexpr double kPromiseSeconds = 0.5;
+constexpr std::uint32_t kLeastPromises = 2;
+// A drawer that is silent for so long has no waiting request any more.
+constexpr Millis kSilence{ 1'000 };
+
+constexpr Millis kLeastRetry{ 1 };
+constexpr Millis kMostRetry{ 10'000 };
+// While parked tokens block the refill, a report may free the next token at any moment.
+constexpr Millis kBlockedRetry{ 5 };
+
+// Below this burst, a spend must be reported at once, or the refill stands still meanwhile.
+constexpr double kSmallBurst = 4;
+constexpr Millis kLongestReportDelay{ 100 };
+// The report of a tenth of the burst, spent at the full rate, may be under way.
+constexpr double kUnreportedShare = 0.1;
+
+Micros reportDelay(RateBucket::Rate aRate)
+{
+  if (aRate.burstRequests < kSmallBurst) {
+    return Micros(0);
+  }
+  if (aRate.requestsPerSecond <= 0) {
+    return kLongestReportDelay;
+  }
+  const double seconds = aRate.burstRequests / aRate.requestsPerSecond * kUnreportedShare;
+  return std::chrono::duration_cast<Micros>(
+    fromSeconds(std::min(seconds, toSeconds(kLongestReportDelay))));
+}
+
+// Truncates after clamping, so that a huge burst does not overflow.
+std::uint32_t wholeTokens(double aTokens)
+{
+  return static_cast<std::uint32_t>(std::clamp(std::floor(aTokens), 0.0, 1e9));
+}
+
+} // namespace
+
+RateBucket::RateBucket(std::uint64_t aNumber, TimePoint aNow, Rate aRate, HomeStart aStart)
+  : mNumber(aNumber)
+  , mRate(aRate)
+  , mIdeal(aRate.burstRequests)
+  , mUpdatedAt(aNow)
+  , mLastUse(aNow)
+{
+  if (aStart == HomeStart::AfterPlannedMove) {
+    mParked = wholeTokens(std::ceil(aRate.burstRequests));
+    mExpiries.push_back(Expiry{ aNow + kTokenHold, 0, 0, mParked });
+  }
+}
+
+RateBucket::RateBucket(std::uint64_t aNumber, TimePoint aNow, const BucketRecord& aRecord)
+  : mNumber(aNumber)
+  , mRate{ aRecord.requestsPerSecond, aRecord.burstRequests }
+  , mLevel(aRecord.level)
+  , mIdeal(aRecord.level + aRecord.parked)
+  , mParked(aRecord.parked)
+  , mUpdatedAt(aNow)
+  , mLastUse(aNow)
+{
+  mExpiries.push_back(Expiry{ aNow + kTokenHold, 0, 0, mParked });
+}
+
+void RateBucket::advance(TimePoint aNow)
+{
+  // Refills up to each expiry before it takes effect: room that appears later must not be filled
+  // with time that passed before.
+  while (!mExpiries.empty() && mExpiries.front().at <= aNow) {
+    refill(mExpiries.front().at);
+    expireOne(mExpiries.front());
+    mExpiries.pop_front();
+  }
+  refill(aNow);
+}
+
+void RateBucket::setRate(Rate aRate)
+{
+  mRate = aRate;
+  mLevel = std::clamp(mLevel, 0.0, std::max(0.0, mRate.burstRequests - mParked));
+  mIdeal = std::min(mIdeal, mRate.burstRequests);
+}
+
+wire::TokenAnswer RateBucket::handle(TimePoint aNow, const wire::TokenRequest& aRequest,
+                                     Duration aLifetime)
+{
+  mLastUse = aNow;
+  wire::TokenAnswer answer;
+  answer.account = aRequest.account;
+  answer.sequence = aRequest.sequence;
+  answer.bucket = mNumber;
+  answer.lifetime = std::chrono::duration_cast<Micros>(aLifetime);
+  answer.reportWithin = reportDelay(mRate);
+  Drawer* drawer = drawerOf(aNow, aRequest.drawer);
+  if (drawer == nullptr) {
+    answer.promised = aRequest.waiting;
+    answer.retryAfter = kBlockedRetry;
+    return answer;
+  }
+  if (aRequest.sequence == drawer->lastAnswer.sequence) {
+    return drawer->lastAnswer;
+  }
+  if (aRequest.sequence < drawer->lastAnswer.sequence) {
+    return answer; // The drawer no longer waits for it.
+  }
+  drawer->lastSeen = aNow;
+  takeReports(*drawer, aRequest);
+  grant(aNow, *drawer, aRequest, answer);
+  promise(aNow, *drawer, aRequest, answer);
+  drawer->lastAnswer = answer;
+  return answer;
+}
+
+BucketRecord RateBucket::record() const
+{
+  BucketRecord out;
+  out.level = mLevel;
+  out.parked = mParked;
+  out.requestsPerSecond = mRate.requestsPerSecond;
+  out.burstRequests = mRate.burstRequests;
+  return out;
+}
+
+RateBucket::Drawer* RateBucket::drawerOf(TimePoint aNow, Incarnation aDrawer)
+{
+  const auto it = mDrawers.find(aDrawer);
+  if (it != mDrawers.end()) {
+    return &it->second;
+  }
+  if (mDrawers.size() >= kMaxDrawers) {
+    const auto oldest =
+      std::min_element(mDrawers.begin(), mDrawers.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.lastSeen < aRight.second.lastSeen;
+      });
+    // A drawer silent for this long has no live token here: the hold is shorter.
+    if (aNow - oldest->second.lastSeen < kSilence) {
+      return nullptr;
+    }
+    mPromised -= oldest->second.promised;
+    mDrawers.erase(oldest);
+  }
+  Drawer& drawer = mDrawers[aDrawer];
+  drawer.lastSeen = aNow;
+  return &drawer;
+}
+
+void RateBucket::takeReports(Drawer& aDrawer, const wire::TokenRequest& aRequest)
+{
+  if (aRequest.bucket != mNumber) {
+    // The counts belong to tokens of another bucket.
+    for (auto& it : aDrawer.grants) {
+      it.isUnreported = true;
+    }
+    return;
+  }
+  discardUnaccepted(aDrawer, aRequest.accepted);
+  if (aRequest.accepted != aDrawer.accepted) {
+    aDrawer.accepted = aRequest.accepted;
+    aDrawer.countedSpent = 0;
+    aDrawer.countedReturned = 0;
+  }
+  // Counts repeat what an unanswered request reported, which may have been counted already.
+  const std::uint32_t returned =
+    aRequest.returned - std::min(aRequest.returned, aDrawer.countedReturned);
+  const std::uint32_t spent = aRequest.spent - std::min(aRequest.spent, aDrawer.countedSpent);
+  aDrawer.countedReturned = aRequest.returned;
+  aDrawer.countedSpent = aRequest.spent;
+  // Returned tokens first: they then fall on the older grants, which are the ones that may have
+  // expired here. So never more tokens are credited than were returned in time.
+  consume(aDrawer, returned, false);
+  consume(aDrawer, spent, true);
+}
+
+void RateBucket::discardUnaccepted(Drawer& aDrawer, std::uint64_t aAccepted)
+{
+  // A drawer sends the next request only when it has used the last answer or given up on it.
+  while (!aDrawer.grants.empty() && aDrawer.grants.back().sequence > aAccepted) {
+    const Grant& last = aDrawer.grants.back();
+    if (!last.isExpired) {
+      mParked -= last.count;
+      credit(last.count);
+      mIdeal = std::min(mIdeal + last.count, mRate.burstRequests);
+    }
+    aDrawer.grants.pop_back();
+  }
+}
+
+void RateBucket::consume(Drawer& aDrawer, std::uint32_t aCount, bool aWasSpent)
+{
+  for (auto it = aDrawer.grants.begin(); aCount > 0 && it != aDrawer.grants.end();) {
+    if (it->isUnreported) {
+      ++it;
+      continue;
+    }
+    const std::uint32_t count = std::min(aCount, it->count);
+    aCount -= count;
+    it->count -= count;
+    if (!it->isExpired) {
+      mParked -= count;
+      if (!aWasSpent) {
+        credit(count);
+        mIdeal = std::min(mIdeal + count, mRate.burstRequests);
+      }
+    } else if (aWasSpent) {
+      mIdeal -= count; // The expiry had given it back.
+    }
+    it = it->count == 0 ? aDrawer.grants.erase(it) : std::next(it);
+  }
+}
+
+void RateBucket::grant(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
+                       wire::TokenAnswer& aAnswer)
+{
+  if (aDrawer.grants.size() >= kMaxGrants) {
+    return;
+  }
+  const std::uint32_t wanted =
+    mPromised > aDrawer.promised ? std::min(aRequest.wanted, aRequest.waiting) : aRequest.wanted;
+  const std::uint32_t count = std::min(wanted, wholeTokens(mLevel));
+  if (count == 0) {
+    return;
+  }
+  mLevel -= count;
+  mParked += count;
+  aAnswer.granted = count;
+  aDrawer.grants.push_back(Grant{ aRequest.sequence, count });
+  mExpiries.push_back(Expiry{ aNow + kTokenHold, aRequest.drawer, aRequest.sequence });
+}
+
+void RateBucket::promise(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
+                         wire::TokenAnswer& aAnswer)
+{
+  const std::uint32_t forWaiting = std::min(aAnswer.granted, aRequest.waiting);
+  mIdeal -= aAnswer.granted - forWaiting;
+  const std::uint32_t before = std::min(aDrawer.promised, aRequest.waiting);
+  mIdeal = std::min(mIdeal + (aDrawer.promised - before), mRate.burstRequests);
+  mPromised -= aDrawer.promised;
+  const std::uint32_t most =
+    std::max(kLeastPromises, wholeTokens(std::max(mRate.requestsPerSecond, 0.0) * kPromiseSeconds));
+  if (mPromised + aRequest.waiting > most) {
+    dropStalePromises(aNow);
+  }
+  // A request is charged to the ideal bucket once, when it first gets a token or a promise.
+  const std::uint32_t fresh = aRequest.waiting - before;
+  const std::uint32_t served = forWaiting > before ? forWaiting - before : 0;
+  const std::uint32_t inside = std::max(served, std::min(fresh, wholeTokens(mIdeal)));
+  mIdeal -= inside;
+  std::uint32_t promised = before + inside - forWaiting;
+  const std::uint32_t room = most > mPromised ? most - mPromised : 0;
+  if (promised > room) {
+    mIdeal += promised - room;
+    promised = room;
+  }
+  mIdeal = std::max(mIdeal, 0.0);
+  aDrawer.promised = promised;
+  mPromised += promised;
+  aAnswer.promised = promised;
+  if (aRequest.waiting > forWaiting + promised) {
+    aAnswer.code = ErrorCode::OverRate;
+  }
+  if (aRequest.wanted > aAnswer.granted) {
+    aAnswer.retryAfter = std::chrono::duration_cast<Micros>(untilNext());
+  }
+}
+
+void RateBucket::dropStalePromises(TimePoint aNow)
+{
+  for (auto& [id, drawer] : mDrawers) {
+    if (drawer.promised > 0 && aNow - drawer.lastSeen >= kSilence) {
+      mPromised -= drawer.promised;
+      drawer.promised = 0;
+    }
+  }
+}
+
+void RateBucket::expireOne(const Expiry& aExpiry)
+{
+  mParked -= aExpiry.phantom;
+  const auto drawer = mDrawers.find(aExpiry.drawer);
+  if (drawer == mDrawers.end()) {
+    return;
+  }
+  auto& grants = drawer->second.grants;
+  const auto it = std::find_if(grants.begin(), grants.end(), [&](const Grant& aGrant) {
+    return aGrant.sequence == aExpiry.sequence;
+  });
+  if (it == grants.end() || it->isExpired) {
+    return;
+  }
+  it->isExpired = true;
+  mParked -= it->count;
+  mIdeal = std::min(mIdeal + it->count, mRate.burstRequests);
+  if (it->isUnreported) {
+    grants.erase(it);
+  }
+}
+
+void RateBucket::refill(TimePoint aNow)
+{
+  if (aNow <= mUpdatedAt) {
+    return;
+  }
+  const double added = std::max(mRate.requestsPerSecond, 0.0) * toSeconds(aNow - mUpdatedAt);
+  mUpdatedAt = aNow;
+  credit(added);
+  mIdeal = std::min(mIdeal + added, mRate.burstRequests);
+}
+
+void RateBucket::credit(double aTokens)
+{
+  const double room = std::max(0.0, mRate.burstRequests - mParked - mLevel);
+  mLevel += std::min(aTokens, room);
+}
+
+Duration RateBucket::untilNext() const
+{
+  const double missing = 1 - mLevel;
+  if (missing <= 0) {
+    return kLeastRetry;
+  }
+  if (mRate.burstRequests - mParked < 1) {
+    return kBlockedRetry;
+  }
+  if (mRate.requestsPerSecond <= 0) {
+    return kMostRetry;
+  }
+  const double seconds = std::min(missing / mRate.requestsPerSecond, toSeconds(kMostRetry));
+  return std::max<Duration>(fromSeconds(seconds) + Micros(1), kLeastRetry);
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/RequestMemory.cc
@@ -0,0 +1,235 @@
+// Records of idempotency keys, bounded per partition and in total.
+
+#include "traffic/RequestMemory.h"
+
+#include <algorithm>
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// Partitions with expired records are swept at this interval, since nothing may ask for them again.
+constexpr Millis kSweepInterval{ 1'000 };
+// Map nodes, strings and times of a record, roughly.
+constexpr std::size_t kRecordOverheadBytes = 256;
+
+} // namespace
+
+std::size_t StoredAnswer::sizeBytes() const
+{
+  std::size_t out = body.size();
+  for (const auto& it : headers) {
+    out += it.name.size() + it.value.size();
+  }
+  return out;
+}
+
+RequestMemory::Result RequestMemory::begin(TimePoint aNow, const MemoryKey& aKey,
+                                           const std::string& aRequestDigest, bool aIsResend)
+{
+  expireAll(aNow);
+  if (aKey.idempotencyKey.size() > mConfig.maxKeyBytes) {
+    return { Verdict::TooLong, std::nullopt };
+  }
+  Partition& partition = mPartitions[aKey.partition];
+  expire(aNow, partition);
+  Name name(aKey.account, aKey.idempotencyKey);
+  const auto it = partition.records.find(name);
+  if (it != partition.records.end()) {
+    const Record& record = it->second;
+    if (record.digest != aRequestDigest) {
+      return { Verdict::Conflict, std::nullopt };
+    }
+    return record.state == RecordState::Answered ? Result{ Verdict::Replay, record.answer }
+                                                 : Result{ Verdict::Unknown, std::nullopt };
+  }
+  if (aIsResend && partition.unplannedUntil && aNow < *partition.unplannedUntil) {
+    return { Verdict::Unknown, std::nullopt };
+  }
+  Record record;
+  record.digest = aRequestDigest;
+  record.bytes =
+    kRecordOverheadBytes + name.first.size() + name.second.size() + aRequestDigest.size();
+  if (!hasRoom(partition, record.bytes) ||
+      partition.records.size() >= mConfig.maxRecordsPerPartition ||
+      mRecordCount >= mConfig.maxRecords) {
+    return { Verdict::Full, std::nullopt };
+  }
+  add(partition, std::move(name), std::move(record));
+  return { Verdict::Run, std::nullopt };
+}
+
+void RequestMemory::finish(TimePoint aNow, const MemoryKey& aKey,
+                           std::optional<StoredAnswer> aAnswer)
+{
+  Record* record = findRunning(aKey);
+  if (record == nullptr) {
+    return;
+  }
+  Partition& partition = *findPartition(aKey.partition);
+  store(partition, *record, std::move(aAnswer));
+  settle(partition, Name(aKey.account, aKey.idempotencyKey), *record, aNow + mConfig.lifetime);
+}
+
+void RequestMemory::release(const MemoryKey& aKey)
+{
+  if (findRunning(aKey) != nullptr) {
+    Partition& partition = *findPartition(aKey.partition);
+    erase(partition, partition.records.find(Name(aKey.account, aKey.idempotencyKey)));
+  }
+}
+
+void RequestMemory::startUnplanned(const PartitionKey& aPartition, TimePoint aNow)
+{
+  mPartitions[aPartition].unplannedUntil = aNow + mConfig.lifetime;
+}
+
+std::vector<MemoryRecord> RequestMemory::exportPartition(TimePoint aNow,
+                                                         const PartitionKey& aPartition)
+{
+  std::vector<MemoryRecord> out;
+  Partition* partition = findPartition(aPartition);
+  if (partition == nullptr) {
+    return out;
+  }
+  expire(aNow, *partition);
+  for (auto& [name, record] : partition->records) {
+    const bool isRunning = record.state == RecordState::Running;
+    const Duration left = isRunning ? Duration(mConfig.lifetime) : record.expiresAt - aNow;
+    out.push_back(MemoryRecord{ name.first, name.second, std::move(record.digest),
+                                isRunning ? RecordState::Unknown : record.state,
+                                std::move(record.answer), Millis(toMillis(left) + 1) });
+  }
+  drop(aPartition);
+  return out;
+}
+
+void RequestMemory::importPartition(TimePoint aNow, const PartitionKey& aPartition,
+                                    std::vector<MemoryRecord> aRecords)
+{
+  expireAll(aNow);
+  Partition& partition = mPartitions[aPartition];
+  for (auto& it : aRecords) {
+    Name name(it.account, it.idempotencyKey);
+    if (partition.records.count(name) != 0) {
+      continue;
+    }
+    Record record;
+    record.bytes =
+      kRecordOverheadBytes + name.first.size() + name.second.size() + it.requestDigest.size();
+    record.digest = std::move(it.requestDigest);
+    if (!hasRoom(partition, record.bytes) ||
+        partition.records.size() >= mConfig.maxRecordsPerPartition ||
+        mRecordCount >= mConfig.maxRecords) {
+      startUnplanned(aPartition, aNow);
+      return;
+    }
+    const Name copy = name;
+    add(partition, std::move(name), std::move(record));
+    Record& added = partition.records.at(copy);
+    store(partition, added,
+          it.state == RecordState::Answered ? std::make_optional(std::move(it.answer))
+                                            : std::nullopt);
+    settle(partition, copy, added, aNow + std::min(it.lifetimeLeft, mConfig.lifetime));
+  }
+}
+
+void RequestMemory::drop(const PartitionKey& aPartition)
+{
+  const auto it = mPartitions.find(aPartition);
+  if (it != mPartitions.end()) {
+    mRecordCount -= it->second.records.size();
+    mBytes -= it->second.bytes;
+    mPartitions.erase(it);
+  }
+}
+
+RequestMemory::Partition* RequestMemory::findPartition(const PartitionKey& aPartition)
+{
+  const auto it = mPartitions.find(aPartition);
+  return it == mPartitions.end() ? nullptr : &it->second;
+}
+
+RequestMemory::Record* RequestMemory::findRunning(const MemoryKey& aKey)
+{
+  Partition* partition = findPartition(aKey.partition);
+  if (partition == nullptr) {
+    return nullptr;
+  }
+  const auto it = partition->records.find(Name(aKey.account, aKey.idempotencyKey));
+  const bool isRunning = it != partition->records.end() && it->second.state == RecordState::Running;
+  return isRunning ? &it->second : nullptr;
+}
+
+bool RequestMemory::hasRoom(const Partition& aPartition, std::size_t aBytes) const
+{
+  return aPartition.bytes + aBytes <= mConfig.maxBytesPerPartition &&
+         mBytes + aBytes <= mConfig.maxBytes;
+}
+
+void RequestMemory::add(Partition& aPartition, Name aName, Record aRecord)
+{
+  aPartition.bytes += aRecord.bytes;
+  mBytes += aRecord.bytes;
+  ++mRecordCount;
+  aPartition.records.emplace(std::move(aName), std::move(aRecord));
+}
+
+void RequestMemory::settle(Partition& aPartition, const Name& aName, Record& aRecord,
+                           TimePoint aExpiresAt)
+{
+  aRecord.expiresAt = aExpiresAt;
+  aPartition.expiries.emplace(aExpiresAt, aName);
+}
+
+void RequestMemory::store(Partition& aPartition, Record& aRecord,
+                          std::optional<StoredAnswer> aAnswer)
+{
+  aRecord.state = RecordState::Unknown;
+  if (!aAnswer || aAnswer->body.size() > mConfig.maxAnswerBytes) {
+    return;
+  }
+  const std::size_t bytes = aAnswer->sizeBytes();
+  if (!hasRoom(aPartition, bytes)) {
+    return;
+  }
+  aRecord.state = RecordState::Answered;
+  aRecord.answer = std::move(*aAnswer);
+  aRecord.bytes += bytes;
+  aPartition.bytes += bytes;
+  mBytes += bytes;
+}
+
+void RequestMemory::erase(Partition& aPartition, std::map<Name, Record>::iterator aRecord)
+{
+  aPartition.bytes -= aRecord->second.bytes;
+  mBytes -= aRecord->second.bytes;
+  --mRecordCount;
+  aPartition.records.erase(aRecord);
+}
+
+void RequestMemory::expire(TimePoint aNow, Partition& aPartition)
+{
+  while (!aPartition.expiries.empty() && aPartition.expiries.begin()->first <= aNow) {
+    const auto it = aPartition.records.find(aPartition.expiries.begin()->second);
+    aPartition.expiries.erase(aPartition.expiries.begin());
+    if (it != aPartition.records.end()) {
+      erase(aPartition, it);
+    }
+  }
+}
+
+void RequestMemory::expireAll(TimePoint aNow)
+{
+  if (aNow < mNextSweep) {
+    return;
+  }
+  mNextSweep = aNow + kSweepInterval;
+  for (auto it = mPartitions.begin(); it != mPartitions.end();) {
+    expire(aNow, it->second);
+    const bool isUnplanned = it->second.unplannedUntil && aNow < *it->second.unplannedUntil;
+    it = it->second.records.empty() && !isUnplanned ? mPartitions.erase(it) : std::next(it);
+  }
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/RoundRobinChooser.cc
@@ -0,0 +1,19 @@
+// Round robin over indexes.
+
+#include "traffic/RoundRobinChooser.h"
+
+namespace camphorcleat::traffic {
+
+std::optional<std::size_t> RoundRobinChooser::choose(const std::vector<Candidate>& aCandidates)
+{
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const std::size_t at = (mNext + i) % aCandidates.size();
+    if (aCandidates[at].isUsable) {
+      mNext = at + 1;
+      return at;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/TargetChooser.h
@@ -0,0 +1,42 @@
+// Choice of a target for an unkeyed request.
+
+#ifndef CAMPHORCLEAT_TRAFFIC_TARGETCHOOSER_H_
+#define CAMPHORCLEAT_TRAFFIC_TARGETCHOOSER_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+namespace camphorcleat::traffic {
+
+/// One target as the entry daemon knows it.
+struct Candidate
+{
+  NodeId node = kNoNode;
+  std::string zone;
+  std::uint32_t inFlight = 0;   ///< Sent by this entry daemon and not answered.
+  std::uint32_t limit = 1;      ///< Slots announced.
+  Duration averageLatency{ 0 }; ///< 0 if not known.
+  double reportedLoad = 0;      ///< As the target says; may lag or mislead.
+  bool isUsable = true;
+};
+
+/// Not thread-safe.
+class TargetChooser
+{
+public:
+  TargetChooser() = default;
+  TargetChooser(const TargetChooser&) = delete;
+  TargetChooser& operator=(const TargetChooser&) = delete;
+  virtual ~TargetChooser() = default;
+
+  /// The index of a usable candidate, or nothing if there is none.
+  virtual std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) = 0;
+};
+
+} // namespace camphorcleat::traffic
+
+#endif // CAMPHORCLEAT_TRAFFIC_TARGETCHOOSER_H_
--- /dev/null
+++ b/packages/traffic/TargetGate.h
@@ -0,0 +1,67 @@
+// How many requests may be in flight at the target now.
+//
+// The least of three limits: the announced slots, the limit that follows sheds and latency, and the
+// ramp after a cold start. A cold start is taken as given when the target announces it, has a new
+// incarnation, resets a connection, sheds a request although no more than the limit were in flight,
+// or becomes slow all at once.
+
+#ifndef CAMPHORCLEAT_TRAFFIC_TARGETGATE_H_
+#define CAMPHORCLEAT_TRAFFIC_TARGETGATE_H_
+
+#include <optional>
+
+#include "traffic/AdmissionLimit.h"
+#include "traffic/ColdStartRamp.h"
+#include "traffic/OwnerMessages.h"
+
+namespace camphorcleat::traffic {
+
+/// Not thread-safe.
+class TargetGate
+{
+public:
+  TargetGate()
+    : TargetGate(AdmissionLimit::Config())
+  {
+  }
+  explicit TargetGate(const AdmissionLimit::Config& aConfig)
+    : mAdmission(aConfig)
+  {
+  }
+
+  /// Takes a health report. A target is unreachable before the first one.
+  void report(TimePoint aNow, const TargetReport& aReport);
+
+  /// A connection was reset.
+  void connectionReset(TimePoint aNow);
+
+  /// The target shed a request while aInFlight were in flight.
+  void shed(TimePoint aNow, std::uint32_t aInFlight);
+
+  /// The target answered after aLatency while aInFlight were in flight.
+  void answered(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight);
+
+  /// A load report asks for at most aLimit requests in flight; it can only lower the limit.
+  void loadReported(TimePoint aNow, std::uint32_t aLimit);
+
+  /// Most requests in flight at aNow; 0 while the target is unreachable.
+  std::uint32_t limit(TimePoint aNow) const;
+
+  /// When the limit next grows by itself.
+  std::optional<TimePoint> nextStep(TimePoint aNow) const;
+
+  bool isReachable() const { return mReport.isReachable; }
+  bool isDraining() const { return mReport.isDraining; }
+
+  /// The least latency seen lately; zero before the first answer.
+  Duration floorLatency() const { return mAdmission.floorLatency().value_or(Duration::zero()); }
+
+private:
+  AdmissionLimit mAdmission;
+  ColdStartRamp mRamp;
+  TargetReport mReport;
+};
+
+} // namespace camphorcleat::traffic
+
+#endif // CAMPHORCLEAT_TRAFFIC_TARGETGATE_H_
--- /dev/null
+++ b/packages/traffic/TokenCache.cc
@@ -0,0 +1,317 @@
+// Parked tokens, demand estimate and the timing of draws and reports.
+
+#include "traffic/TokenCache.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "traffic/TokenTimes.h"
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// Time constant of the demand estimate: long against gaps between requests, short against the life
+// of a token.
+constexpr double kDemandSeconds = 0.2;
+
+// Unused tokens are given back at this share of their life, so that the report arrives in time.
+constexpr double kReturnShare = 0.6;
+
+// An unused account keeps its counts for so long before it may be forgotten.
+constexpr Millis kIdleTime{ 1'000 };
+
+std::uint32_t tokensFor(double aDemand, Duration aTime)
+{
+  return static_cast<std::uint32_t>(std::min(aDemand * toSeconds(aTime), 1e9));
+}
+
+} // namespace
+
+bool TokenCache::noteArrival(TimePoint aNow, const std::string& aAccount)
+{
+  Account* account = accountOf(aNow, aAccount);
+  if (account == nullptr) {
+    return false;
+  }
+  account->demand = demandOf(*account, aNow) + 1 / kDemandSeconds;
+  account->demandAt = aNow;
+  account->lastUse = aNow;
+  return true;
+}
+
+void TokenCache::setWaiting(TimePoint aNow, const std::string& aAccount, std::size_t aWaiting)
+{
+  Account* account = accountOf(aNow, aAccount);
+  if (account != nullptr) {
+    account->waiting =
+      static_cast<std::uint32_t>(std::min<std::size_t>(aWaiting, mConfig.maxWanted));
+    account->promised = std::min(account->promised, account->waiting);
+    schedule(aAccount, *account, aNow);
+  }
+}
+
+std::uint32_t TokenCache::available(TimePoint aNow, const std::string& aAccount)
+{
+  const auto it = mAccounts.find(aAccount);
+  if (it == mAccounts.end()) {
+    return 0;
+  }
+  dropOld(it->second, aNow);
+  return it->second.live;
+}
+
+bool TokenCache::spend(TimePoint aNow, const std::string& aAccount)
+{
+  if (available(aNow, aAccount) == 0) {
+    return false;
+  }
+  Account& account = mAccounts.find(aAccount)->second;
+  Lot& lot = account.lots.front();
+  note(account, lot, 1, true);
+  --account.live;
+  if (--lot.count == 0) {
+    account.lots.pop_front();
+  }
+  if (!account.reportAt) {
+    account.reportAt = aNow + account.reportWithin;
+  }
+  schedule(aAccount, account, aNow);
+  return true;
+}
+
+std::vector<wire::TokenRequest> TokenCache::due(TimePoint aNow, std::uint64_t aMark)
+{
+  std::vector<wire::TokenRequest> out;
+  while (!mWakes.empty() && mWakes.begin()->first <= aNow) {
+    const std::string name = mWakes.begin()->second;
+    Account& account = mAccounts.at(name);
+    dropOld(account, aNow);
+    const auto at = sendAt(account, aNow);
+    if (at && *at <= aNow) {
+      out.push_back(makeRequest(name, account, aNow, aMark));
+    }
+    schedule(name, account, aNow);
+  }
+  return out;
+}
+
+TokenCache::Reply TokenCache::accept(TimePoint aNow, const wire::TokenAnswer& aAnswer,
+                                     TimePoint aSentAt)
+{
+  Reply reply;
+  const auto it = mAccounts.find(aAnswer.account);
+  if (it == mAccounts.end() || !it->second.draw || it->second.draw->sequence != aAnswer.sequence) {
+    return reply;
+  }
+  Account& account = it->second;
+  if (aAnswer.code == ErrorCode::NotOwner || aAnswer.bucket == 0) {
+    unreachable(aNow, aAnswer.account);
+    return reply;
+  }
+  const Draw draw = *account.draw;
+  account.draw.reset();
+  account.accepted = draw.sequence;
+  // The reports of the draw have been counted. Those of another bucket's tokens never will be.
+  const bool isSameBucket = account.bucket == aAnswer.bucket;
+  account.spent = isSameBucket ? account.spent - draw.spent : 0;
+  account.returned = isSameBucket ? account.returned - draw.returned : 0;
+  account.bucket = aAnswer.bucket;
+  account.reportWithin = aAnswer.reportWithin;
+  addLot(account, aAnswer, std::min(aSentAt, draw.sentAt));
+  dropOld(account, aNow);
+  account.wasRefused = aAnswer.code == ErrorCode::OverRate;
+  account.promised = std::min(aAnswer.promised, account.waiting);
+  account.notBefore = account.wasRefused ? aNow + mConfig.refusedInterval : aNow;
+  account.promisedAfter = aNow + aAnswer.retryAfter;
+  const bool isShort = aAnswer.retryAfter > Micros::zero();
+  account.aheadAfter = isShort ? aNow + mConfig.lowWater : aNow;
+  schedule(aAnswer.account, account, aNow);
+  reply.isAccepted = true;
+  reply.mark = draw.mark;
+  reply.covered = account.live + account.promised;
+  reply.isOverRate = account.wasRefused;
+  reply.retryAfter = aAnswer.retryAfter;
+  return reply;
+}
+
+void TokenCache::unreachable(TimePoint aNow, const std::string& aAccount)
+{
+  const auto it = mAccounts.find(aAccount);
+  if (it == mAccounts.end()) {
+    return;
+  }
+  Account& account = it->second;
+  account.draw.reset();
+  account.promised = 0;
+  account.notBefore = aNow + mConfig.unreachableInterval;
+  account.aheadAfter = account.notBefore;
+  // Reports alone are not urgent: the home un-parks the tokens by itself.
+  if (account.spent > 0 || account.returned > 0) {
+    account.reportAt = aNow + mConfig.lateReportInterval;
+  }
+  account.hasReturns = false;
+  schedule(aAccount, account, aNow);
+}
+
+std::optional<TimePoint> TokenCache::nextWake() const
+{
+  return mWakes.empty() ? std::nullopt : std::make_optional(mWakes.begin()->first);
+}
+
+double TokenCache::demandPerSecond(TimePoint aNow, const std::string& aAccount) const
+{
+  const auto it = mAccounts.find(aAccount);
+  return it == mAccounts.end() ? 0 : demandOf(it->second, aNow);
+}
+
+TokenCache::Account* TokenCache::accountOf(TimePoint aNow, const std::string& aName)
+{
+  const auto it = mAccounts.find(aName);
+  if (it != mAccounts.end()) {
+    return &it->second;
+  }
+  if (mAccounts.size() >= mConfig.maxAccounts && !makeRoom(aNow)) {
+    return nullptr;
+  }
+  Account& account = mAccounts[aName];
+  account.lastUse = aNow;
+  account.demandAt = aNow;
+  return &account;
+}
+
+bool TokenCache::makeRoom(TimePoint aNow)
+{
+  for (auto it = mAccounts.begin(); it != mAccounts.end(); ++it) {
+    const Account& account = it->second;
+    if (account.waiting == 0 && account.live == 0 && aNow - account.lastUse >= kIdleTime) {
+      if (account.wakeAt) {
+        mWakes.erase({ *account.wakeAt, it->first });
+      }
+      mAccounts.erase(it);
+      return true;
+    }
+  }
+  return false;
+}
+
+double TokenCache::demandOf(const Account& aAccount, TimePoint aNow) const
+{
+  return aAccount.demand * std::exp(-toSeconds(aNow - aAccount.demandAt) / kDemandSeconds);
+}
+
+void TokenCache::dropOld(Account& aAccount, TimePoint aNow)
+{
+  while (!aAccount.lots.empty() && aAccount.lots.front().returnAt <= aNow) {
+    Lot& lot = aAccount.lots.front();
+    note(aAccount, lot, lot.count, false);
+    aAccount.live -= lot.count;
+    aAccount.lots.pop_front();
+  }
+}
+
+// Counts what became of tokens, if their bucket is the one that gets the reports.
+void TokenCache::note(Account& aAccount, const Lot& aLot, std::uint32_t aCount, bool aWasSpent)
+{
+  if (aLot.bucket != aAccount.bucket) {
+    return;
+  }
+  (aWasSpent ? aAccount.spent : aAccount.returned) += aCount;
+  aAccount.hasReturns = aAccount.hasReturns || !aWasSpent;
+}
+
+std::uint32_t TokenCache::wanted(const Account& aAccount, TimePoint aNow) const
+{
+  const std::uint32_t ahead =
+    aNow >= aAccount.aheadAfter ? tokensFor(demandOf(aAccount, aNow), mConfig.lookAhead) : 0;
+  const std::uint32_t target = std::min(aAccount.waiting + ahead, mConfig.maxWanted);
+  return target - std::min(target, aAccount.live);
+}
+
+// When the next request has to leave, as far as known at aNow.
+std::optional<TimePoint> TokenCache::sendAt(const Account& aAccount, TimePoint aNow) const
+{
+  if (aAccount.draw) {
+    return aAccount.draw->sentAt + mConfig.answerTimeout;
+  }
+  std::optional<TimePoint> at;
+  const auto earliest = [&at](TimePoint aTime) { at = at ? std::min(*at, aTime) : aTime; };
+  if (aAccount.reportAt) {
+    earliest(*aAccount.reportAt);
+  }
+  if (aAccount.hasReturns) {
+    earliest(std::max(aNow, aAccount.notBefore));
+  }
+  if (aAccount.waiting > aAccount.live + aAccount.promised) {
+    earliest(std::max(aNow, aAccount.notBefore));
+  } else if (aAccount.waiting > aAccount.live) {
+    earliest(std::max(aNow, aAccount.promisedAfter));
+  }
+  const double demand = demandOf(aAccount, aNow);
+  const bool isLow = aAccount.live < aAccount.waiting + tokensFor(demand, mConfig.lowWater);
+  if (isLow && tokensFor(demand, mConfig.lookAhead) > 0) {
+    earliest(std::max(aNow, aAccount.aheadAfter));
+  }
+  return at;
+}
+
+wire::TokenRequest TokenCache::makeRequest(const std::string& aName, Account& aAccount,
+                                           TimePoint aNow, std::uint64_t aMark)
+{
+  wire::TokenRequest out;
+  out.account = aName;
+  out.drawer = mDrawer;
+  out.sequence = ++mSequence;
+  out.wanted = wanted(aAccount, aNow);
+  out.waiting = aAccount.waiting - std::min(aAccount.waiting, aAccount.live);
+  out.spent = aAccount.spent;
+  out.returned = aAccount.returned;
+  out.bucket = aAccount.bucket;
+  out.accepted = aAccount.accepted;
+  aAccount.draw = Draw{ out.sequence, aMark, aNow, out.spent, out.returned };
+  aAccount.reportAt.reset();
+  aAccount.hasReturns = false;
+  return out;
+}
+
+void TokenCache::addLot(Account& aAccount, const wire::TokenAnswer& aAnswer, TimePoint aSentAt)
+{
+  if (aAnswer.granted == 0) {
+    return;
+  }
+  const Duration lifetime = std::min<Duration>(aAnswer.lifetime, kTokenLifetime);
+  Lot lot;
+  lot.count = aAnswer.granted;
+  lot.bucket = aAnswer.bucket;
+  lot.expiresAt = aSentAt + lifetime;
+  lot.returnAt = aSentAt + fromSeconds(toSeconds(lifetime) * kReturnShare);
+  // A home at the end of its lease grants shorter lives; older tokens then end early too, so that
+  // tokens leave in the order of the grants.
+  for (auto& it : aAccount.lots) {
+    it.expiresAt = std::min(it.expiresAt, lot.expiresAt);
+    it.returnAt = std::min(it.returnAt, lot.returnAt);
+  }
+  aAccount.lots.push_back(lot);
+  aAccount.live += lot.count;
+}
+
+void TokenCache::schedule(const std::string& aName, Account& aAccount, TimePoint aNow)
+{
+  std::optional<TimePoint> at = sendAt(aAccount, aNow);
+  if (!aAccount.lots.empty()) {
+    const TimePoint returnAt = aAccount.lots.front().returnAt;
+    at = at ? std::min(*at, returnAt) : returnAt;
+  }
+  if (at == aAccount.wakeAt) {
+    return;
+  }
+  if (aAccount.wakeAt) {
+    mWakes.erase({ *aAccount.wakeAt, aName });
+  }
+  if (at) {
+    mWakes.emplace(*at, aName);
+  }
+  aAccount.wakeAt = at;
+}
+
+} // namespace camphorcleat::traffic
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -301,14 +301,21 @@
   Incarnation drawer = 0;
   std::uint64_t sequence = 0;
   std::uint32_t wanted = 0;
-  std::uint32_t spent = 0;    ///< Tokens of earlier draws spent since the last request.
-  std::uint32_t returned = 0; ///< Tokens of earlier draws given back unspent.
+  std::uint32_t waiting = 0; ///< How many of the wanted tokens have a request that waits for them.
+  /// Tokens spent, and given back unspent or expired, since the request that `accepted` answers. A
+  /// request that got no answer is counted again in the next one.
+  std::uint32_t spent = 0;
+  std::uint32_t returned = 0;
+  std::uint64_t bucket = 0;   ///< Bucket that granted these tokens; 0 if none did.
+  std::uint64_t accepted = 0; ///< Sequence of the last answer used; later ones were discarded.
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("account", &TokenRequest::account), field("drawer", &TokenRequest::drawer),
       field("sequence", &TokenRequest::sequence), field("wanted", &TokenRequest::wanted),
-      field("spent", &TokenRequest::spent), field("returned", &TokenRequest::returned));
+      field("waiting", &TokenRequest::waiting), field("spent", &TokenRequest::spent),
+      field("returned", &TokenRequest::returned), field("bucket", &TokenRequest::bucket),
+      field("accepted", &TokenRequest::accepted));
   }
 };
 
@@ -317,17 +324,23 @@
   static constexpr const char* kName = "token_answer";
   std::string account;
   std::uint64_t sequence = 0;
-  ErrorCode code = ErrorCode::None; ///< NotOwner: the account's home is elsewhere.
+  /// NotOwner: the account's home is elsewhere. OverRate: waiting requests beyond granted +
+  /// promised are above the rate.
+  ErrorCode code = ErrorCode::None;
   std::uint32_t granted = 0;
-  Micros lifetime{ 0 };   ///< From the moment the request was sent.
-  Micros retryAfter{ 0 }; ///< When the next token is due, if none was granted.
+  std::uint32_t promised = 0; ///< Waiting requests within the rate; ask again after retryAfter.
+  Micros lifetime{ 0 };       ///< From the moment the request was sent.
+  Micros retryAfter{ 0 };     ///< When the next token is due, if tokens are missing.
+  Micros reportWithin{ 0 };   ///< Longest delay of a report of spent tokens.
+  std::uint64_t bucket = 0;   ///< Random number of the bucket; a new home has a new one.
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("account", &TokenAnswer::account), field("sequence", &TokenAnswer::sequence),
       field("code", &TokenAnswer::code), field("granted", &TokenAnswer::granted),
-      field("lifetime_us", &TokenAnswer::lifetime),
-      field("retry_after_us", &TokenAnswer::retryAfter));
+      field("promised", &TokenAnswer::promised), field("lifetime_us", &TokenAnswer::lifetime),
+      field("retry_after_us", &TokenAnswer::retryAfter),
+      field("report_within_us", &TokenAnswer::reportWithin), field("bucket", &TokenAnswer::bucket));
   }
 };
 
