--- /dev/null
+++ b/packages/agreement/FileLogStore.h
@@ -0,0 +1,82 @@
+// A LogStore in one folder.
+//
+//   lock          held while the store is open
+//   state         term, vote, store identity, number of the last segment; replaced atomically
+//   snapshot      the latest snapshot; replaced atomically
+//   log-<number>  segments with the entries (SegmentedLog.h)
+//
+// The state file names the last segment, so that a lost segment is noticed and not taken for a
+// shorter log.
+
+#ifndef CAMPHORCLEAT_AGREEMENT_FILELOGSTORE_H_
+#define CAMPHORCLEAT_AGREEMENT_FILELOGSTORE_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "agreement/LogStore.h"
+#include "agreement/PosixFile.h"
+#include "agreement/SegmentedLog.h"
+
+namespace camphorcleat::agreement {
+
+/// Size at which a new segment is started.
+constexpr std::uint64_t kDefaultSegmentBytes = 4U << 20U;
+
+/// Content of the state file.
+struct StateFile
+{
+  wire::StoreId store = 0;
+  Term term = 0;
+  NodeId votedFor = kNoNode;
+  std::uint64_t lastSegment = 0;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("store", &StateFile::store), field("term", &StateFile::term),
+                           field("voted_for", &StateFile::votedFor),
+                           field("last_segment", &StateFile::lastSegment));
+  }
+};
+
+/// Not thread-safe.
+class FileLogStore : public LogStore
+{
+public:
+  /// Nothing is read or created before open(). aRandom decides the identity of a new store; it must
+  /// be seeded unpredictably, since two stores of one member must never have the same identity.
+  FileLogStore(std::string aFolder, std::mt19937_64 aRandom,
+               std::uint64_t aSegmentBytes = kDefaultSegmentBytes);
+
+  /// See LogStore. Fails with StorageError (EWOULDBLOCK) if another process has the folder open.
+  Result<StoredState> open() override;
+
+  /// See LogStore.
+  Result<void> persist(const Persist& aBatch) override;
+
+private:
+  Result<void> readState();
+  Result<void> createState();
+  Result<void> writeState();
+  Result<SnapshotPtr> readSnapshot() const;
+  Result<void> writeSnapshot(const Snapshot& aSnapshot);
+  Result<std::vector<wire::LogEntry>> entriesAfter(const SnapshotPtr& aSnapshot,
+                                                   std::vector<wire::LogEntry> aEntries);
+  Result<void> persistAll(const Persist& aBatch);
+  Result<void> persistVote(const Persist& aBatch);
+  Result<void> persistEntries(const Persist& aBatch, bool aIsReset);
+  Result<void> appendRecord(const SegmentRecord& aRecord);
+  Result<void> startSegment();
+
+  std::string mFolder;
+  std::mt19937_64 mRandom;
+  SegmentedLog mLog;
+  PosixFile mLock;
+  StateFile mState;
+  bool mNeedsReset = false; ///< The stored entries don't continue the snapshot.
+  bool mIsUsable = false;
+};
+
+} // namespace camphorcleat::agreement
+
+#endif // CAMPHORCLEAT_AGREEMENT_FILELOGSTORE_H_
--- /dev/null
+++ b/packages/agreement/LogNode.cc
@@ -0,0 +1,258 @@
+// Events, persistence, commit and snapshots: the parts of a member that every role shares.
+
+#include "agreement/LogNode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorcleat::agreement {
+
+namespace {
+
+LogIndex snapshotIndex(const SnapshotPtr& aSnapshot)
+{
+  return aSnapshot ? aSnapshot->lastIndex : 0;
+}
+
+} // namespace
+
+LogNode::LogNode(LogNodeConfig aConfig, StoredState aStored, std::mt19937_64 aRandom)
+  : mConfig(std::move(aConfig))
+  , mRandom(aRandom)
+  , mStore(aStored.store)
+  , mTerm(aStored.term)
+  , mVotedFor(aStored.votedFor)
+  , mLog(snapshotIndex(aStored.snapshot), aStored.snapshot ? aStored.snapshot->lastTerm : 0)
+  , mMembers(snapshotIndex(aStored.snapshot),
+             aStored.snapshot ? aStored.snapshot->membership : mConfig.initialMembership)
+  , mSnapshot(std::move(aStored.snapshot))
+  , mPersist(mLog.baseIndex() + aStored.entries.size())
+  , mCommitIndex(mLog.baseIndex())
+  , mAppliedIndex(mLog.baseIndex())
+  , mSnapshotAskedAt(mLog.baseIndex())
+{
+  for (auto& it : aStored.entries) {
+    mMembers.append(it);
+    mLog.append(std::move(it));
+  }
+}
+
+std::vector<Action> LogNode::step(TimePoint aNow, const Event& aEvent)
+{
+  mNow = aNow;
+  if (!mIsStarted) {
+    start();
+  }
+  if (mIsFailed) {
+    refuse(aEvent);
+  } else {
+    std::visit([this](const auto& aBody) { handle(aBody); }, aEvent);
+    flushPersist();
+  }
+  return std::exchange(mActions, {});
+}
+
+void LogNode::start()
+{
+  mIsStarted = true;
+  mLeaderHeardAt = mNow;
+  resetElectionTimer();
+  if (mSnapshot) {
+    emit(RestoreSnapshot{ mSnapshot->lastIndex, mSnapshot->bytes });
+  }
+}
+
+void LogNode::refuse(const Event& aEvent)
+{
+  if (const auto* propose = std::get_if<Propose>(&aEvent)) {
+    emit(ProposalRefused{ propose->proposal, kNoNode });
+  } else if (const auto* read = std::get_if<ReadRequested>(&aEvent)) {
+    emit(ReadRefused{ read->read, kNoNode });
+  }
+}
+
+void LogNode::handle(const Tick&)
+{
+  if (mRole == Role::Leader) {
+    tickLeader();
+  } else if (mNow >= mElectionDeadline) {
+    startPreVote();
+  }
+}
+
+void LogNode::handle(const MessageArrived& aArrived)
+{
+  std::visit([&](const auto& aBody) { receive(aArrived.from, aBody); }, aArrived.message);
+}
+
+void LogNode::handle(const Persisted& aPersisted)
+{
+  const LogIndex before = mPersist.syncedIndex();
+  if (!mPersist.complete(aPersisted.batch)) {
+    return;
+  }
+  releaseHeld(aPersisted.batch);
+  if (mRole == Role::Candidate && aPersisted.batch >= mOwnVoteBatch) {
+    mVotes[mConfig.self] = mStore;
+    countVotes();
+  } else if (mRole == Role::Leader) {
+    advanceCommit();
+  } else if (mIsAckWaiting || mPersist.syncedIndex() != before) {
+    acknowledgeAppend();
+  }
+}
+
+void LogNode::handle(const PersistFailed&)
+{
+  // What reached the disk is unknown, so anything said from now on could be untrue after a restart.
+  if (mRole == Role::Leader) {
+    loseLeadership();
+  }
+  mRole = Role::Follower;
+  mLeader = kNoNode;
+  mHeld.clear();
+  mIsFailed = true;
+}
+
+void LogNode::handle(const SnapshotTaken& aTaken)
+{
+  const auto term = mLog.termAt(aTaken.lastIndex);
+  if (!term || aTaken.lastIndex > mAppliedIndex || aTaken.lastIndex <= snapshotIndex(mSnapshot)) {
+    return; // An installed snapshot overtook it.
+  }
+  mSnapshot = std::make_shared<const Snapshot>(
+    Snapshot{ aTaken.lastIndex, *term, mMembers.at(aTaken.lastIndex), aTaken.bytes });
+  mPersist.snapshotTaken(mSnapshot);
+  const LogIndex kept = std::min(mConfig.keptEntries, aTaken.lastIndex);
+  // Entries that no batch has taken yet must stay, so that the stored log has no gap.
+  mLog.compactTo(std::min(aTaken.lastIndex - kept, mPersist.firstWaiting() - 1));
+  mMembers.compactTo(mLog.baseIndex());
+}
+
+void LogNode::send(NodeId aTo, wire::LogMessage aMessage)
+{
+  emit(SendMessage{ aTo, std::move(aMessage) });
+}
+
+void LogNode::sendWhenSynced(NodeId aTo, wire::LogMessage aMessage)
+{
+  const std::uint64_t batch = mPersist.batchOfAll(mLog);
+  if (batch == 0) {
+    send(aTo, std::move(aMessage));
+    return;
+  }
+  // One of each kind a member, so that a stalled disk doesn't pile up replies to resent requests.
+  const auto same = [&](const HeldMessage& aHeld) {
+    return aHeld.send.to == aTo && aHeld.send.message.index() == aMessage.index();
+  };
+  mHeld.erase(std::remove_if(mHeld.begin(), mHeld.end(), same), mHeld.end());
+  mHeld.push_back(HeldMessage{ batch, SendMessage{ aTo, std::move(aMessage) } });
+}
+
+void LogNode::releaseHeld(std::uint64_t aBatch)
+{
+  std::vector<HeldMessage> later;
+  for (auto& it : mHeld) {
+    if (it.batch <= aBatch) {
+      emit(std::move(it.send));
+    } else {
+      later.push_back(std::move(it));
+    }
+  }
+  mHeld = std::move(later);
+}
+
+void LogNode::flushPersist()
+{
+  if (auto batch = mPersist.next(mTerm, mVotedFor, mLog)) {
+    emit(std::move(*batch));
+  }
+}
+
+void LogNode::adoptTerm(Term aTerm)
+{
+  if (aTerm <= mTerm) {
+    return;
+  }
+  mTerm = aTerm;
+  mVotedFor = kNoNode;
+  mLeader = kNoNode;
+  mPersist.voteChanged();
+  // Held acknowledgements are about a log that a leader of the new term may change before the sync.
+  mHeld.clear();
+  mMatchIndex = 0;
+  mLastRound = 0;
+  mIsAckWaiting = false;
+  mReceiver = SnapshotReceiver();
+}
+
+void LogNode::becomeFollower(Term aTerm, NodeId aLeader)
+{
+  if (mRole == Role::Leader) {
+    loseLeadership();
+  }
+  mRole = Role::Follower;
+  mVotes.clear();
+  adoptTerm(aTerm);
+  mLeader = aLeader;
+  resetElectionTimer();
+}
+
+void LogNode::resetElectionTimer()
+{
+  std::uniform_int_distribution<Millis::rep> spread(mConfig.electionTimeoutMin.count(),
+                                                    mConfig.electionTimeoutMax.count());
+  mElectionDeadline = mNow + Millis(spread(mRandom));
+}
+
+bool LogNode::isMember() const
+{
+  const wire::Member* self = mMembers.find(mConfig.self);
+  return self != nullptr && isSameStore(*self, mStore);
+}
+
+void LogNode::commitTo(LogIndex aIndex)
+{
+  if (aIndex > mCommitIndex) {
+    mCommitIndex = std::min(aIndex, mLog.lastIndex());
+    applyCommitted();
+  }
+}
+
+void LogNode::applyCommitted()
+{
+  while (mAppliedIndex < mCommitIndex) {
+    const std::size_t count = std::min<std::size_t>(mCommitIndex - mAppliedIndex, kMaxApplyEntries);
+    ApplyEntries apply{ mLog.slice(mAppliedIndex + 1, count, kMaxLogBytes) };
+    mAppliedIndex += apply.entries.size();
+    emit(std::move(apply));
+    takeSnapshotIfDue();
+  }
+}
+
+void LogNode::takeSnapshotIfDue()
+{
+  if (mAppliedIndex - mSnapshotAskedAt >= mConfig.snapshotEntries) {
+    mSnapshotAskedAt = mAppliedIndex;
+    emit(TakeSnapshot{ mAppliedIndex });
+  }
+}
+
+void LogNode::adoptSnapshot(SnapshotPtr aSnapshot)
+{
+  mSnapshot = std::move(aSnapshot);
+  const LogIndex last = mSnapshot->lastIndex;
+  if (mLog.termAt(last) == mSnapshot->lastTerm) {
+    mPersist.snapshotTaken(mSnapshot);
+    mLog.compactTo(std::min(last, mPersist.firstWaiting() - 1));
+    mMembers.compactTo(last);
+  } else {
+    mLog.reset(last, mSnapshot->lastTerm);
+    mMembers.reset(last, mSnapshot->membership);
+    mPersist.logReplaced(mSnapshot);
+  }
+  mCommitIndex = mAppliedIndex = mSnapshotAskedAt = last;
+  emit(RestoreSnapshot{ last, mSnapshot->bytes });
+}
+
+} // namespace camphorcleat::agreement
--- /dev/null
+++ b/packages/agreement/LogNode.h
@@ -0,0 +1,206 @@
+// One member of the replicated log (Raft family): the decisions only.
+//
+// step() takes an event and the time and returns what to do. It reads no clock, does no I/O and
+// blocks on nothing, so a seeded test can repeat any schedule. Safety rests on these rules:
+//
+// - Term, vote and entries are synced before they are acknowledged. A vote request is held until
+//   the candidate's own log is synced too, because the granted votes vouch for that log.
+// - A term has one leader: each store votes once a term, and quorums overlap (MembershipHistory.h).
+// - A leader commits only by entries of its own term, and it counts itself only once synced.
+// - A reply counts only if its store identity is the one in the membership. A member that lost its
+//   disk comes back with another identity and so can't contradict what it acknowledged before.
+// - A read is ready when a quorum has acknowledged a heartbeat round that started after the read.
+//
+// Everything held is bounded by the constants in LogNodeConfig.h.
+
+#ifndef CAMPHORCLEAT_AGREEMENT_LOGNODE_H_
+#define CAMPHORCLEAT_AGREEMENT_LOGNODE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "agreement/EntryLog.h"
+#include "agreement/LeaderState.h"
+#include "agreement/LogEvents.h"
+#include "agreement/LogNodeConfig.h"
+#include "agreement/MembershipHistory.h"
+#include "agreement/PersistQueue.h"
+#include "agreement/SnapshotReceiver.h"
+#include "base/EnumNames.h"
+#include "base/Time.h"
+
+namespace camphorcleat::agreement {
+
+enum class Role
+{
+  Follower,
+  PreCandidate, ///< Asks whether an election could be won, without raising the term.
+  Candidate,
+  Leader,
+};
+
+/// Not thread-safe: one thread owns a node.
+class LogNode
+{
+public:
+  /// Starts as a follower from what the store holds. aStored.store must not be 0.
+  /// aRandom decides election timeouts; members must be seeded differently.
+  LogNode(LogNodeConfig aConfig, StoredState aStored, std::mt19937_64 aRandom);
+
+  /// Handles one event. aNow must not go backwards. The actions are to be carried out in order;
+  /// messages may be lost, delayed, duplicated and reordered.
+  std::vector<Action> step(TimePoint aNow, const Event& aEvent);
+
+  Role role() const { return mRole; }
+  Term term() const { return mTerm; }
+  /// The leader of this term as far as known, else kNoNode.
+  NodeId leader() const { return mLeader; }
+  LogIndex commitIndex() const { return mCommitIndex; }
+  LogIndex appliedIndex() const { return mAppliedIndex; }
+  /// The membership in force, which may not be committed yet.
+  const wire::Membership& membership() const { return mMembers.current(); }
+  /// Whether a sync failed, after which the node takes no part any more.
+  bool isFailed() const { return mIsFailed; }
+
+private:
+  struct HeldMessage
+  {
+    std::uint64_t batch = 0;
+    SendMessage send;
+  };
+
+  // Events.
+  void handle(const Tick& aTick);
+  void handle(const MessageArrived& aArrived);
+  void handle(const Propose& aPropose);
+  void handle(const Persisted& aPersisted);
+  void handle(const PersistFailed& aFailed);
+  void handle(const ReadRequested& aRequest);
+  void handle(const SnapshotTaken& aTaken);
+  void handle(const TransferRequested& aRequest);
+  void start();
+  void refuse(const Event& aEvent);
+
+  // Messages.
+  void receive(NodeId aFrom, const wire::VoteRequest& aRequest);
+  void receive(NodeId aFrom, const wire::VoteReply& aReply);
+  void receive(NodeId aFrom, const wire::AppendRequest& aRequest);
+  void receive(NodeId aFrom, const wire::AppendReply& aReply);
+  void receive(NodeId aFrom, const wire::SnapshotChunk& aChunk);
+  void receive(NodeId aFrom, const wire::SnapshotReply& aReply);
+  void receive(NodeId aFrom, const wire::TransferLeadership& aTransfer);
+
+  // Shared parts.
+  void emit(Action aAction) { mActions.push_back(std::move(aAction)); }
+  void send(NodeId aTo, wire::LogMessage aMessage);
+  void sendWhenSynced(NodeId aTo, wire::LogMessage aMessage);
+  void releaseHeld(std::uint64_t aBatch);
+  void flushPersist();
+  void adoptTerm(Term aTerm);
+  void becomeFollower(Term aTerm, NodeId aLeader);
+  void resetElectionTimer();
+  void commitTo(LogIndex aIndex);
+  void applyCommitted();
+  void takeSnapshotIfDue();
+  void adoptSnapshot(SnapshotPtr aSnapshot);
+  bool isMember() const;
+
+  // Elections (LogNodeElection.cc).
+  bool hasCurrentLeader() const;
+  bool isUpToDate(const wire::VoteRequest& aRequest) const;
+  void startPreVote();
+  void startElection(bool aIsTransfer);
+  void askForVotes(const wire::VoteRequest& aRequest);
+  void receivePreVote(NodeId aFrom, const wire::VoteRequest& aRequest);
+  bool hasWon() const;
+  void countVotes();
+  void becomeLeader();
+
+  // Following (LogNodeFollower.cc).
+  bool acceptLeader(NodeId aFrom, Term aTerm);
+  bool appendAll(const wire::AppendRequest& aRequest);
+  void rejectAppend(NodeId aFrom, const wire::AppendRequest& aRequest);
+  void acknowledgeAppend();
+  void installSnapshot(NodeId aFrom, const SnapshotPtr& aSnapshot);
+
+  // Leading (LogNodeLeader.cc).
+  void tickLeader();
+  void startRound();
+  void replicateAll();
+  void replicate(NodeId aTo, MemberProgress& aMember, bool aIsHeartbeat);
+  bool sendEntries(NodeId aTo, MemberProgress& aMember);
+  void sendEmpty(NodeId aTo, LogIndex aPreviousIndex);
+  wire::AppendRequest appendRequest(LogIndex aPreviousIndex) const;
+  void sendChunk(NodeId aTo, MemberProgress& aMember);
+  bool hasWindow(const MemberProgress& aMember) const;
+  LogIndex appendOwn(wire::EntryKind aKind, std::string aPayload);
+  bool noteStore(MemberProgress& aMember, const wire::AppendReply& aReply);
+  void noteMatch(MemberProgress& aMember, LogIndex aIndex);
+  void noteMismatch(MemberProgress& aMember, LogIndex aHint);
+  std::uint64_t leaderValue(const wire::Member& aMember, std::uint64_t aOwn,
+                            std::uint64_t (*aOther)(const MemberProgress&)) const;
+  bool hearsQuorum() const;
+  void advanceCommit();
+  void advanceReads();
+  void advanceMembership();
+  bool fillInStores();
+  void replaceStore();
+  void advanceTransfer();
+  void loseLeadership();
+
+  LogNodeConfig mConfig;
+  std::mt19937_64 mRandom;
+  wire::StoreId mStore;
+  TimePoint mNow;
+  std::vector<Action> mActions;
+  bool mIsStarted = false;
+  bool mIsFailed = false;
+
+  Role mRole = Role::Follower;
+  Term mTerm;
+  NodeId mVotedFor;
+  NodeId mLeader = kNoNode;
+  EntryLog mLog;
+  MembershipHistory mMembers;
+  SnapshotPtr mSnapshot;
+  PersistQueue mPersist;
+  std::vector<HeldMessage> mHeld; ///< Of this term only.
+  LogIndex mCommitIndex;
+  LogIndex mAppliedIndex;
+  LogIndex mSnapshotAskedAt;
+
+  TimePoint mElectionDeadline;
+  TimePoint mLeaderHeardAt;
+  std::map<NodeId, wire::StoreId> mVotes; ///< Granted in the present (pre-)election.
+  std::uint64_t mOwnVoteBatch = 0;        ///< The candidate's own vote counts after this batch.
+
+  LogIndex mMatchIndex = 0; ///< The log agrees with the leader of this term up to here.
+  std::uint64_t mLastRound = 0;
+  bool mIsAckWaiting = false;
+  SnapshotReceiver mReceiver;
+
+  std::optional<LeaderState> mLead; ///< Present while mRole is Leader.
+};
+
+} // namespace camphorcleat::agreement
+
+namespace camphorcleat {
+
+template<>
+struct EnumNames<agreement::Role>
+{
+  static constexpr EnumName<agreement::Role> kTable[] = {
+    { agreement::Role::Follower, "follower" },
+    { agreement::Role::PreCandidate, "pre_candidate" },
+    { agreement::Role::Candidate, "candidate" },
+    { agreement::Role::Leader, "leader" },
+  };
+};
+
+} // namespace camphorcleat
+
+#endif // CAMPHORCLEAT_AGREEMENT_LOGNODE_H_
--- /dev/null
+++ b/packages/agreement/LogNodeElection.cc
@@ -0,0 +1,172 @@
+// Elections: pre-vote, votes, and winning a term.
+//
+// Pre-vote keeps a member that was cut off from raising the term and so ending a leader that
+// everyone else hears. It proves nothing and changes nothing durable, so it is not synced.
+
+#include <utility>
+
+#include "agreement/LogNode.h"
+#include "base/Codec.h"
+
+namespace camphorcleat::agreement {
+
+bool LogNode::hasCurrentLeader() const
+{
+  return mRole == Role::Leader ||
+         (mLeader != kNoNode && mNow - mLeaderHeardAt < mConfig.electionTimeoutMin);
+}
+
+bool LogNode::isUpToDate(const wire::VoteRequest& aRequest) const
+{
+  return aRequest.lastTerm != mLog.lastTerm() ? aRequest.lastTerm > mLog.lastTerm()
+                                              : aRequest.lastIndex >= mLog.lastIndex();
+}
+
+void LogNode::startPreVote()
+{
+  resetElectionTimer();
+  if (!isMember()) {
+    return; // Waits until the leader has accepted the new store.
+  }
+  mRole = Role::PreCandidate;
+  mLeader = kNoNode;
+  mVotes = { { mConfig.self, mStore } };
+  wire::VoteRequest request;
+  request.term = mTerm + 1;
+  request.isPreVote = true;
+  askForVotes(request);
+  countVotes();
+}
+
+void LogNode::startElection(bool aIsTransfer)
+{
+  adoptTerm(mTerm + 1);
+  mRole = Role::Candidate;
+  mVotedFor = mConfig.self;
+  mVotes.clear();
+  resetElectionTimer();
+  mOwnVoteBatch = mPersist.batchOfAll(mLog);
+  wire::VoteRequest request;
+  request.term = mTerm;
+  request.isTransfer = aIsTransfer;
+  askForVotes(request);
+}
+
+void LogNode::askForVotes(const wire::VoteRequest& aRequest)
+{
+  wire::VoteRequest request = aRequest;
+  request.store = mStore;
+  request.lastIndex = mLog.lastIndex();
+  request.lastTerm = mLog.lastTerm();
+  for (const auto& it : mMembers.current().members) {
+    if (it.id == mConfig.self) {
+      continue;
+    }
+    if (request.isPreVote) {
+      send(it.id, request);
+    } else {
+      sendWhenSynced(it.id, request);
+    }
+  }
+}
+
+void LogNode::receive(NodeId aFrom, const wire::VoteRequest& aRequest)
+{
+  if (aRequest.isPreVote) {
+    receivePreVote(aFrom, aRequest);
+    return;
+  }
+  if (aRequest.term > mTerm) {
+    if (hasCurrentLeader() && !aRequest.isTransfer) {
+      return; // The candidate doesn't hear the leader, but this member does.
+    }
+    becomeFollower(aRequest.term, kNoNode);
+  }
+  wire::VoteReply reply;
+  reply.term = mTerm;
+  reply.store = mStore;
+  // The candidate's membership decides whether this store's vote counts. This log may not hold the
+  // entry yet that accepts the store, so it can't be asked.
+  reply.isGranted =
+    aRequest.term == mTerm && isUpToDate(aRequest) && (mVotedFor == kNoNode || mVotedFor == aFrom);
+  if (!reply.isGranted) {
+    send(aFrom, reply);
+    return;
+  }
+  if (mVotedFor == kNoNode) {
+    mVotedFor = aFrom;
+    mPersist.voteChanged();
+  }
+  resetElectionTimer();
+  sendWhenSynced(aFrom, reply);
+}
+
+void LogNode::receivePreVote(NodeId aFrom, const wire::VoteRequest& aRequest)
+{
+  wire::VoteReply reply;
+  reply.isPreVote = true;
+  reply.store = mStore;
+  reply.isGranted = aRequest.term > mTerm && !hasCurrentLeader() && isUpToDate(aRequest);
+  reply.term = reply.isGranted ? aRequest.term : mTerm;
+  send(aFrom, reply);
+}
+
+void LogNode::receive(NodeId aFrom, const wire::VoteReply& aReply)
+{
+  const bool isPreGrant = aReply.isPreVote && aReply.isGranted;
+  if (aReply.term > mTerm && !isPreGrant) {
+    becomeFollower(aReply.term, kNoNode);
+    return;
+  }
+  const bool isWanted = aReply.isPreVote ? mRole == Role::PreCandidate && aReply.term == mTerm + 1
+                                         : mRole == Role::Candidate && aReply.term == mTerm;
+  if (isWanted && aReply.isGranted) {
+    mVotes[aFrom] = aReply.store;
+    countVotes();
+  }
+}
+
+bool LogNode::hasWon() const
+{
+  return mMembers.quorumValue(mCommitIndex, [this](const wire::Member& aMember) -> std::uint64_t {
+    const auto it = mVotes.find(aMember.id);
+    return it != mVotes.end() && isSameStore(aMember, it->second) ? 1 : 0;
+  }) == 1;
+}
+
+void LogNode::countVotes()
+{
+  if (!hasWon()) {
+    return;
+  }
+  if (mRole == Role::PreCandidate) {
+    startElection(false);
+  } else {
+    becomeLeader();
+  }
+}
+
+void LogNode::becomeLeader()
+{
+  mRole = Role::Leader;
+  mLeader = mConfig.self;
+  mLead.emplace();
+  for (const auto& it : mMembers.current().members) {
+    if (it.id != mConfig.self) {
+      MemberProgress& member = mLead->members[it.id];
+      member.nextIndex = mLog.lastIndex() + 1;
+      member.lastHeard = mNow;
+      const auto vote = mVotes.find(it.id);
+      member.store = vote == mVotes.end() ? 0 : vote->second;
+    }
+  }
+  mVotes.clear();
+  mLead->noopIndex = appendOwn(wire::EntryKind::Noop, std::string());
+  if (!mMembers.isUnconfirmed()) {
+    fillInStores(); // Of a group that is being created: all of them voted.
+  }
+  startRound();
+  advanceCommit();
+}
+
+} // namespace camphorcleat::agreement
--- /dev/null
+++ b/packages/agreement/MembershipHistory.cc
@@ -0,0 +1,130 @@
+// Quorums are computed by sorting the members' values: the k-th largest is reached by k members.
+
+#include "agreement/MembershipHistory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Codec.h"
+
+namespace camphorcleat::agreement {
+
+namespace {
+
+const wire::Member* findIn(const wire::Membership& aMembership, NodeId aId)
+{
+  const auto it = std::find_if(aMembership.members.begin(), aMembership.members.end(),
+                               [aId](const wire::Member& aMember) { return aMember.id == aId; });
+  return it == aMembership.members.end() ? nullptr : &*it;
+}
+
+// True if a known store of aBefore is not the store of aAfter.
+bool isReplacement(const wire::Membership& aBefore, const wire::Membership& aAfter)
+{
+  return std::any_of(
+    aBefore.members.begin(), aBefore.members.end(), [&aAfter](const wire::Member& aMember) {
+      const wire::Member* after = findIn(aAfter, aMember.id);
+      return aMember.store != 0 && (after == nullptr || after->store != aMember.store);
+    });
+}
+
+std::uint64_t quorumValueOf(const wire::Membership& aMembership,
+                            const MembershipHistory::Value& aValue)
+{
+  const std::size_t count = aMembership.members.size();
+  if (count == 0) {
+    return 0;
+  }
+  const std::size_t majority = count / 2 + 1;
+  const auto known = static_cast<std::size_t>(
+    std::count_if(aMembership.members.begin(), aMembership.members.end(),
+                  [](const wire::Member& aMember) { return aMember.store != 0; }));
+  const bool isCreating = known < majority;
+  std::vector<std::uint64_t> values;
+  for (const auto& it : aMembership.members) {
+    values.push_back(it.store != 0 || isCreating ? aValue(it) : 0);
+  }
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[(isCreating ? count : majority) - 1];
+}
+
+} // namespace
+
+MembershipHistory::MembershipHistory(LogIndex aIndex, wire::Membership aMembership)
+{
+  reset(aIndex, std::move(aMembership));
+}
+
+void MembershipHistory::append(const wire::LogEntry& aEntry)
+{
+  if (aEntry.kind != wire::EntryKind::Membership) {
+    return;
+  }
+  orElse(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(membership, decode<wire::Membership>(aEntry.payload.data));
+      mPoints.push_back(Point{ aEntry.index, std::move(membership) });
+      return {};
+    },
+    // Leaders write only what this reads, and records are checksummed. An unreadable entry would be
+    // unreadable at every member, so that skipping it keeps them in agreement.
+    [](const ErrorInfo&) {});
+}
+
+void MembershipHistory::truncateFrom(LogIndex aFrom)
+{
+  while (mPoints.size() > 1 && mPoints.back().index >= aFrom) {
+    mPoints.pop_back();
+  }
+}
+
+void MembershipHistory::compactTo(LogIndex aIndex)
+{
+  std::size_t keep = 0;
+  while (keep + 1 < mPoints.size() && mPoints[keep + 1].index <= aIndex) {
+    ++keep;
+  }
+  mPoints.erase(mPoints.begin(), mPoints.begin() + static_cast<std::ptrdiff_t>(keep));
+}
+
+void MembershipHistory::reset(LogIndex aIndex, wire::Membership aMembership)
+{
+  mPoints.clear();
+  mPoints.push_back(Point{ aIndex, std::move(aMembership) });
+}
+
+const wire::Membership& MembershipHistory::at(LogIndex aIndex) const
+{
+  auto it = mPoints.rbegin();
+  while (std::next(it) != mPoints.rend() && it->index > aIndex) {
+    ++it;
+  }
+  return it->membership;
+}
+
+const wire::Member* MembershipHistory::find(NodeId aId) const
+{
+  return findIn(current(), aId);
+}
+
+bool MembershipHistory::isUnconfirmed() const
+{
+  return mPoints.size() > 1 &&
+         isReplacement(mPoints[mPoints.size() - 2].membership, mPoints.back().membership);
+}
+
+std::uint64_t MembershipHistory::quorumValue(LogIndex aCommitIndex, const Value& aValue) const
+{
+  const std::uint64_t value = quorumValueOf(current(), aValue);
+  if (currentIndex() <= aCommitIndex || !isUnconfirmed()) {
+    return value;
+  }
+  return std::min(value, quorumValueOf(mPoints[mPoints.size() - 2].membership, aValue));
+}
+
+bool isSameStore(const wire::Member& aMember, wire::StoreId aStore)
+{
+  return aMember.store == 0 || aMember.store == aStore;
+}
+
+} // namespace camphorcleat::agreement
--- /dev/null
+++ b/packages/agreement/PersistQueue.cc
@@ -0,0 +1,84 @@
+// Positions of entries that left the log are lowered at once, so that the completion of an older
+// batch never counts for entries that took their place.
+
+#include "agreement/PersistQueue.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace camphorcleat::agreement {
+
+PersistQueue::PersistQueue(LogIndex aLastIndex)
+  : mSyncedIndex(aLastIndex)
+  , mFirstWaiting(aLastIndex + 1)
+{
+}
+
+void PersistQueue::truncated(LogIndex aFrom)
+{
+  mSyncedIndex = std::min(mSyncedIndex, aFrom - 1);
+  mInFlightIndex = std::min(mInFlightIndex, aFrom - 1);
+  if (aFrom < mFirstWaiting) {
+    mTruncateFrom = std::min(mTruncateFrom.value_or(aFrom), aFrom);
+    mFirstWaiting = aFrom;
+  }
+}
+
+void PersistQueue::logReplaced(SnapshotPtr aSnapshot)
+{
+  mIsLogReplaced = true;
+  mTruncateFrom.reset();
+  mSyncedIndex = 0;
+  mInFlightIndex = 0;
+  mFirstWaiting = aSnapshot->lastIndex + 1;
+  mSnapshot = std::move(aSnapshot);
+}
+
+std::optional<Persist> PersistQueue::next(Term aTerm, NodeId aVotedFor, const EntryLog& aLog)
+{
+  if (mIsInFlight || !hasWaiting(aLog)) {
+    return std::nullopt;
+  }
+  Persist out;
+  out.batch = ++mLastBatch;
+  out.term = aTerm;
+  out.votedFor = aVotedFor;
+  out.truncateFrom = std::exchange(mTruncateFrom, std::nullopt);
+  out.snapshot = std::exchange(mSnapshot, nullptr);
+  out.resetsLog = std::exchange(mIsLogReplaced, false);
+  constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+  out.entries = aLog.slice(mFirstWaiting, kNoLimit, kNoLimit);
+  mFirstWaiting = aLog.lastIndex() + 1;
+  mInFlightIndex = aLog.lastIndex();
+  mIsVoteInFlight = std::exchange(mIsVoteWaiting, false);
+  mIsInFlight = true;
+  return out;
+}
+
+bool PersistQueue::complete(std::uint64_t aBatch)
+{
+  if (!mIsInFlight || aBatch != mLastBatch) {
+    return false;
+  }
+  mIsInFlight = false;
+  mIsVoteInFlight = false;
+  mSyncedIndex = std::max(mSyncedIndex, mInFlightIndex);
+  return true;
+}
+
+std::uint64_t PersistQueue::batchOfAll(const EntryLog& aLog) const
+{
+  if (hasWaiting(aLog)) {
+    return mLastBatch + 1;
+  }
+  return mIsInFlight ? mLastBatch : 0;
+}
+
+bool PersistQueue::hasWaiting(const EntryLog& aLog) const
+{
+  return mIsVoteWaiting || mIsLogReplaced || mTruncateFrom || mSnapshot ||
+         mFirstWaiting <= aLog.lastIndex();
+}
+
+} // namespace camphorcleat::agreement
--- /dev/null
+++ b/packages/agreement/ReadQueue.cc
@@ -0,0 +1,50 @@
+// Rounds are kept in the order in which they started, so finishing one finishes those before it.
+
+#include "agreement/ReadQueue.h"
+
+#include <limits>
+#include <utility>
+
+#include "agreement/LogNodeConfig.h"
+
+namespace camphorcleat::agreement {
+
+bool ReadQueue::add(std::uint64_t aRead)
+{
+  if (mCount >= kMaxPendingReads) {
+    return false;
+  }
+  ++mCount;
+  mWaiting.push_back(aRead);
+  return true;
+}
+
+void ReadQueue::startRound(std::uint64_t aRound)
+{
+  if (!mWaiting.empty()) {
+    mRounds.push_back(Round{ aRound, std::exchange(mWaiting, {}) });
+  }
+}
+
+std::vector<std::uint64_t> ReadQueue::finish(std::uint64_t aRound)
+{
+  std::vector<std::uint64_t> out;
+  while (!mRounds.empty() && mRounds.front().number <= aRound) {
+    const auto& reads = mRounds.front().reads;
+    out.insert(out.end(), reads.begin(), reads.end());
+    mRounds.pop_front();
+  }
+  mCount -= out.size();
+  return out;
+}
+
+std::vector<std::uint64_t> ReadQueue::clear()
+{
+  std::vector<std::uint64_t> out = finish(std::numeric_limits<std::uint64_t>::max());
+  out.insert(out.end(), mWaiting.begin(), mWaiting.end());
+  mWaiting.clear();
+  mCount = 0;
+  return out;
+}
+
+} // namespace camphorcleat::agreement
--- /dev/null
+++ b/packages/agreement/RecordFormat.h
@@ -0,0 +1,68 @@
+// Checksummed, length-prefixed records in a file.
+//
+// A record is a 24-byte header and a payload. Header, little-endian: marker (4 bytes), payload
+// length (4), XXH3 of the payload (8), XXH3 of the 16 bytes before (8). Both checksums are seeded
+// with a number of the file, so a record of another file isn't taken for one of this file. The
+// header has its own checksum so that a damaged length is noticed before it is used.
+//
+// A writer syncs each record before it starts the next one. So only the last record can be
+// incomplete after a crash, and an incomplete one was never acknowledged. A crash leaves it short,
+// or with sectors that were never written and read as zeros. Anything else that doesn't verify is
+// damage to a record that was acknowledged: cutting it off would silently break a promise.
+
+#ifndef CAMPHORCLEAT_AGREEMENT_RECORDFORMAT_H_
+#define CAMPHORCLEAT_AGREEMENT_RECORDFORMAT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace camphorcleat::agreement {
+
+/// A payload with its header. aPayload is shorter than 4 GiB. Thread-safe.
+std::string makeRecord(std::string_view aPayload, std::uint64_t aSeed);
+
+/// Walks over the records of one file's content. Not thread-safe.
+class RecordReader
+{
+public:
+  /// The content must outlive the reader.
+  RecordReader(std::string_view aContent, std::uint64_t aSeed);
+
+  /// Moves to the next record. False at the end and at a record that doesn't verify.
+  bool next();
+
+  /// The record that next() moved to.
+  std::string_view payload() const { return mPayload; }
+
+  /// Position after the last good record.
+  std::uint64_t offsetBytes() const { return mOffset; }
+
+  bool isAtEnd() const { return mOffset == mContent.size(); }
+
+  /// Whether what follows offsetBytes() looks like a record whose writing was interrupted, as
+  /// opposed to a damaged one. Precondition: next() returned false.
+  bool isTorn() const;
+
+private:
+  enum class Check
+  {
+    Good,
+    ShortHeader,
+    BadHeader,
+    ShortPayload,
+    BadPayload,
+  };
+  Check check(std::uint64_t aOffset, std::string_view& aPayload) const;
+  bool hasRecordAfter(std::uint64_t aOffset) const;
+  bool hasUnwrittenSector(std::uint64_t aOffset) const;
+
+  std::string_view mContent;
+  std::uint64_t mSeed;
+  std::uint64_t mOffset = 0;
+  std::string_view mPayload;
+};
+
+} // namespace camphorcleat::agreement
+
+#endif // CAMPHORCLEAT_AGREEMENT_RECORDFORMAT_H_
--- /dev/null
+++ b/packages/agreement/testing/LogScheduleTest.cc
@@ -0,0 +1,147 @@
+// Guards against split brain, lost acknowledged entries and stale reads under random faults.
+//
+// Each schedule is decided by its seed. CAMPHORCLEAT_SEED=<n> runs one schedule only;
+// CAMPHORCLEAT_SCHEDULES=<n> runs n of each kind.
+
+#include <cstdlib>
+
+#include <catch2/catch.hpp>
+
+#include "agreement/testing/SimulatedGroup.h"
+
+namespace camphorcleat::agreement::testing {
+namespace {
+
+struct Schedule
+{
+  NodeId members = 3;
+  double drop = 0.05;
+  bool losesDisks = true;
+  bool losesDisksRecklessly = false; ///< More at a time than the group tolerates.
+};
+
+LogNodeConfig scheduleConfig()
+{
+  LogNodeConfig config;
+  config.snapshotEntries = 40;
+  config.keptEntries = 10;
+  return config;
+}
+
+NodeId anyMember(SimulatedGroup& aGroup, const Schedule& aSchedule)
+{
+  return std::uniform_int_distribution<NodeId>(1, aSchedule.members)(aGroup.random());
+}
+
+void disturb(SimulatedGroup& aGroup, const Schedule& aSchedule)
+{
+  const NodeId id = anyMember(aGroup, aSchedule);
+  const double dice = std::uniform_real_distribution<double>(0, 1)(aGroup.random());
+  const std::size_t tolerated = (aSchedule.members - 1) / 2;
+  if (dice < 0.30) {
+    aGroup.isUp(id) ? aGroup.crash(id) : aGroup.restart(id);
+  } else if (dice < 0.50) {
+    aGroup.cut(id, anyMember(aGroup, aSchedule));
+  } else if (dice < 0.70) {
+    aGroup.heal();
+  } else if (dice < 0.80) {
+    aGroup.step(id, TransferRequested{});
+  } else if (dice < 0.90 && aSchedule.losesDisks &&
+             (aGroup.strangers() < tolerated || aSchedule.losesDisksRecklessly)) {
+    aGroup.loseDisk(id);
+  } else if (!aGroup.isUp(id)) {
+    aGroup.restart(id);
+  }
+}
+
+// Clients and faults for some seconds; ends as soon as something is violated.
+void disturbedRun(SimulatedGroup& aGroup, const Schedule& aSchedule)
+{
+  for (int turn = 0; turn < 400 && aGroup.violation().empty(); ++turn) {
+    const NodeId id = anyMember(aGroup, aSchedule);
+    const NodeId leader = aGroup.leader();
+    const NodeId at = leader != kNoNode && aGroup.chance(0.8) ? leader : id;
+    aGroup.propose(at, "entry " + std::to_string(turn));
+    aGroup.read(aGroup.chance(0.5) ? at : id);
+    if (aGroup.chance(0.12)) {
+      disturb(aGroup, aSchedule);
+    }
+    aGroup.run(Millis(1 + turn % 20));
+  }
+}
+
+void healAll(SimulatedGroup& aGroup, const Schedule& aSchedule)
+{
+  aGroup.heal();
+  aGroup.setFaults(Faults());
+  for (NodeId id = 1; id <= aSchedule.members; ++id) {
+    if (!aGroup.isUp(id)) {
+      aGroup.restart(id);
+    }
+  }
+  aGroup.run(Millis(4000));
+}
+
+Faults scheduleFaults(const Schedule& aSchedule)
+{
+  Faults faults;
+  faults.drop = aSchedule.drop;
+  faults.duplicate = 0.05;
+  faults.maxDelay = Millis(aSchedule.drop > 0 ? 40 : 5);
+  faults.maxSync = Millis(15);
+  return faults;
+}
+
+void check(std::uint64_t aSeed, const Schedule& aSchedule, const std::string& aTest)
+{
+  INFO("repeat with: CAMPHORCLEAT_SEED=" << aSeed << " build/testing/agreement_test '" << aTest
+                                         << "'");
+  SimulatedGroup group(aSeed, aSchedule.members, scheduleConfig(), scheduleFaults(aSchedule));
+  group.run(Millis(1500));
+  disturbedRun(group, aSchedule);
+  REQUIRE(group.violation() == "");
+  healAll(group, aSchedule);
+  const NodeId leader = group.leader();
+  INFO(group.describe());
+  REQUIRE(leader != kNoNode);
+  const LogIndex before = group.newestKnown();
+  group.propose(leader);
+  group.read(leader);
+  group.run(Millis(300));
+  REQUIRE(group.violation() == "");
+  CHECK(group.newestKnown() > before);
+  CHECK(group.strangers() == 0);
+  for (NodeId id = 1; id <= aSchedule.members; ++id) {
+    CHECK(group.node(id).appliedIndex() == group.node(leader).appliedIndex());
+  }
+}
+
+void checkSeeds(std::uint64_t aFirst, std::uint64_t aCount, const Schedule& aSchedule,
+                const std::string& aTest)
+{
+  if (const char* seed = std::getenv("CAMPHORCLEAT_SEED")) {
+    check(std::strtoull(seed, nullptr, 10), aSchedule, aTest);
+    return;
+  }
+  const char* wanted = std::getenv("CAMPHORCLEAT_SCHEDULES");
+  const std::uint64_t count = wanted != nullptr ? std::strtoull(wanted, nullptr, 10) : aCount;
+  for (std::uint64_t seed = aFirst; seed < aFirst + count; ++seed) {
+    check(seed, aSchedule, aTest);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Random faults do not break a group of three")
+{
+  checkSeeds(1000, 600, Schedule{ 3, 0.05, true, false },
+             "Random faults do not break a group of three");
+}
+
+TEST_CASE("Random faults do not break a group of five")
+{
+  checkSeeds(2000, 300, Schedule{ 5, 0.08, true, false },
+             "Random faults do not break a group of five");
+}
+
+} // namespace camphorcleat::agreement::testing
--- /dev/null
+++ b/packages/agreement/testing/SimulatedGroup.h
@@ -0,0 +1,425 @@
+// A group of LogNodes on simulated time, messages and disks, with the checks that must always hold.
+//
+// One seed decides everything: delays, losses, duplicates, what a crash loses, what clients do. The
+// checks run after every step of every member; the first violation is kept with its time.
+
+#ifndef CAMPHORCLEAT_AGREEMENT_TESTING_SIMULATEDGROUP_H_
+#define CAMPHORCLEAT_AGREEMENT_TESTING_SIMULATEDGROUP_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "agreement/LogNode.h"
+#include "base/Codec.h"
+#include "base/Hash.h"
+
+namespace camphorcleat::agreement::testing {
+
+/// Applies a batch as LogStore::persist() does.
+inline void applyBatch(StoredState& aState, const Persist& aBatch)
+{
+  aState.term = aBatch.term;
+  aState.votedFor = aBatch.votedFor;
+  auto& entries = aState.entries;
+  if (aBatch.resetsLog) {
+    entries.clear();
+  }
+  while (aBatch.truncateFrom && !entries.empty() && entries.back().index >= *aBatch.truncateFrom) {
+    entries.pop_back();
+  }
+  entries.insert(entries.end(), aBatch.entries.begin(), aBatch.entries.end());
+  if (aBatch.snapshot) {
+    aState.snapshot = aBatch.snapshot;
+    while (!entries.empty() && entries.front().index <= aBatch.snapshot->lastIndex) {
+      entries.erase(entries.begin());
+    }
+  }
+}
+
+struct Faults
+{
+  double drop = 0.0;
+  double duplicate = 0.0;
+  Millis maxDelay{ 3 };
+  Millis maxSync{ 4 };
+  bool acknowledgesBeforeSync = false; ///< Broken on purpose: the disk says "synced" at once.
+  bool keepsStoreId =
+    false; ///< Broken on purpose: an empty disk claims the identity of the old one.
+};
+
+class SimulatedGroup
+{
+public:
+  SimulatedGroup(std::uint64_t aSeed, NodeId aSize, LogNodeConfig aConfig, Faults aFaults = {})
+    : mRandom(aSeed)
+    , mConfig(std::move(aConfig))
+    , mFaults(aFaults)
+  {
+    for (NodeId id = 1; id <= aSize; ++id) {
+      mConfig.initialMembership.members.push_back(wire::Member{ id, 0 });
+    }
+    for (NodeId id = 1; id <= aSize; ++id) {
+      mMachines[id].disk.store = newIncarnation(mRandom);
+      restart(id);
+    }
+  }
+
+  /// Lets simulated time pass, 1 ms a turn.
+  void run(Millis aTime)
+  {
+    for (Millis t{ 0 }; t < aTime && mViolation.empty(); ++t) {
+      mNow += Millis(1);
+      deliverDue();
+      finishSyncs();
+      for (auto& [id, machine] : mMachines) {
+        if (machine.node && toMillis(mNow.time_since_epoch()) % kTickMillis == id % kTickMillis) {
+          step(id, Tick{});
+        }
+      }
+    }
+  }
+
+  void crash(NodeId aId)
+  {
+    Machine& machine = mMachines[aId];
+    if (machine.writing && chance(0.5)) {
+      applyBatch(machine.disk, *machine.writing); // It reached the disk, unacknowledged.
+    }
+    machine.writing.reset();
+    machine.lyingWrites.clear();
+    machine.node.reset();
+  }
+
+  void restart(NodeId aId)
+  {
+    Machine& machine = mMachines[aId];
+    LogNodeConfig config = mConfig;
+    config.self = aId;
+    machine.applied = 0;
+    machine.digest = 0;
+    machine.node = std::make_unique<LogNode>(config, machine.disk, std::mt19937_64(mRandom()));
+    step(aId, Tick{});
+  }
+
+  void loseDisk(NodeId aId)
+  {
+    crash(aId);
+    StoredState& disk = mMachines[aId].disk;
+    const wire::StoreId store = mFaults.keepsStoreId ? disk.store : newIncarnation(mRandom);
+    disk = StoredState();
+    disk.store = store;
+  }
+
+  /// Delivers an event to a member that runs.
+  void step(NodeId aId, const Event& aEvent)
+  {
+    Machine& machine = mMachines[aId];
+    if (machine.node) {
+      for (auto& it : machine.node->step(mNow, aEvent)) {
+        std::visit([&](auto& aAction) { perform(aId, machine, aAction); }, it);
+      }
+    }
+    checkLeader(aId, machine);
+  }
+
+  void propose(NodeId aId, std::string aPayload = "x")
+  {
+    step(aId, Propose{ ++mNextRequest, std::move(aPayload) });
+  }
+
+  void read(NodeId aId)
+  {
+    mReads[++mNextRequest] = mNewestKnown;
+    step(aId, ReadRequested{ mNextRequest });
+  }
+
+  void cut(NodeId aFrom, NodeId aTo) { mCuts.insert({ aFrom, aTo }); }
+  void heal() { mCuts.clear(); }
+  void setFaults(Faults aFaults) { mFaults = aFaults; }
+  bool isUp(NodeId aId) { return mMachines[aId].node != nullptr; }
+  LogNode& node(NodeId aId) { return *mMachines[aId].node; }
+  StoredState& disk(NodeId aId) { return mMachines[aId].disk; }
+  std::mt19937_64& random() { return mRandom; }
+  bool chance(double aProbability) { return std::bernoulli_distribution(aProbability)(mRandom); }
+  const std::string& violation() const { return mViolation; }
+  LogIndex newestKnown() const { return mNewestKnown; }
+  std::size_t readsDone() const { return mReadsDone; }
+  std::size_t chunksSent() const { return mChunksSent; }
+  std::size_t restores() const { return mRestores; }
+  std::size_t syncs() const { return mSyncs; }
+  TimePoint now() const { return mNow; }
+
+  /// The established leader of the highest term, or kNoNode.
+  NodeId leader()
+  {
+    NodeId best = kNoNode;
+    for (auto& [id, machine] : mMachines) {
+      if (machine.node && machine.node->role() == Role::Leader && machine.isEstablished &&
+          (best == kNoNode || machine.node->term() > mMachines[best].node->term())) {
+        best = id;
+      }
+    }
+    return best;
+  }
+
+  /// State, membership and membership entries of each member, for the message of a failing test.
+  std::string describe()
+  {
+    std::string out;
+    for (auto& [id, machine] : mMachines) {
+      out += "member " + std::to_string(id) + " store " + std::to_string(machine.disk.store) + " ";
+      if (machine.node) {
+        out += std::string(enumName(machine.node->role())) + " term " +
+               std::to_string(machine.node->term()) + " commit " +
+               std::to_string(machine.node->commitIndex()) + text(machine.node->membership());
+      }
+      out += "\n";
+      for (const auto& it : machine.disk.entries) {
+        if (it.kind == wire::EntryKind::Membership) {
+          const auto membership = decode<wire::Membership>(it.payload.data);
+          out += "  entry " + std::to_string(it.index) + text(membership.value()) + "\n";
+        }
+      }
+    }
+    return out;
+  }
+
+  /// Members whose store is not the one in the newest committed membership, and those whose
+  /// replacement is not confirmed yet.
+  std::size_t strangers()
+  {
+    std::size_t count = mCommittedMembership.members.empty() ? mMachines.size() : 0;
+    count += mIsConfirmed ? 0 : 1;
+    for (const auto& it : mCommittedMembership.members) {
+      count += it.store == mMachines[it.id].disk.store ? 0 : 1;
+    }
+    return count;
+  }
+
+private:
+  static constexpr std::int64_t kTickMillis = 5;
+  static constexpr std::size_t kStateBytes = 70000; // Two chunks.
+
+  struct Machine
+  {
+    StoredState disk; ///< Synced.
+    std::unique_ptr<LogNode> node;
+    std::optional<Persist> writing;
+    TimePoint writtenAt;
+    std::vector<Persist> lyingWrites; ///< Acknowledged, not synced.
+    LogIndex applied = 0;
+    std::uint64_t digest = 0;
+    bool isEstablished = false;
+    std::map<LogIndex, Term> proposed;
+  };
+  struct Delivery
+  {
+    NodeId from = kNoNode;
+    NodeId to = kNoNode;
+    wire::LogMessage message;
+  };
+  struct Agreed
+  {
+    wire::LogEntry entry;
+    std::uint64_t digest = 0; ///< Of the state after this entry.
+  };
+
+  static std::string text(const wire::Membership& aMembership)
+  {
+    std::string out;
+    for (const auto& it : aMembership.members) {
+      out += " " + std::to_string(it.id) + "=" + std::to_string(it.store);
+    }
+    return out;
+  }
+
+  void violate(const std::string& aWhat)
+  {
+    if (mViolation.empty()) {
+      mViolation = aWhat + " at " + std::to_string(toMillis(mNow.time_since_epoch())) + " ms";
+    }
+  }
+
+  Millis upTo(Millis aMax)
+  {
+    return Millis(std::uniform_int_distribution<Millis::rep>(1, aMax.count())(mRandom));
+  }
+
+  void deliverDue()
+  {
+    while (!mNetwork.empty() && mNetwork.begin()->first <= mNow) {
+      const Delivery it = std::move(mNetwork.begin()->second);
+      mNetwork.erase(mNetwork.begin());
+      if (mCuts.count({ it.from, it.to }) == 0) {
+        step(it.to, MessageArrived{ it.from, it.message });
+      }
+    }
+  }
+
+  void finishSyncs()
+  {
+    for (auto& [id, machine] : mMachines) {
+      if (machine.node && machine.writing && machine.writtenAt <= mNow) {
+        const Persist batch = *std::exchange(machine.writing, std::nullopt);
+        for (const auto& it : std::exchange(machine.lyingWrites, {})) {
+          applyBatch(machine.disk, it);
+        }
+        applyBatch(machine.disk, batch);
+        ++mSyncs;
+        step(id, Persisted{ batch.batch });
+      }
+    }
+  }
+
+  void perform(NodeId aId, Machine&, const SendMessage& aSend)
+  {
+    mChunksSent += std::holds_alternative<wire::SnapshotChunk>(aSend.message) ? 1 : 0;
+    const int copies = chance(mFaults.drop) ? 0 : (chance(mFaults.duplicate) ? 2 : 1);
+    for (int i = 0; i < copies; ++i) {
+      mNetwork.emplace(mNow + upTo(mFaults.maxDelay), Delivery{ aId, aSend.to, aSend.message });
+    }
+  }
+
+  void perform(NodeId aId, Machine& aMachine, const Persist& aBatch)
+  {
+    if (aMachine.writing) {
+      violate("two batches in flight");
+    }
+    if (mFaults.acknowledgesBeforeSync) {
+      aMachine.lyingWrites.push_back(aBatch);
+      if (aMachine.lyingWrites.size() > 50) {
+        applyBatch(aMachine.disk, aMachine.lyingWrites.front());
+        aMachine.lyingWrites.erase(aMachine.lyingWrites.begin());
+      }
+      // Recursion ends with the first step that changes nothing.
+      step(aId, Persisted{ aBatch.batch });
+      return;
+    }
+    aMachine.writing = aBatch;
+    aMachine.writtenAt = mNow + upTo(mFaults.maxSync);
+  }
+
+  void perform(NodeId aId, Machine& aMachine, const ApplyEntries& aApply)
+  {
+    for (const auto& it : aApply.entries) {
+      if (it.index != ++aMachine.applied) {
+        violate("a gap in the entries applied");
+      }
+      aMachine.digest = hash64(it.payload.data, aMachine.digest + it.term);
+      const auto agreed = mAgreed.emplace(it.index, Agreed{ it, aMachine.digest }).first;
+      if (agreed->second.digest != aMachine.digest) {
+        violate("logs disagree at entry " + std::to_string(it.index));
+      }
+      const auto proposed = aMachine.proposed.find(it.index);
+      if (proposed != aMachine.proposed.end() && proposed->second == it.term) {
+        mNewestKnown = std::max(mNewestKnown, it.index); // Its client gets the response now.
+      }
+      if (it.kind == wire::EntryKind::Membership && it.index > mMembershipIndex) {
+        mMembershipIndex = it.index;
+        const wire::Membership before =
+          std::exchange(mCommittedMembership, decode<wire::Membership>(it.payload.data).value());
+        mIsConfirmed = before.members.empty() || text(before) == text(mCommittedMembership);
+      }
+    }
+    if (aMachine.applied > mAgreed.rbegin()->first) {
+      violate("member " + std::to_string(aId) + " is ahead of the agreed log");
+    }
+  }
+
+  void perform(NodeId, Machine& aMachine, const ProposalAppended& aAppended)
+  {
+    aMachine.proposed[aAppended.index] = aAppended.term;
+  }
+  void perform(NodeId, Machine&, const ProposalRefused&) {}
+
+  void perform(NodeId, Machine& aMachine, const ReadReady& aReady)
+  {
+    const auto it = mReads.find(aReady.read);
+    if (it == mReads.end()) {
+      violate("a read is ready twice");
+      return;
+    }
+    if (aReady.index < it->second) {
+      violate("a read misses an entry acknowledged before it");
+    }
+    if (aReady.index > aMachine.applied) {
+      violate("a read is ready before its entries are applied");
+    }
+    mNewestKnown = std::max(mNewestKnown, aReady.index); // A later read must not see less.
+    mReads.erase(it);
+    ++mReadsDone;
+  }
+  void perform(NodeId, Machine&, const ReadRefused& aRefused) { mReads.erase(aRefused.read); }
+
+  void perform(NodeId, Machine& aMachine, const BecameLeader&)
+  {
+    aMachine.isEstablished = true;
+    if (aMachine.applied < mNewestKnown) {
+      violate("a new leader lacks an acknowledged entry");
+    }
+  }
+  void perform(NodeId, Machine& aMachine, const LostLeadership&) { aMachine.isEstablished = false; }
+
+  void perform(NodeId, Machine& aMachine, const RestoreSnapshot& aRestore)
+  {
+    ++mRestores;
+    aMachine.applied = aRestore.lastIndex;
+    aMachine.digest = std::stoull(aRestore.bytes);
+    const auto agreed = mAgreed.find(aRestore.lastIndex);
+    if (agreed == mAgreed.end() || agreed->second.digest != aMachine.digest) {
+      violate("a snapshot disagrees with the log");
+    }
+  }
+
+  void perform(NodeId aId, Machine& aMachine, const TakeSnapshot& aTake)
+  {
+    if (aTake.lastIndex != aMachine.applied) {
+      violate("a snapshot is asked for at a position that is not the state's");
+    }
+    std::string bytes = std::to_string(aMachine.digest) + " ";
+    bytes.resize(kStateBytes, '.');
+    step(aId, SnapshotTaken{ aTake.lastIndex, std::move(bytes) });
+  }
+
+  void checkLeader(NodeId aId, Machine& aMachine)
+  {
+    if (!aMachine.node || aMachine.node->role() != Role::Leader) {
+      aMachine.isEstablished = false;
+      return;
+    }
+    const auto it = mLeaders.emplace(aMachine.node->term(), aId).first;
+    if (it->second != aId) {
+      violate("two leaders in term " + std::to_string(it->first));
+    }
+  }
+
+  std::mt19937_64 mRandom;
+  LogNodeConfig mConfig;
+  Faults mFaults;
+  TimePoint mNow;
+  std::map<NodeId, Machine> mMachines;
+  std::multimap<TimePoint, Delivery> mNetwork;
+  std::set<std::pair<NodeId, NodeId>> mCuts;
+
+  std::string mViolation;
+  std::map<Term, NodeId> mLeaders;
+  std::map<LogIndex, Agreed> mAgreed;
+  wire::Membership mCommittedMembership;
+  LogIndex mMembershipIndex = 0;
+  bool mIsConfirmed = true;
+  LogIndex mNewestKnown = 0; ///< Newest entry that some client knows to be in effect.
+  std::map<std::uint64_t, LogIndex> mReads; ///< What each pending read has to see.
+  std::uint64_t mNextRequest = 0;
+  std::size_t mReadsDone = 0;
+  std::size_t mChunksSent = 0;
+  std::size_t mRestores = 0;
+  std::size_t mSyncs = 0;
+};
+
+} // namespace camphorcleat::agreement::testing
+
+#endif // CAMPHORCLEAT_AGREEMENT_TESTING_SIMULATEDGROUP_H_
