--- /dev/null
+++ b/packages/fleet/AuditTrail.cc
@@ -0,0 +1,250 @@
+// Plain POSIX files: the standard streams can't sync.
+
+#include "fleet/AuditTrail.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <deque>
+#include <fstream>
+#include <functional>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace camphorcleat::fleet {
+
+namespace {
+
+constexpr mode_t kFileMode = 0640;
+
+std::string oldPathOf(const std::string& aPath)
+{
+  return aPath + ".1";
+}
+
+leaf::error_id failSystem(const std::string& aFile, const std::string& aOperation)
+{
+  return fail(StorageError{ aFile, aOperation, errno });
+}
+
+// Syncs the folder, so that a new or renamed file survives a crash.
+Result<void> syncFolder(const std::string& aPath)
+{
+  const std::size_t slash = aPath.rfind('/');
+  const std::string folder = slash == std::string::npos ? "." : aPath.substr(0, slash + 1);
+  const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) {
+    return failSystem(folder, "open");
+  }
+  const int status = ::fsync(fd);
+  const int error = errno;
+  ::close(fd);
+  if (status != 0) {
+    return fail(StorageError{ folder, "fsync", error });
+  }
+  return {};
+}
+
+// Calls a function for each whole line's record; a missing file has none. Returns the size of the
+// whole lines.
+Result<std::size_t> forEachRecord(const std::string& aPath,
+                                  const std::function<void(AuditRecord)>& aVisit)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    if (::access(aPath.c_str(), F_OK) != 0) {
+      return std::size_t{ 0 };
+    }
+    return fail(StorageError{ aPath, "open", EACCES });
+  }
+  std::size_t offset = 0;
+  for (std::string line; std::getline(file, line) && !file.eof();) {
+    std::string problem;
+    auto record = orElse(
+      [&]() -> Result<std::optional<AuditRecord>> {
+        BOOST_LEAF_AUTO(value, fromJson<AuditRecord>(line));
+        return std::optional<AuditRecord>(std::move(value));
+      },
+      [&](const ErrorInfo& aInfo) {
+        problem = aInfo.message;
+        return std::optional<AuditRecord>();
+      });
+    if (!record) {
+      return fail(LogDamagedError{ aPath, offset, problem });
+    }
+    aVisit(std::move(*record));
+    offset += line.size() + 1;
+  }
+  if (file.bad()) {
+    return fail(StorageError{ aPath, "read", EIO });
+  }
+  return offset;
+}
+
+bool contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+bool passesFilter(const AuditRecord& aRecord, const AuditFilter& aFilter)
+{
+  const std::string& text = aFilter.text;
+  return aRecord.revision >= aFilter.fromRevision &&
+         (contains(aRecord.issuer, text) || contains(aRecord.commandId, text) ||
+          contains(aRecord.kind, text) || contains(aRecord.object, text) ||
+          contains(aRecord.before, text) || contains(aRecord.after, text) ||
+          contains(std::string(enumName(aRecord.code)), text));
+}
+
+AuditTrail::AuditTrail(std::string aPath, std::size_t aMaxBytes)
+  : mPath(std::move(aPath))
+  , mMaxBytes(aMaxBytes)
+{
+}
+
+AuditTrail::AuditTrail(AuditTrail&& aOther) noexcept
+{
+  *this = std::move(aOther);
+}
+
+AuditTrail& AuditTrail::operator=(AuditTrail&& aOther) noexcept
+{
+  std::swap(mPath, aOther.mPath);
+  std::swap(mMaxBytes, aOther.mMaxBytes);
+  std::swap(mFile, aOther.mFile);
+  std::swap(mSizeBytes, aOther.mSizeBytes);
+  std::swap(mLastRevision, aOther.mLastRevision);
+  std::swap(mLastCount, aOther.mLastCount);
+  return *this;
+}
+
+AuditTrail::~AuditTrail()
+{
+  closeFile();
+}
+
+void AuditTrail::closeFile()
+{
+  if (mFile >= 0) {
+    ::close(mFile);
+    mFile = -1;
+  }
+}
+
+Result<AuditTrail> AuditTrail::open(const std::string& aPath, std::size_t aMaxBytes)
+{
+  AuditTrail out(aPath, aMaxBytes);
+  BOOST_LEAF_CHECK(out.readEnd());
+  BOOST_LEAF_CHECK(out.openFile());
+  return out;
+}
+
+Result<void> AuditTrail::readEnd()
+{
+  const auto visit = [this](const AuditRecord& aRecord) {
+    mLastCount = aRecord.revision == mLastRevision ? mLastCount + 1 : 1;
+    mLastRevision = aRecord.revision;
+  };
+  BOOST_LEAF_CHECK(forEachRecord(oldPathOf(mPath), visit));
+  BOOST_LEAF_AUTO(wholeBytes, forEachRecord(mPath, visit));
+  mSizeBytes = wholeBytes;
+  return {};
+}
+
+Result<void> AuditTrail::openFile()
+{
+  mFile = ::open(mPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (mFile < 0) {
+    return failSystem(mPath, "open");
+  }
+  if (::ftruncate(mFile, static_cast<off_t>(mSizeBytes)) != 0) {
+    return failSystem(mPath, "truncate");
+  }
+  return syncFolder(mPath);
+}
+
+Result<void> AuditTrail::append(const std::vector<AuditRecord>& aRecords)
+{
+  std::string lines;
+  Revision lastRevision = mLastRevision;
+  std::size_t lastCount = mLastCount;
+  std::size_t known = mLastCount; // Records of mLastRevision still to be skipped.
+  for (const auto& it : aRecords) {
+    if (it.revision < mLastRevision || (it.revision == mLastRevision && known > 0)) {
+      known -= it.revision == mLastRevision ? 1 : 0;
+      continue;
+    }
+    lines += toJson(it) + "\n";
+    lastCount = it.revision == lastRevision ? lastCount + 1 : 1;
+    lastRevision = it.revision;
+  }
+  if (lines.empty()) {
+    return {};
+  }
+  if (mSizeBytes > 0 && mSizeBytes + lines.size() > mMaxBytes / 2) {
+    BOOST_LEAF_CHECK(rotate());
+  }
+  BOOST_LEAF_CHECK(write(lines));
+  mLastRevision = lastRevision;
+  mLastCount = lastCount;
+  return {};
+}
+
+Result<void> AuditTrail::rotate()
+{
+  if (::rename(mPath.c_str(), oldPathOf(mPath).c_str()) != 0) {
+    return failSystem(mPath, "rename");
+  }
+  closeFile();
+  mSizeBytes = 0;
+  return openFile();
+}
+
+Result<void> AuditTrail::write(const std::string& aLines)
+{
+  if (mFile < 0) { // An earlier rotation could not open the new file.
+    BOOST_LEAF_CHECK(openFile());
+  }
+  std::size_t done = 0;
+  while (done < aLines.size()) {
+    const ssize_t n = ::write(mFile, aLines.data() + done, aLines.size() - done);
+    if (n < 0 && errno != EINTR) {
+      const int error = errno;
+      // A part of the lines would come twice with the next try.
+      if (::ftruncate(mFile, static_cast<off_t>(mSizeBytes)) != 0) {
+        closeFile();
+      }
+      return fail(StorageError{ mPath, "write", error });
+    }
+    done += n < 0 ? 0 : static_cast<std::size_t>(n);
+  }
+  if (::fdatasync(mFile) != 0) {
+    const int error = errno;
+    closeFile(); // Opening again cuts off what may not have reached the disk.
+    return fail(StorageError{ mPath, "sync", error });
+  }
+  mSizeBytes += aLines.size();
+  return {};
+}
+
+Result<std::vector<AuditRecord>> AuditTrail::search(const AuditFilter& aFilter) const
+{
+  std::deque<AuditRecord> found;
+  const auto visit = [&](AuditRecord aRecord) {
+    if (passesFilter(aRecord, aFilter)) {
+      found.push_back(std::move(aRecord));
+    }
+    if (found.size() > aFilter.maxRecords) {
+      found.pop_front();
+    }
+  };
+  BOOST_LEAF_CHECK(forEachRecord(oldPathOf(mPath), visit));
+  BOOST_LEAF_CHECK(forEachRecord(mPath, visit));
+  return std::vector<AuditRecord>(std::make_move_iterator(found.begin()),
+                                  std::make_move_iterator(found.end()));
+}
+
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/testing/FleetFixtures.h
@@ -0,0 +1,92 @@
+// Commands and nodes for the tests of this package.
+
+#ifndef CAMPHORCLEAT_FLEET_TESTING_FLEETFIXTURES_H_
+#define CAMPHORCLEAT_FLEET_TESTING_FLEETFIXTURES_H_
+
+#include "base/Hash.h"
+#include "fleet/FleetState.h"
+#include "wire/WireCodec.h"
+
+namespace camphorcleat::fleet {
+
+inline wire::Command systemCommand(std::vector<wire::CommandBody> aBodies)
+{
+  return wire::Command{ "", "system", 1, std::nullopt, std::move(aBodies) };
+}
+
+inline wire::Command operatorCommand(std::string aId, std::vector<wire::CommandBody> aBodies,
+                                     std::optional<Revision> aExpected = std::nullopt)
+{
+  return wire::Command{ std::move(aId), "ana", 1, aExpected, std::move(aBodies) };
+}
+
+inline wire::Node nodeOf(NodeId aId, Incarnation aIncarnation, const std::string& aZone = "a",
+                         const std::string& aService = "lookup")
+{
+  wire::Node out;
+  out.id = aId;
+  out.incarnation = aIncarnation;
+  out.zone = aZone;
+  out.peerAddress = "127.0.0.1:1";
+  out.target = wire::Announcement{ aService, 20, 2, Millis(100), true };
+  return out;
+}
+
+/// A state that numbers its entries itself.
+struct Member
+{
+  FleetState state;
+
+  Applied apply(const wire::Command& aCommand)
+  {
+    return state.apply(state.revision() + 1, aCommand);
+  }
+  Applied system(wire::CommandBody aBody) { return apply(systemCommand({ std::move(aBody) })); }
+  ErrorCode code(const wire::Command& aCommand) { return apply(aCommand).result.code; }
+  wire::PartitionGrant grant(PartitionId aPartition, const std::string& aService = "lookup") const
+  {
+    return *state.model().grant(aService, aPartition);
+  }
+};
+
+/// Every partition of a table.
+inline std::vector<PartitionId> partitionsUpTo(PartitionId aCount)
+{
+  std::vector<PartitionId> out(aCount);
+  for (PartitionId i = 0; i < aCount; ++i) {
+    out[i] = i;
+  }
+  return out;
+}
+
+/// 16 partitions, keyed service "lookup", nodes 1 and 2 in zones a and b; node 1 owns everything.
+inline Member smallFleet()
+{
+  Member out;
+  out.system(wire::BearFleet{ 16 });
+  out.apply(operatorCommand("set-up", { wire::CreateService{ { "lookup", true, {} } } }));
+  out.system(wire::RegisterNode{ nodeOf(1, 11, "a") });
+  out.system(wire::RegisterNode{ nodeOf(2, 22, "b") });
+  out.system(wire::Assign{ "lookup", 1, 11, partitionsUpTo(16) });
+  return out;
+}
+
+inline std::string bytesOf(const FleetModel& aModel)
+{
+  return wire::encodeChanges(aModel.toChanges());
+}
+
+template<class Call>
+ErrorCode codeOfCall(Call&& aCall)
+{
+  return orElse(
+    [&]() -> Result<ErrorCode> {
+      BOOST_LEAF_CHECK(aCall());
+      return ErrorCode::None;
+    },
+    [](const ErrorInfo& aInfo) { return aInfo.code; });
+}
+
+} // namespace camphorcleat::fleet
+
+#endif // CAMPHORCLEAT_FLEET_TESTING_FLEETFIXTURES_H_
--- /dev/null
+++ b/packages/fleet/testing/FleetScheduleTest.cc
@@ -0,0 +1,215 @@
+// Guards against any order of commands that breaks exclusive ownership, lets a token shrink, or
+// makes two members differ. Schedules are random with fixed seeds.
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+constexpr PartitionId kPartitions = 12;
+constexpr NodeId kNodes = 5;
+constexpr int kSteps = 1500;
+
+class Schedule
+{
+public:
+  explicit Schedule(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  wire::Command next(const FleetModel& aModel)
+  {
+    mStep += 1;
+    const NodeId id = 1 + pick(kNodes);
+    const wire::Node* node = aModel.node(id);
+    // Sometimes an incarnation that was never registered, as a late message would carry.
+    const Incarnation incarnation =
+      node == nullptr || pick(8) == 0 ? 1000 + pick(5) : node->incarnation;
+    switch (pick(14)) {
+      case 0:
+        return system(wire::RegisterNode{
+          nodeOf(id, pick(3) == 0 ? incarnation : 2000 + mStep, zone(), service()) });
+      case 1:
+        return system(wire::NodeLost{ id, incarnation });
+      case 2:
+        return system(wire::SetNodeStatus{
+          id, incarnation, pick(4) == 0 ? wire::NodeStatus::Draining : wire::NodeStatus::Serving });
+      case 3:
+      case 4:
+        return system(wire::Assign{ service(), id, incarnation, partitions() });
+      case 5:
+      case 6:
+        return system(wire::BeginMove{ service(), id, partitions() });
+      case 7:
+      case 8:
+      case 9:
+        return system(release(aModel, id, incarnation));
+      case 10:
+        return operators({ wire::SetZone{ zone(), pick(3) == 0 } });
+      case 11:
+        return operators({ wire::PinKey{ service(), key(), pick(2) == 0 ? kNoNode : id } });
+      case 12:
+        return operators({ wire::UnpinKey{ service(), key() } });
+      default:
+        return operators({ wire::SetRetired{ id, pick(4) == 0 }, wire::SetZone{ zone(), false },
+                           wire::CreateAccount{ "a" + std::to_string(pick(40)), 5, 1 } });
+    }
+  }
+
+  static std::vector<std::string> keys() { return { "k0", "k1", "k2", "k3", "k4" }; }
+  static std::vector<std::string> services() { return { "lookup", "store", kAccountService }; }
+
+private:
+  std::uint32_t pick(std::uint32_t aBound) { return mRandom() % aBound; }
+  std::string zone() { return std::string(1, static_cast<char>('a' + pick(3))); }
+  std::string service() { return services()[pick(3)]; }
+  std::string key() { return keys()[pick(5)]; }
+  std::vector<PartitionId> partitions()
+  {
+    std::vector<PartitionId> out;
+    for (PartitionId i = 0; i < kPartitions + 6; ++i) {
+      if (pick(2) == 0) {
+        out.push_back(i);
+      }
+    }
+    return out;
+  }
+  wire::Release release(const FleetModel& aModel, NodeId aNode, Incarnation aIncarnation)
+  {
+    wire::Release out{ service(), aNode, aIncarnation, {} };
+    const GrantTable& table = aModel.grants(out.service);
+    for (PartitionId i = 0; i < table.size(); ++i) {
+      const bool isStale = pick(6) == 0;
+      if (table[i].movingTo != kNoNode || pick(10) == 0) {
+        out.grants.push_back({ i, table[i].token - (isStale && table[i].token > 0 ? 1 : 0) });
+      }
+    }
+    return out;
+  }
+  wire::Command system(wire::CommandBody aBody) { return systemCommand({ std::move(aBody) }); }
+  wire::Command operators(std::vector<wire::CommandBody> aBodies)
+  {
+    return operatorCommand("c" + std::to_string(pick(2000)), std::move(aBodies));
+  }
+
+  std::mt19937_64 mRandom;
+  std::uint32_t mStep = 0;
+};
+
+bool sameOwner(const wire::PartitionGrant& aLeft, const wire::PartitionGrant& aRight)
+{
+  return aLeft.owner == aRight.owner && aLeft.incarnation == aRight.incarnation;
+}
+
+// Whether the command is the owner's own release, or the end of its lease.
+bool endsOwnership(const wire::Command& aCommand, const wire::PartitionGrant& aGrant)
+{
+  const wire::CommandBody& body = aCommand.bodies.front();
+  if (const auto* release = std::get_if<wire::Release>(&body)) {
+    return release->node == aGrant.owner && release->incarnation == aGrant.incarnation;
+  }
+  const auto* lost = std::get_if<wire::NodeLost>(&body);
+  return lost != nullptr && lost->node == aGrant.owner && lost->incarnation == aGrant.incarnation;
+}
+
+void checkGrant(const wire::Command& aCommand, Revision aRevision, const FleetModel& aModel,
+                const wire::PartitionGrant& aOld, const wire::PartitionGrant& aNew)
+{
+  REQUIRE(aNew.token >= aOld.token);
+  if (aNew.owner != kNoNode) {
+    const wire::Node* node = aModel.node(aNew.owner);
+    REQUIRE(node != nullptr);
+    REQUIRE(node->incarnation == aNew.incarnation);
+    REQUIRE(node->status != wire::NodeStatus::Lost);
+  }
+  if (sameOwner(aOld, aNew)) {
+    return;
+  }
+  REQUIRE((aOld.owner == kNoNode || endsOwnership(aCommand, aOld)));
+  REQUIRE((aNew.owner == kNoNode || aNew.token == aRevision));
+}
+
+void checkStep(const wire::Command& aCommand, Revision aRevision, const FleetModel& aOld,
+               const FleetModel& aNew)
+{
+  for (const auto& service : Schedule::services()) {
+    for (PartitionId i = 0; i < kPartitions; ++i) {
+      checkGrant(aCommand, aRevision, aNew, *aOld.grant(service, i), *aNew.grant(service, i));
+    }
+  }
+  for (const auto& [name, pin] : aNew.pins()) {
+    if (aOld.pins().count(name) != 0) {
+      checkGrant(aCommand, aRevision, aNew, *aOld.grant(pin.service, pin.partition),
+                 *aNew.grant(pin.service, pin.partition));
+    }
+  }
+  // Pinning and unpinning must not give a key to another node, except one without an owner.
+  for (const auto& key : Schedule::keys()) {
+    const auto& before = *aOld.grant("lookup", aOld.partitionOf("lookup", key));
+    const auto& after = *aNew.grant("lookup", aNew.partitionOf("lookup", key));
+    REQUIRE(
+      (before.owner == kNoNode || sameOwner(before, after) || endsOwnership(aCommand, before)));
+  }
+}
+
+void begin(FleetState& aState)
+{
+  Revision revision = 0;
+  for (wire::CommandBody body : std::vector<wire::CommandBody>{
+         wire::BearFleet{ kPartitions }, wire::CreateService{ { "lookup", true, {} } },
+         wire::CreateService{ { "store", true, {} } } }) {
+    aState.apply(++revision, systemCommand({ std::move(body) }));
+  }
+}
+
+void runSchedule(std::uint64_t aSeed)
+{
+  CAPTURE(aSeed);
+  Schedule schedule(aSeed);
+  FleetState leader;
+  FleetState replica;
+  FleetState restored;
+  begin(leader);
+  begin(replica);
+  FleetModel follower = leader.model();
+  unsigned accepted = 0;
+  for (int i = 0; i < kSteps; ++i) {
+    const FleetModel before = leader.model();
+    const wire::Command command = schedule.next(before);
+    const Revision revision = leader.revision() + 1;
+    const Applied applied = leader.apply(revision, command);
+    for (const auto& it : applied.changes) {
+      follower.apply(it);
+    }
+    accepted += applied.changes.empty() ? 0 : 1;
+    checkStep(command, revision, before, leader.model());
+    const Applied same = replica.apply(revision, command);
+    REQUIRE(toJson(same.result) == toJson(applied.result));
+    REQUIRE(wire::encodeChanges(same.changes) == wire::encodeChanges(applied.changes));
+    REQUIRE(bytesOf(follower) == bytesOf(leader.model()));
+    if (i == kSteps / 2) {
+      REQUIRE(restored.restoreSnapshot(leader.encodeSnapshot()));
+    } else if (i > kSteps / 2) {
+      REQUIRE(toJson(restored.apply(revision, command).result) == toJson(applied.result));
+    }
+  }
+  REQUIRE(accepted > kSteps / 10); // The schedule must not consist of refusals.
+  REQUIRE(replica.encodeSnapshot() == leader.encodeSnapshot());
+  REQUIRE(restored.encodeSnapshot() == leader.encodeSnapshot());
+}
+
+} // namespace
+
+TEST_CASE("random commands keep ownership exclusive and members alike (R1, R21, R26)")
+{
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    runSchedule(seed);
+  }
+}
+
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/testing/FleetStateTest.cc
@@ -0,0 +1,309 @@
+// Guards against commands that apply twice, half, or differently on another member, and against
+// grants that two nodes could hold at once.
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+const std::string kDigest = sha256Hex("secret-of-acme");
+
+} // namespace
+
+TEST_CASE("of two commands with one expected revision only the first is accepted (R26)")
+{
+  Member member = smallFleet();
+  const Revision expected = member.state.operatorRevision();
+  const auto first =
+    member.apply(operatorCommand("x", { wire::CreateAccount{ "acme", 5, 1 } }, expected));
+  const auto second =
+    member.apply(operatorCommand("y", { wire::CreateAccount{ "bolt", 5, 1 } }, expected));
+  REQUIRE(first.result.code == ErrorCode::None);
+  REQUIRE(second.result.code == ErrorCode::RevisionConflict);
+  REQUIRE(second.result.revision == first.result.revision);
+  REQUIRE(second.result.message.find(std::to_string(first.result.revision)) != std::string::npos);
+  REQUIRE(second.changes.empty());
+  REQUIRE(member.state.model().accounts().count("bolt") == 0);
+}
+
+TEST_CASE("a resent command gets its first result, also after a snapshot (R2, R26)")
+{
+  Member member = smallFleet();
+  wire::Command command = operatorCommand("x", { wire::CreateAccount{ "acme", 5, 1 } });
+  const auto first = member.apply(command);
+  member.apply(operatorCommand("later", { wire::RemoveAccount{ "acme" } }));
+  command.issuedAtUnixMillis += 5000; // A resend has another time.
+  Member restored;
+  REQUIRE(restored.state.restoreSnapshot(member.state.encodeSnapshot()));
+  for (Member* it : { &member, &restored }) {
+    const auto again = it->apply(command);
+    REQUIRE(again.result.code == ErrorCode::None);
+    REQUIRE(again.result.revision == first.result.revision);
+    REQUIRE(again.changes.empty());
+    REQUIRE(it->state.model().accounts().empty());
+  }
+}
+
+TEST_CASE("a refused command keeps its refusal when it is resent")
+{
+  Member member = smallFleet();
+  const wire::Command command = operatorCommand("x", { wire::SetRate{ "acme", 5, 1 } });
+  REQUIRE(member.code(command) == ErrorCode::UnknownObject);
+  member.apply(operatorCommand("y", { wire::CreateAccount{ "acme", 5, 1 } }));
+  REQUIRE(member.code(command) == ErrorCode::UnknownObject);
+}
+
+TEST_CASE("one command id with two contents is a conflict that names the first (R26)")
+{
+  Member member = smallFleet();
+  member.apply(operatorCommand("x", { wire::CreateAccount{ "acme", 5, 1 } }));
+  const auto other = member.apply(operatorCommand("x", { wire::CreateAccount{ "bolt", 5, 1 } }));
+  REQUIRE(other.result.code == ErrorCode::CommandIdConflict);
+  REQUIRE(other.result.message.find("create_account account/acme by 'ana'") != std::string::npos);
+  REQUIRE(other.audit.size() == 1);
+  wire::Command foreign = operatorCommand("x", { wire::CreateAccount{ "acme", 5, 1 } });
+  foreign.issuer = "beka";
+  REQUIRE(member.code(foreign) == ErrorCode::CommandIdConflict);
+}
+
+TEST_CASE("the oldest result is forgotten at the bound, not the newest")
+{
+  CommandMemory memory;
+  for (std::size_t i = 0; i <= kMaxRememberedCommands; ++i) {
+    memory.add({ std::to_string(i), "d", "s", {} });
+  }
+  REQUIRE(memory.find("0") == nullptr);
+  REQUIRE(memory.find("1") != nullptr);
+  REQUIRE(memory.find(std::to_string(kMaxRememberedCommands)) != nullptr);
+  REQUIRE(memory.toList().size() == kMaxRememberedCommands);
+}
+
+TEST_CASE("bodies of one command apply all or not at all")
+{
+  Member member = smallFleet();
+  const std::string before = bytesOf(member.state.model());
+  const auto applied = member.apply(operatorCommand(
+    "x", { wire::CreateAccount{ "acme", 5, 1 }, wire::GrantKey{ "acme", "main", kDigest },
+           wire::SetRate{ "nobody", 5, 1 } }));
+  REQUIRE(applied.result.code == ErrorCode::UnknownObject);
+  REQUIRE(applied.result.message.find("statement 3") == 0);
+  REQUIRE(applied.changes.empty());
+  REQUIRE(bytesOf(member.state.model()) == before);
+  REQUIRE(applied.audit.size() == 1);
+  REQUIRE(applied.audit[0].kind == "set_rate");
+}
+
+TEST_CASE("faulty operators' commands get their code and change nothing")
+{
+  Member member = smallFleet();
+  member.apply(operatorCommand("a1", { wire::CreateAccount{ "acme", 5, 1 } }));
+  member.apply(operatorCommand("a2", { wire::GrantKey{ "acme", "main", kDigest } }));
+  member.apply(operatorCommand("a3", { wire::CreateAccount{ "bolt", 5, 1 } }));
+  const std::vector<std::pair<wire::CommandBody, ErrorCode>> cases = {
+    { wire::CreateService{ { "Lookup", true, {} } }, ErrorCode::InvalidCommand },
+    { wire::CreateService{ { "", true, {} } }, ErrorCode::InvalidCommand },
+    { wire::CreateService{ { std::string(64, 'a'), true, {} } }, ErrorCode::InvalidCommand },
+    { wire::CreateService{ { "lookup", true, {} } }, ErrorCode::ObjectExists },
+    { wire::SetOpenRoutes{ "lookup", { "public" } }, ErrorCode::InvalidCommand },
+    { wire::SetOpenRoutes{ "nothing", { "/public" } }, ErrorCode::UnknownObject },
+    { wire::RemoveService{ "nothing" }, ErrorCode::UnknownObject },
+    { wire::RemoveService{ "lookup" }, ErrorCode::InvalidCommand }, // Node 1 owns its keys.
+    { wire::CreateAccount{ "core", 0, 1 }, ErrorCode::InvalidCommand },
+    { wire::CreateAccount{ "core", 5, 0.5 }, ErrorCode::InvalidCommand },
+    { wire::CreateAccount{ "core", 1.0 / 0.0, 1 }, ErrorCode::InvalidCommand },
+    { wire::CreateAccount{ "acme", 5, 1 }, ErrorCode::ObjectExists },
+    { wire::SetRate{ "acme", -1, 1 }, ErrorCode::InvalidCommand },
+    { wire::GrantKey{ "nobody", "main", sha256Hex("x") }, ErrorCode::UnknownObject },
+    { wire::GrantKey{ "acme", "main", sha256Hex("x") }, ErrorCode::ObjectExists },
+    { wire::GrantKey{ "bolt", "main", kDigest }, ErrorCode::ObjectExists },
+    { wire::GrantKey{ "bolt", "main", "abc" }, ErrorCode::InvalidCommand },
+    { wire::GrantKey{ "bolt", "main", std::string(64, 'G') }, ErrorCode::InvalidCommand },
+    { wire::WithdrawKey{ "acme", "other" }, ErrorCode::UnknownObject },
+    { wire::SetZone{ "nowhere", true }, ErrorCode::UnknownObject },
+    { wire::SetRetired{ 9, true }, ErrorCode::UnknownObject },
+    { wire::PinKey{ "nothing", "k", kNoNode }, ErrorCode::UnknownObject },
+    { wire::PinKey{ "lookup", "k", 9 }, ErrorCode::UnknownObject },
+    { wire::UnpinKey{ "lookup", "k" }, ErrorCode::UnknownObject },
+    { wire::Assign{ "lookup", 2, 22, { 1 } }, ErrorCode::InvalidCommand }, // The system's own.
+  };
+  const std::string before = bytesOf(member.state.model());
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    CAPTURE(i);
+    const auto applied = member.apply(operatorCommand("c" + std::to_string(i), { cases[i].first }));
+    REQUIRE(applied.result.code == cases[i].second);
+    REQUIRE(applied.changes.empty());
+    REQUIRE(applied.audit.size() == 1);
+    REQUIRE(applied.audit[0].code == cases[i].second);
+    REQUIRE(bytesOf(member.state.model()) == before);
+  }
+  wire::Command anonymous = operatorCommand("", { wire::RemoveAccount{ "acme" } });
+  REQUIRE(member.code(anonymous) == ErrorCode::InvalidCommand);
+}
+
+TEST_CASE("audit records never hold account keys or digests (R5)")
+{
+  Member member = smallFleet();
+  member.apply(operatorCommand(
+    "a", { wire::CreateAccount{ "acme", 5, 1 }, wire::GrantKey{ "acme", "main", kDigest } }));
+  member.apply(operatorCommand("b", { wire::GrantKey{ "acme", "spare", kDigest } }));
+  member.apply(operatorCommand("c", { wire::WithdrawKey{ "acme", "main" } }));
+  REQUIRE(member.state.recentAudit().back().object == "account/acme/key/main");
+  REQUIRE(member.state.recentAudit().back().before.find("main") != std::string::npos);
+  for (const auto& it : member.state.recentAudit()) {
+    REQUIRE(toJson(it).find(kDigest.substr(0, 8)) == std::string::npos);
+  }
+}
+
+TEST_CASE("the last zone of a keyed service can't be taken out")
+{
+  Member member = smallFleet();
+  REQUIRE(member.code(operatorCommand("a", { wire::SetZone{ "a", true } })) == ErrorCode::None);
+  REQUIRE(member.code(operatorCommand("b", { wire::SetZone{ "b", true } })) ==
+          ErrorCode::CapacityTooSmall);
+  REQUIRE(member.code(operatorCommand(
+            "c", { wire::SetZone{ "a", false }, wire::SetZone{ "b", true } })) == ErrorCode::None);
+}
+
+TEST_CASE("an incarnation is replaced only after it is lost, and never returns")
+{
+  Member member = smallFleet();
+  const auto registerNode = [&](Incarnation aIncarnation) {
+    return member.system(wire::RegisterNode{ nodeOf(1, aIncarnation) }).result.code;
+  };
+  REQUIRE(registerNode(12) == ErrorCode::IncarnationRefused);
+  REQUIRE(registerNode(11) == ErrorCode::None);
+  member.system(wire::SetNodeStatus{ 1, 11, wire::NodeStatus::Draining });
+  REQUIRE(registerNode(11) == ErrorCode::None); // A late copy must not end the draining.
+  REQUIRE(member.state.model().node(1)->status == wire::NodeStatus::Draining);
+  REQUIRE(member.system(wire::NodeLost{ 1, 10 }).result.code == ErrorCode::IncarnationRefused);
+  REQUIRE(member.system(wire::NodeLost{ 1, 11 }).result.code == ErrorCode::None);
+  REQUIRE(registerNode(11) == ErrorCode::IncarnationRefused);
+  REQUIRE(member.system(wire::SetNodeStatus{ 1, 11, wire::NodeStatus::Serving }).result.code ==
+          ErrorCode::IncarnationRefused);
+  REQUIRE(registerNode(12) == ErrorCode::None);
+}
+
+TEST_CASE("a lost node's grants lose their owner and keep their token")
+{
+  Member member = smallFleet();
+  const FencingToken token = member.grant(3).token;
+  member.system(wire::BeginMove{ "lookup", 2, { 3 } });
+  member.system(wire::NodeLost{ 1, 11 });
+  REQUIRE(member.grant(3).owner == kNoNode);
+  REQUIRE(member.grant(3).movingTo == kNoNode);
+  REQUIRE(member.grant(3).token == token);
+  member.system(wire::Assign{ "lookup", 2, 22, { 3 } });
+  REQUIRE(member.grant(3).token > token);
+}
+
+TEST_CASE("an owned partition can't be assigned, and a stale release takes nothing")
+{
+  Member member = smallFleet();
+  const wire::PartitionGrant grant = member.grant(3);
+  REQUIRE(member.system(wire::Assign{ "lookup", 2, 22, { 3 } }).changes.empty());
+  REQUIRE(
+    member.system(wire::Release{ "lookup", 1, 11, { { 3, grant.token - 1 } } }).changes.empty());
+  REQUIRE(member.system(wire::Release{ "lookup", 1, 10, { { 3, grant.token } } }).changes.empty());
+  REQUIRE(member.system(wire::Release{ "lookup", 2, 22, { { 3, grant.token } } }).changes.empty());
+  REQUIRE(member.grant(3).owner == 1);
+}
+
+TEST_CASE("a release hands over to the receiver, or to nobody if the receiver is gone")
+{
+  Member member = smallFleet();
+  member.system(wire::BeginMove{ "lookup", 2, { 3, 4 } });
+  const FencingToken token = member.grant(3).token;
+  member.system(wire::Release{ "lookup", 1, 11, { { 3, token } } });
+  REQUIRE(member.grant(3).owner == 2);
+  REQUIRE(member.grant(3).incarnation == 22);
+  REQUIRE(member.grant(3).token > token);
+  member.system(wire::NodeLost{ 2, 22 });
+  member.system(wire::Release{ "lookup", 1, 11, { { 4, token } } });
+  REQUIRE(member.grant(4).owner == kNoNode);
+  REQUIRE(member.grant(4).token == token);
+}
+
+TEST_CASE("a move that has begun can't be called off")
+{
+  // The owner may have released already; if it resumed, the release would leave two owners.
+  Member member = smallFleet();
+  member.system(wire::BeginMove{ "lookup", 2, { 3 } });
+  member.system(wire::BeginMove{ "lookup", 1, { 3 } });
+  REQUIRE(member.grant(3).movingTo == 2);
+}
+
+TEST_CASE("a pinned key keeps its owner until the pin has moved, and back")
+{
+  Member member = smallFleet();
+  REQUIRE(member.code(operatorCommand("p", { wire::PinKey{ "lookup", "hot", 2 } })) ==
+          ErrorCode::None);
+  REQUIRE(member.state.model().partitionOf("lookup", "hot") == 16);
+  REQUIRE(member.grant(16).owner == 1);
+  REQUIRE(member.grant(16).movingTo == 2);
+  REQUIRE(member.code(operatorCommand("u0", { wire::UnpinKey{ "lookup", "hot" } })) ==
+          ErrorCode::InvalidCommand);
+  member.system(wire::Release{ "lookup", 1, 11, { { 16, member.grant(16).token } } });
+  REQUIRE(member.grant(16).owner == 2);
+  const auto refused = member.apply(operatorCommand("u1", { wire::UnpinKey{ "lookup", "hot" } }));
+  REQUIRE(refused.result.code == ErrorCode::InvalidCommand);
+  REQUIRE(refused.result.message.find("ask again") != std::string::npos);
+  REQUIRE(member.grant(16).movingTo == 1);
+  member.system(wire::Release{ "lookup", 2, 22, { { 16, member.grant(16).token } } });
+  REQUIRE(member.code(operatorCommand("u2", { wire::UnpinKey{ "lookup", "hot" } })) ==
+          ErrorCode::None);
+  REQUIRE(member.state.model().pins().empty());
+  REQUIRE(member.state.operatorPins().empty());
+  REQUIRE(member.code(operatorCommand("q", { wire::PinKey{ "lookup", "next", kNoNode } })) ==
+          ErrorCode::None);
+  REQUIRE(member.state.model().partitionOf("lookup", "next") == 16); // The lowest free slot.
+}
+
+TEST_CASE("a key can't be pinned while its partition moves")
+{
+  Member member = smallFleet();
+  const PartitionId base = member.state.model().partitionOf("lookup", "hot");
+  member.system(wire::BeginMove{ "lookup", 2, { base } });
+  REQUIRE(member.code(operatorCommand("p", { wire::PinKey{ "lookup", "hot", kNoNode } })) ==
+          ErrorCode::InvalidCommand);
+}
+
+TEST_CASE("a dry run tells what the command would change and changes nothing")
+{
+  Member member = smallFleet();
+  const std::string before = member.state.encodeSnapshot();
+  const wire::Command command = operatorCommand("z", { wire::SetZone{ "a", true } });
+  const auto changes = member.state.dryRun(command);
+  REQUIRE(changes);
+  REQUIRE(member.state.encodeSnapshot() == before);
+  REQUIRE(wire::encodeChanges(*changes) == wire::encodeChanges(member.apply(command).changes));
+  REQUIRE(codeOfCall([&] {
+            return member.state.dryRun(operatorCommand("y", { wire::SetZone{ "z", true } }));
+          }) == ErrorCode::UnknownObject);
+  REQUIRE(codeOfCall([&] {
+            return member.state.dryRun(operatorCommand("z", { wire::SetZone{ "b", true } }));
+          }) == ErrorCode::CommandIdConflict);
+}
+
+TEST_CASE("a damaged snapshot is a typed error and leaves the state alone")
+{
+  std::mt19937_64 random(20261204);
+  const std::string whole = smallFleet().state.encodeSnapshot();
+  Member member = smallFleet();
+  for (int i = 0; i < 3000; ++i) {
+    std::string buf = whole;
+    if (i % 2 == 0) {
+      buf.resize(random() % whole.size());
+    } else {
+      buf[random() % buf.size()] ^= static_cast<char>(1 + random() % 255);
+    }
+    REQUIRE(codeOfCall([&] { return member.state.restoreSnapshot(buf); }) ==
+            ErrorCode::DecodeFailed);
+  }
+  REQUIRE(member.state.encodeSnapshot() == whole);
+}
+
+} // namespace camphorcleat::fleet
