Serve a request end to end through three real daemons

Cause: the thin path was not assembled. Change: the daemon's duties run on their threads; operators are served by HttpFrontend because QHttpServer 6.4.2 crashed in QFutureInterfaceBase::reportStarted() after a handler that returned a QFuture was answered; metrics stay on QHttpServer.

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -248,7 +248,7 @@
   }
   writeAudit(applied.audit);
   stepLeader(fleet::control::Applied{ aEntry.index, std::move(applied.changes),
-                                      command->issuer == fleet::kPlannerIssuer });
+                                      fleet::isPlannerCommand(*command) });
   settleProposal(aEntry.index, aEntry.term, applied.result);
 }
 
@@ -332,7 +332,7 @@
     return;
   }
   wire::Command command;
-  command.issuer = "control";
+  command.issuer = wire::kSystemIssuer;
   command.bodies.emplace_back(wire::BearFleet{ mSettings.partitionCount });
   propose(std::move(command), [](const wire::CommandResult&, NodeId) {});
 }
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -12,6 +12,7 @@
 #include "daemon/AgentDuty.h"
 #include "daemon/ControlDuty.h"
 #include "daemon/EntryDuty.h"
+#include "daemon/MetricsServer.h"
 #include "daemon/OperatorServer.h"
 #include "daemon/OwnerDuty.h"
 #include "daemon/PeerRouter.h"
@@ -53,7 +54,9 @@
   std::unique_ptr<OwnerDuty> owner;
   std::unique_ptr<EntryDuty> entry;
   std::unique_ptr<AgentDuty> agent;
+  HealthPages pages;
   std::unique_ptr<OperatorServer> operators;
+  std::unique_ptr<MetricsServer> metricsServer;
   bool isStopping = false;
   std::atomic<bool> isDrained{ false };
   TimePoint stopLimit;
@@ -64,6 +67,7 @@
   : settings(std::move(aSettings))
   , random(seededRandom())
   , router(settings.id, rings)
+  , pages(settings, view, metrics)
 {
   if (settings.isControlMember()) {
     rings.control = std::make_unique<Ring<ControlMessage>>(kControlRingSize);
@@ -98,7 +102,8 @@
   auto store =
     std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
   BOOST_LEAF_AUTO(stored, store->open());
-  BOOST_LEAF_AUTO(audit, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
+  BOOST_LEAF_AUTO(
+    audit, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
   storage = std::make_unique<StorageDuty>(std::move(store), *rings.control);
   control = std::make_unique<ControlDuty>(settings, rings, router, *storage, std::move(stored),
                                           std::move(audit));
@@ -150,9 +155,8 @@
     impl.hub->setAddress(aNode, std::move(aAddress));
   });
   impl.operators =
-    std::make_unique<OperatorServer>(impl.settings, impl.rings, impl.view, impl.metrics);
+    std::make_unique<OperatorServer>(impl.settings, impl.rings, impl.view, impl.pages);
   impl.addGauges();
-  BOOST_LEAF_CHECK(impl.operators->start());
   BOOST_LEAF_CHECK(impl.hub->start());
   if (impl.settings.isControlMember()) {
     BOOST_LEAF_CHECK(impl.startControl());
@@ -160,6 +164,11 @@
   impl.owner->start();
   BOOST_LEAF_CHECK(impl.entry->start());
   impl.agent->start();
+  BOOST_LEAF_CHECK(impl.operators->start());
+  if (!impl.settings.metricsAddress.empty()) {
+    impl.metricsServer = std::make_unique<MetricsServer>(impl.settings.metricsAddress, impl.pages);
+    BOOST_LEAF_CHECK(impl.metricsServer->start());
+  }
   logEvent(LogLevel::Info, "daemon_started",
            { { "node", std::to_string(impl.settings.id) }, { "zone", impl.settings.zone } });
   return {};
@@ -209,7 +218,7 @@
 void Daemon::stop()
 {
   Impl& impl = *mImpl;
-  impl.operators.reset();
+  impl.metricsServer.reset();
   if (impl.agent) {
     impl.agent->stop();
   }
@@ -219,6 +228,9 @@
   if (impl.storage) {
     impl.storage->stop();
   }
+  if (impl.operators) {
+    impl.operators->stop();
+  }
   if (impl.hub) {
     impl.hub->stop();
   }
--- /dev/null
+++ b/packages/daemon/HealthPages.h
@@ -0,0 +1,45 @@
+// The pages that monitoring reads: metrics, liveness and readiness.
+
+#ifndef CAMPHORCLEAT_DAEMON_HEALTHPAGES_H_
+#define CAMPHORCLEAT_DAEMON_HEALTHPAGES_H_
+
+#include <string>
+
+#include "daemon/Metrics.h"
+#include "daemon/Settings.h"
+#include "daemon/SharedView.h"
+
+namespace camphorcleat::daemon {
+
+struct Page
+{
+  unsigned status = 200;
+  std::string text;
+};
+
+/// Thread-safe.
+class HealthPages
+{
+public:
+  /// All references outlive the pages.
+  HealthPages(const Settings& aSettings, const SharedView& aView, const Metrics& aMetrics)
+    : mSettings(aSettings)
+    , mView(aView)
+    , mMetrics(aMetrics)
+  {
+  }
+
+  /// The page of a path; status 404 for an unknown one.
+  Page page(const std::string& aPath) const;
+
+private:
+  Page ready() const;
+
+  const Settings& mSettings;
+  const SharedView& mView;
+  const Metrics& mMetrics;
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_HEALTHPAGES_H_
--- a/packages/daemon/OperatorServer.cc
+++ b/packages/daemon/OperatorServer.cc
@@ -2,13 +2,7 @@
 
 #include "daemon/OperatorServer.h"
 
-#include <QFuture>
-#include <QHostAddress>
-#include <QHttpServer>
-#include <QHttpServerRequest>
-#include <QHttpServerResponse>
-#include <QPromise>
-#include <QTcpServer>
+#include <algorithm>
 
 #include "base/Codec.h"
 #include "daemon/OperatorAnswers.h"
@@ -18,10 +12,9 @@
 namespace {
 
 constexpr Millis kCommandLimit{ 6000 };
-constexpr qsizetype kMaxCommandBytes = 1 << 20;
-
-using Response = QHttpServerResponse;
-using Status = QHttpServerResponse::StatusCode;
+constexpr std::size_t kMaxCommandBytes = 1U << 20U;
+constexpr std::size_t kMaxConnections = 256;
+constexpr unsigned kOk = 200;
 
 struct CommandBody
 {
@@ -40,30 +33,6 @@
   }
 };
 
-Response jsonResponse(const std::string& aJson)
-{
-  return Response("application/json", QByteArray::fromStdString(aJson), Status::Ok);
-}
-
-Response textResponse(const std::string& aText, Status aStatus)
-{
-  return Response("text/plain; charset=utf-8", QByteArray::fromStdString(aText), aStatus);
-}
-
-// A response that another thread will give.
-struct PendingResponse
-{
-  std::shared_ptr<QPromise<Response>> promise = std::make_shared<QPromise<Response>>();
-
-  PendingResponse() { promise->start(); }
-
-  void finish(const std::string& aJson) const
-  {
-    promise->addResult(jsonResponse(aJson));
-    promise->finish();
-  }
-};
-
 std::string notAMember(const Settings& aSettings)
 {
   std::string members;
@@ -76,51 +45,77 @@
 
 } // namespace
 
-struct OperatorServer::Impl
+OperatorServer::OperatorServer(const Settings& aSettings, Rings& aRings, const SharedView& aView,
+                               const HealthPages& aPages)
+  : mSettings(aSettings)
+  , mRings(aRings)
+  , mView(aView)
+  , mPages(aPages)
+  , mThread("operator")
 {
-  Impl(const Settings& aSettings, Rings& aRings, const SharedView& aView, const Metrics& aMetrics)
-    : settings(aSettings)
-    , rings(aRings)
-    , view(aView)
-    , metrics(aMetrics)
-  {
-  }
+}
 
-  void addRoutes();
-  QFuture<Response> command(const QHttpServerRequest& aRequest);
-  QFuture<Response> status();
-  Response ready() const;
+OperatorServer::~OperatorServer()
+{
+  stop();
+}
 
-  const Settings& settings;
-  Rings& rings;
-  const SharedView& view;
-  const Metrics& metrics;
-  QHttpServer server;
-};
+Result<void> OperatorServer::start()
+{
+  transport::HttpLimits limits;
+  limits.maxBodyBytes = kMaxCommandBytes;
+  limits.maxConnections = kMaxConnections;
+  mFrontend = std::make_unique<transport::HttpFrontend>(mThread.context(),
+                                                        mSettings.operatorsAddress, limits, *this);
+  BOOST_LEAF_CHECK(mFrontend->start());
+  mThread.start();
+  return {};
+}
 
-void OperatorServer::Impl::addRoutes()
+void OperatorServer::stop()
 {
-  server.route("/command", QHttpServerRequest::Method::Post,
-               [this](const QHttpServerRequest& aRequest) { return command(aRequest); });
-  server.route("/status", QHttpServerRequest::Method::Get, [this] { return status(); });
-  server.route("/metrics", QHttpServerRequest::Method::Get,
-               [this] { return textResponse(metrics.render(), Status::Ok); });
-  server.route("/healthz", QHttpServerRequest::Method::Get,
-               [] { return textResponse("ok\n", Status::Ok); });
-  server.route("/readyz", QHttpServerRequest::Method::Get, [this] { return ready(); });
+  mThread.stop();
+  mFrontend.reset();
 }
 
-QFuture<Response> OperatorServer::Impl::command(const QHttpServerRequest& aRequest)
+void OperatorServer::onRequest(Stream aStream)
 {
-  const PendingResponse pending;
-  const QByteArray text = aRequest.body();
-  if (text.size() > kMaxCommandBytes) {
-    pending.finish(refusalJson(ErrorCode::BodyTooLarge, "a command has at most 1 MiB", 0));
-    return pending.promise->future();
+  const std::string path = aStream->path().substr(0, aStream->path().find('?'));
+  if (path == "/command" && aStream->method() == "POST") {
+    readCommand(aStream, std::string());
+  } else if (path == "/status") {
+    status(aStream);
+  } else {
+    page(aStream, mPages.page(path));
   }
+}
+
+void OperatorServer::readCommand(const Stream& aStream, std::string aText)
+{
+  aStream->readBody([this, aStream, text = std::move(aText)](transport::BodyPart aPart) mutable {
+    if (aPart.error) {
+      answerJsonText(aStream, refusalJson(*aPart.error, "the command could not be read", 0));
+      return;
+    }
+    text += aPart.data;
+    if (aPart.isLast) {
+      command(aStream, text);
+    } else {
+      readCommand(aStream, std::move(text));
+    }
+  });
+}
+
+void OperatorServer::command(const Stream& aStream, const std::string& aText)
+{
+  const auto reply = replyTo(aStream);
   orElse(
     [&]() -> Result<bool> {
-      BOOST_LEAF_AUTO(body, fromJson<CommandBody>(text.toStdString()));
+      BOOST_LEAF_AUTO(body, fromJson<CommandBody>(aText));
+      if (!mRings.control) {
+        reply(notAMember(mSettings));
+        return true;
+      }
       OperatorRequest request;
       request.statement = body.statement;
       request.commandId = body.commandId;
@@ -128,82 +123,58 @@
       request.expectedRevision = body.expectedRevision;
       request.isDryRun = body.isDryRun.value_or(false);
       request.deadline = Clock::now() + kCommandLimit;
-      request.reply = [pending](const std::string& aJson) { pending.finish(aJson); };
-      if (!rings.control) {
-        pending.finish(notAMember(settings));
-        return true;
-      }
+      request.reply = reply;
       ControlMessage message(std::move(request));
-      if (!rings.control->tryPush(std::move(message))) {
-        pending.finish(refusalJson(ErrorCode::Overloaded, "too many commands are waiting", 0));
+      if (!mRings.control->tryPush(std::move(message))) {
+        reply(refusalJson(ErrorCode::Overloaded, "too many commands are waiting", 0));
       }
       return true;
     },
     [&](const ErrorInfo& aInfo) {
-      pending.finish(refusalJson(aInfo.code, aInfo.message, 0));
+      reply(refusalJson(aInfo.code, aInfo.message, 0));
       return false;
     });
-  return pending.promise->future();
 }
 
-QFuture<Response> OperatorServer::Impl::status()
+void OperatorServer::status(const Stream& aStream)
 {
-  const PendingResponse pending;
-  const auto state = view.state();
+  const TimePoint now = Clock::now();
+  const auto state = mView.state();
   NodeStatusView local;
-  local.node = settings.id;
+  local.node = mSettings.id;
   local.revision = state->revision;
-  local.leaseLeftMillis = toMillis(view.leaseValidUntil() - Clock::now());
-  local.isLeaseValid = local.leaseLeftMillis > 0;
-  local.isConfigFresh = Clock::now() - view.confirmedAt() <= settings.lease.confirmLimit;
+  local.leaseLeftMillis = std::max<std::int64_t>(0, toMillis(mView.leaseValidUntil() - now));
+  local.isLeaseValid = now < mView.leaseValidUntil();
+  local.isConfigFresh = now - mView.confirmedAt() <= mSettings.lease.confirmLimit;
   local.incarnation = state->incarnation;
-  local.partitionsOwned = countOwned(*state, settings.id);
-  if (!rings.control) {
-    pending.finish(statusJson(local, std::nullopt));
-    return pending.promise->future();
-  }
+  local.partitionsOwned = countOwned(*state, mSettings.id);
+  const auto reply = replyTo(aStream);
   StatusRequest request;
-  request.reply = [pending, local](const ControlStatus& aStatus) {
-    pending.finish(statusJson(local, aStatus));
+  request.reply = [reply, local](const ControlStatus& aStatus) {
+    reply(statusJson(local, aStatus));
   };
   ControlMessage message(std::move(request));
-  if (!rings.control->tryPush(std::move(message))) {
-    pending.finish(statusJson(local, std::nullopt));
+  if (!mRings.control || !mRings.control->tryPush(std::move(message))) {
+    reply(statusJson(local, std::nullopt));
   }
-  return pending.promise->future();
 }
 
-Response OperatorServer::Impl::ready() const
+void OperatorServer::page(const Stream& aStream, const Page& aPage)
 {
-  const TimePoint now = Clock::now();
-  const bool hasLease = now < view.leaseValidUntil();
-  const bool isFresh = now - view.confirmedAt() <= settings.lease.confirmLimit;
-  if (hasLease && isFresh) {
-    return textResponse("ready\n", Status::Ok);
-  }
-  return textResponse(hasLease ? "configuration not confirmed\n" : "no lease\n",
-                      Status::ServiceUnavailable);
+  aStream->sendWhole(aPage.status, { { "Content-Type", "text/plain; charset=utf-8" } }, aPage.text);
 }
 
-OperatorServer::OperatorServer(const Settings& aSettings, Rings& aRings, const SharedView& aView,
-                               const Metrics& aMetrics)
-  : mImpl(std::make_unique<Impl>(aSettings, aRings, aView, aMetrics))
+void OperatorServer::answerJsonText(const Stream& aStream, const std::string& aJson)
 {
+  aStream->sendWhole(kOk, { { "Content-Type", "application/json" } }, aJson);
 }
 
-OperatorServer::~OperatorServer() = default;
-
-Result<void> OperatorServer::start()
+// The control thread answers; the stream belongs to the operator thread.
+std::function<void(const std::string&)> OperatorServer::replyTo(const Stream& aStream)
 {
-  mImpl->addRoutes();
-  const std::string& address = mImpl->settings.operatorsAddress;
-  const auto colon = address.rfind(':');
-  const QHostAddress host(QString::fromStdString(address.substr(0, colon)));
-  const auto port = static_cast<quint16>(std::stoul(address.substr(colon + 1)));
-  if (mImpl->server.listen(host, port) == 0) {
-    return fail(ListenError{ address });
-  }
-  return {};
+  return [this, aStream](const std::string& aJson) {
+    mThread.post([this, aStream, aJson] { answerJsonText(aStream, aJson); });
+  };
 }
 
 } // namespace camphorcleat::daemon
--- a/packages/daemon/OperatorServer.h
+++ b/packages/daemon/OperatorServer.h
@@ -1,47 +1,61 @@
-// HTTP for operators: commands, status, health and metrics, on Qt's HTTP server.
+// HTTP for operators: commands, status and health, on the thread "operator".
 //
-// Requests here are small and few, which is what QHttpServer 6.4 is good for: it reads a whole body
-// into memory. Runs on the main thread; the control thread answers through promises.
+// Served by HttpFrontend and not by QHttpServer, because commands are answered later by the control
+// thread: QHttpServer 6.4.2 crashed in QFutureInterfaceBase::reportStarted() when a handler that
+// returned a QFuture had been answered and its connection closed.
 
 #ifndef CAMPHORCLEAT_DAEMON_OPERATORSERVER_H_
 #define CAMPHORCLEAT_DAEMON_OPERATORSERVER_H_
 
 #include <functional>
 #include <memory>
+#include <string>
 
+#include "base/DutyThread.h"
 #include "daemon/DutyMessages.h"
-#include "daemon/Metrics.h"
+#include "daemon/HealthPages.h"
 #include "daemon/Settings.h"
-#include "daemon/SharedView.h"
+#include "transport/HttpFrontend.h"
 
 namespace camphorcleat::daemon {
 
-/// An address that can't be listened on.
-struct ListenError
-{
-  static constexpr ErrorCode kCode = ErrorCode::SettingsInvalid;
-  std::string address;
-  std::string message() const { return "address " + address + " can't be listened on"; }
-};
-
-/// Main thread only.
-class OperatorServer
+/// start() and stop() are for the thread that made it.
+class OperatorServer : public transport::HttpHandler
 {
 public:
-  /// All references outlive the server. Needs a QCoreApplication.
+  /// All references outlive the server.
   OperatorServer(const Settings& aSettings, Rings& aRings, const SharedView& aView,
-                 const Metrics& aMetrics);
-  ~OperatorServer();
+                 const HealthPages& aPages);
+  ~OperatorServer() override;
 
   OperatorServer(const OperatorServer&) = delete;
   OperatorServer& operator=(const OperatorServer&) = delete;
 
-  /// Listens. Fails with ListenError.
+  /// Listens and starts the thread. Fails if the address can't be bound.
   Result<void> start();
 
+  /// Ends the thread. Idempotent.
+  void stop();
+
+  // HttpHandler, on the operator thread.
+  void onRequest(std::shared_ptr<transport::CallerStream> aStream) override;
+
 private:
-  struct Impl;
-  std::unique_ptr<Impl> mImpl;
+  using Stream = std::shared_ptr<transport::CallerStream>;
+
+  void readCommand(const Stream& aStream, std::string aText);
+  void command(const Stream& aStream, const std::string& aText);
+  void status(const Stream& aStream);
+  void page(const Stream& aStream, const Page& aPage);
+  void answerJsonText(const Stream& aStream, const std::string& aJson);
+  std::function<void(const std::string&)> replyTo(const Stream& aStream);
+
+  const Settings& mSettings;
+  Rings& mRings;
+  const SharedView& mView;
+  const HealthPages& mPages;
+  DutyThread mThread;
+  std::unique_ptr<transport::HttpFrontend> mFrontend;
 };
 
 } // namespace camphorcleat::daemon
--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -195,6 +195,8 @@
       address(&S::peersAnnounced) },
     { "listen", "operators", nullptr, "Address for operators, metrics and health.",
       address(&S::operatorsAddress) },
+    { "listen", "metrics", "", "Further address for metrics and health.",
+      address(&S::metricsAddress) },
     { "target", "address", "", "Address of the target beside this daemon.",
       address(&S::targetAddress) },
     { "target", "poll_ms", "100", "Interval between health requests to the target.",
@@ -288,7 +290,8 @@
   std::set<std::string> used;
   for (const auto& [key, value] :
        { std::pair("callers", aSettings.callersAddress), std::pair("peers", aSettings.peersAddress),
-         std::pair("operators", aSettings.operatorsAddress) }) {
+         std::pair("operators", aSettings.operatorsAddress),
+         std::pair("metrics", aSettings.metricsAddress) }) {
     if (!value.empty() && !used.insert(value).second) {
       add("listen", key, "address " + value + " is used twice");
     }
--- a/packages/daemon/Settings.h
+++ b/packages/daemon/Settings.h
@@ -27,6 +27,7 @@
   std::string peersAddress;
   std::string peersAnnounced; ///< What other daemons dial; peersAddress if not set.
   std::string operatorsAddress;
+  std::string metricsAddress; ///< Empty: the monitoring pages are at operatorsAddress only.
 
   std::string targetAddress; ///< Empty: no target beside this daemon.
   Millis targetPollInterval{};
--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -19,6 +19,13 @@
 
 } // namespace
 
+bool isPlannerCommand(const wire::Command& aCommand)
+{
+  return aCommand.issuer == wire::kSystemIssuer && aCommand.bodies.size() == 1 &&
+         (std::holds_alternative<wire::Assign>(aCommand.bodies[0]) ||
+          std::holds_alternative<wire::BeginMove>(aCommand.bodies[0]));
+}
+
 ControlLeader::ControlLeader(LeaseSettings aSettings, const FleetModel& aModel,
                              std::unique_ptr<Planner> aPlanner)
   : mSettings(aSettings)
@@ -204,7 +211,7 @@
 {
   for (const auto& it : mLeases.takeExpired(mNow, mModel)) {
     wire::Command command;
-    command.issuer = "lease";
+    command.issuer = wire::kSystemIssuer;
     command.bodies.emplace_back(it);
     aOut.emplace_back(control::Propose{ std::move(command) });
   }
@@ -225,7 +232,7 @@
   mPlanProposedAt = mNow;
   for (auto& it : bodies) {
     wire::Command command;
-    command.issuer = kPlannerIssuer;
+    command.issuer = wire::kSystemIssuer;
     command.bodies.push_back(std::move(it));
     aOut.emplace_back(control::Propose{ std::move(command) });
   }
--- a/packages/fleet/ControlLeader.h
+++ b/packages/fleet/ControlLeader.h
@@ -22,9 +22,6 @@
 /// Names one connection of a peer; replies go back on it.
 using LinkNumber = std::uint64_t;
 
-/// Issuer of commands that the planner proposes.
-constexpr const char* kPlannerIssuer = "planner";
-
 namespace control {
 
 // Events.
@@ -53,7 +50,7 @@
 {
   Revision revision = 0;
   std::vector<wire::Change> changes;
-  bool isFromPlanner = false;
+  bool isFromPlanner = false; ///< See isPlannerCommand().
 };
 /// The model was replaced by a snapshot.
 struct Restored
@@ -89,6 +86,9 @@
 
 } // namespace control
 
+/// Whether only a planner proposes such a command.
+bool isPlannerCommand(const wire::Command& aCommand);
+
 /// Memory: one session per live node and at most 8,192 renewals that wait for a round.
 /// Not thread-safe.
 class ControlLeader
--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -349,13 +349,13 @@
     return;
   }
   const wire::Node* self = mModel->node(mConfig.id);
-  const bool isDraining = mIsDraining && self != nullptr && self->incarnation == mIncarnation &&
-                          self->status == wire::NodeStatus::Draining;
-  if (isDraining && !ownsAnything()) {
+  const bool isRegistered = self != nullptr && self->incarnation == mIncarnation;
+  const bool isKnownToDrain = isRegistered && self->status == wire::NodeStatus::Draining;
+  if (mIsDraining && (!isRegistered || isKnownToDrain) && !ownsAnything()) {
     mIsDrained = true;
     wire::CommandSubmit farewell;
     farewell.id = { mIncarnation, ++mCommandCounter };
-    farewell.command.issuer = "node";
+    farewell.command.issuer = wire::kSystemIssuer;
     farewell.command.bodies = { wire::NodeLost{ mConfig.id, mIncarnation } };
     mLeaseValidUntil = TimePoint();
     aOut.emplace_back(agent::Send{ mConfig.members[mMemberIndex], farewell });
@@ -372,7 +372,7 @@
   }
   wire::CommandSubmit submit;
   submit.id = { mIncarnation, ++mCommandCounter };
-  submit.command.issuer = "node";
+  submit.command.issuer = wire::kSystemIssuer;
   submit.command.bodies.push_back(std::move(*body));
   mCommandInFlight = submit.id;
   mCommandSentAt = mNow;
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -488,6 +488,9 @@
                GrantKey, WithdrawKey, SetZone, SetRetired, PinKey, UnpinKey, BearFleet,
                RegisterNode, SetNodeStatus, NodeLost, Assign, BeginMove, Release>;
 
+/// Issuer of the system's own commands.
+constexpr const char* kSystemIssuer = "system";
+
 /// Payload of a log entry. Several bodies apply as one: all of them or none.
 struct Command
 {
