--- a/packages/ctl/ControlClient.cc
+++ b/packages/ctl/ControlClient.cc
@@ -22,7 +22,7 @@
 constexpr Millis kPauseAfterRound{ 100 };
 constexpr Millis kMinAttempt{ 500 };
 // Owners of 16,384 partitions take about 250 KB for each service.
-constexpr qint64 kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr qint64 kMaxAnswerBytes = qint64{ 64 } * 1024 * 1024;
 
 std::optional<Answer> parseAnswer(const QByteArray& aBody)
 {
@@ -37,6 +37,18 @@
                  whole.value("result").toObject(), whole };
 }
 
+std::string problemOf(const QNetworkReply& aReply, Millis aTimeout)
+{
+  switch (aReply.error()) {
+    case QNetworkReply::NoError:
+      return "the answer is not JSON with a code";
+    case QNetworkReply::OperationCanceledError:
+      return "no answer within " + std::to_string(aTimeout.count()) + " ms";
+    default:
+      return aReply.errorString().toStdString();
+  }
+}
+
 bool isFinal(const Answer& aAnswer)
 {
   const auto code = enumFromName<ErrorCode>(aAnswer.code);
@@ -96,10 +108,9 @@
     loop.exec();
   }
   // A refusal comes as a status other than 200 with the same JSON body.
-  Attempt out{ parseAnswer(reply->readAll()), std::string() };
+  Attempt out{ parseAnswer(reply->isOpen() ? reply->readAll() : QByteArray()), std::string() };
   if (!out.answer) {
-    out.problem = reply->error() == QNetworkReply::NoError ? "the answer is not JSON with a code"
-                                                           : reply->errorString().toStdString();
+    out.problem = problemOf(*reply, aTimeout);
   }
   return out;
 }
--- a/packages/ctl/CtlMain.cc
+++ b/packages/ctl/CtlMain.cc
@@ -22,12 +22,12 @@
       setUpLog(settings.logLevel, settings.logFormat);
       if (settings.onlyChecksConfig) {
         std::cout << "the settings are valid\n";
-        return static_cast<int>(ctl::kDone);
+        return static_cast<int>(ctl::ExitCode::Done);
       }
       return static_cast<int>(ctl::Session(settings).run());
     },
     [](const ErrorInfo& aInfo) {
       std::cerr << enumName(aInfo.code) << ": " << aInfo.message << "\n";
-      return static_cast<int>(ctl::kWrongUsage);
+      return static_cast<int>(ctl::ExitCode::WrongUsage);
     });
 }
--- a/packages/ctl/CtlSettings.cc
+++ b/packages/ctl/CtlSettings.cc
@@ -125,7 +125,7 @@
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& e) {
-    return Outcome(app.exit(e) == 0 ? kDone : kWrongUsage);
+    return Outcome(app.exit(e) == 0 ? ExitCode::Done : ExitCode::WrongUsage);
   }
   BOOST_LEAF_AUTO(settings, complete(std::move(arguments)));
   return Outcome(std::move(settings));
--- a/packages/ctl/CtlSettings.h
+++ b/packages/ctl/CtlSettings.h
@@ -18,12 +18,12 @@
 namespace camphorcleat::ctl {
 
 /// Exit codes of the program.
-enum ExitCode
+enum class ExitCode
 {
-  kDone = 0,
-  kRefused = 1,
-  kWrongUsage = 2,
-  kNoAnswer = 3, ///< The outcome is unknown.
+  Done = 0,
+  Refused = 1,
+  WrongUsage = 2,
+  NoAnswer = 3, ///< The outcome is unknown.
 };
 
 struct CtlSettings
@@ -43,7 +43,7 @@
 
 /// Reads command line and settings file. Returns an exit code instead of settings if there is
 /// nothing left to do (--help, --version). Fails with SettingsError or StorageError. Usage errors
-/// are written to standard error and give kWrongUsage.
+/// are written to standard error and give ExitCode::WrongUsage.
 Result<std::variant<CtlSettings, ExitCode>> readSettings(int aCount, char** aArguments);
 
 /// Whether a text is "ip:port" or "[ipv6]:port". Thread-safe.
--- a/packages/ctl/Session.cc
+++ b/packages/ctl/Session.cc
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxFileBytes = 1024 * 1024;
+constexpr std::size_t kMaxFileBytes = std::size_t{ 1024 } * 1024;
 constexpr int kMaxHistoryLines = 500;
 constexpr std::chrono::seconds kWatchPeriod{ 1 };
 
@@ -90,15 +90,15 @@
 {
   switch (aCode) {
     case ErrorCode::None:
-      return kDone;
+      return ExitCode::Done;
     case ErrorCode::OutcomeUnknown:
-      return kNoAnswer;
+      return ExitCode::NoAnswer;
     case ErrorCode::UsageError:
     case ErrorCode::SettingsInvalid:
     case ErrorCode::StorageFailed:
-      return kWrongUsage;
+      return ExitCode::WrongUsage;
     default:
-      return kRefused;
+      return ExitCode::Refused;
   }
 }
 
@@ -136,7 +136,7 @@
   }
   if (words.size() == 1 && words[0] == "help") {
     std::cout << fleet::helpText();
-    return kDone;
+    return ExitCode::Done;
   }
   if (words.size() == 2 && words[0] == "apply") {
     return applyFile(words[1]);
@@ -218,7 +218,7 @@
     writeKeys(std::cout, keys);
   }
   std::cout.flush();
-  return isDone ? kDone
+  return isDone ? ExitCode::Done
                 : exitCodeOf(enumFromName<ErrorCode>(aAnswer.code).value_or(ErrorCode::Internal));
 }
 
@@ -248,13 +248,13 @@
     });
   if (!isQuery) {
     std::cerr << "usage_error: 'watch' repeats a 'show' statement\n";
-    return kWrongUsage;
+    return ExitCode::WrongUsage;
   }
   while (std::cout) {
     runStatement(aText);
     std::this_thread::sleep_for(kWatchPeriod);
   }
-  return kDone;
+  return ExitCode::Done;
 }
 
 // A script that is piped in ends with the code of its last failure; at a terminal the person has
@@ -263,11 +263,11 @@
 {
   const bool isTerminal = isatty(STDIN_FILENO) != 0;
   stifle_history(kMaxHistoryLines);
-  ExitCode out = kDone;
+  ExitCode out = ExitCode::Done;
   bool isDone = false;
   for (std::string line; !isDone && readLine(isTerminal, line);) {
     const ExitCode code = promptOnce(line, isDone);
-    out = code == kDone || isTerminal ? out : code;
+    out = code == ExitCode::Done || isTerminal ? out : code;
   }
   return out;
 }
@@ -280,11 +280,11 @@
   in >> first >> rest;
   aIsDone = first == "exit" || first == "quit";
   if (aIsDone || first.empty() || first[0] == '#') {
-    return kDone;
+    return ExitCode::Done;
   }
   if (first == "help") {
     std::cout << fleet::helpText();
-    return kDone;
+    return ExitCode::Done;
   }
   if (first == "apply") {
     return applyFile(rest);
