--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -14,6 +14,9 @@
 // Promises are limited to what the rate yields in this time, so that waits stay short.
 constexpr double kPromiseSeconds = 0.5;
 constexpr std::uint32_t kLeastPromises = 2;
+// Draws reach the home with different delays, so requests that kept their distance at the callers
+// may arrive closer together. The ideal level may fall below zero by the refill of this time.
+constexpr Millis kJitter{ 5 };
 // A drawer that is silent for so long has no waiting request any more.
 constexpr Millis kSilence{ 1'000 };
 
@@ -191,8 +194,8 @@
     if (!last.isExpired) {
       mParked -= last.count;
       credit(last.count);
-      mIdeal = std::min(mIdeal + last.count, mRate.burstRequests);
     }
+    creditIdeal(last.charged);
     aDrawer.grants.pop_back();
   }
 }
@@ -206,20 +209,33 @@
     }
     const std::uint32_t count = std::min(aCount, it->count);
     aCount -= count;
+    settleIdeal(*it, count, aWasSpent);
     it->count -= count;
     if (!it->isExpired) {
       mParked -= count;
       if (!aWasSpent) {
         credit(count);
-        mIdeal = std::min(mIdeal + count, mRate.burstRequests);
       }
-    } else if (aWasSpent) {
-      mIdeal -= count; // The expiry had given it back.
     }
     it = it->count == 0 ? aDrawer.grants.erase(it) : std::next(it);
   }
 }
 
+// A token for a waiting request is charged at the grant, one drawn ahead only when it is spent:
+// until then another drawer's request could have had it.
+void RateBucket::settleIdeal(Grant& aGrant, std::uint32_t aCount, bool aWasSpent)
+{
+  if (aWasSpent) {
+    const std::uint32_t paid = std::min(aCount, aGrant.charged);
+    aGrant.charged -= paid;
+    mIdeal -= aCount - paid;
+    return;
+  }
+  const std::uint32_t ahead = std::min(aCount, aGrant.count - aGrant.charged);
+  aGrant.charged -= aCount - ahead;
+  creditIdeal(aCount - ahead);
+}
+
 void RateBucket::grant(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
                        wire::TokenAnswer& aAnswer)
 {
@@ -235,7 +251,7 @@
   mLevel -= count;
   mParked += count;
   aAnswer.granted = count;
-  aDrawer.grants.push_back(Grant{ aRequest.sequence, count });
+  aDrawer.grants.push_back(Grant{ aRequest.sequence, count, std::min(count, aRequest.waiting) });
   mExpiries.push_back(Expiry{ aNow + kTokenHold, aRequest.drawer, aRequest.sequence });
 }
 
@@ -243,19 +259,19 @@
                          wire::TokenAnswer& aAnswer)
 {
   const std::uint32_t forWaiting = std::min(aAnswer.granted, aRequest.waiting);
-  mIdeal -= aAnswer.granted - forWaiting;
   const std::uint32_t before = std::min(aDrawer.promised, aRequest.waiting);
-  mIdeal = std::min(mIdeal + (aDrawer.promised - before), mRate.burstRequests);
+  creditIdeal(aDrawer.promised - before);
   mPromised -= aDrawer.promised;
   const std::uint32_t most =
     std::max(kLeastPromises, wholeTokens(std::max(mRate.requestsPerSecond, 0.0) * kPromiseSeconds));
   if (mPromised + aRequest.waiting > most) {
     dropStalePromises(aNow);
   }
+  const double slack = std::max(mRate.requestsPerSecond, 0.0) * toSeconds(kJitter);
   // A request is charged to the ideal bucket once, when it first gets a token or a promise.
   const std::uint32_t fresh = aRequest.waiting - before;
   const std::uint32_t served = forWaiting > before ? forWaiting - before : 0;
-  const std::uint32_t inside = std::max(served, std::min(fresh, wholeTokens(mIdeal)));
+  const std::uint32_t inside = std::max(served, std::min(fresh, wholeTokens(mIdeal + slack)));
   mIdeal -= inside;
   std::uint32_t promised = before + inside - forWaiting;
   const std::uint32_t room = most > mPromised ? most - mPromised : 0;
@@ -263,7 +279,7 @@
     mIdeal += promised - room;
     promised = room;
   }
-  mIdeal = std::max(mIdeal, 0.0);
+  mIdeal = std::max(mIdeal, -slack);
   aDrawer.promised = promised;
   mPromised += promised;
   aAnswer.promised = promised;
@@ -301,7 +317,8 @@
   }
   it->isExpired = true;
   mParked -= it->count;
-  mIdeal = std::min(mIdeal + it->count, mRate.burstRequests);
+  creditIdeal(it->charged); // Charged again if it turns out to be spent.
+  it->charged = 0;
   if (it->isUnreported) {
     grants.erase(it);
   }
@@ -315,7 +332,7 @@
   const double added = std::max(mRate.requestsPerSecond, 0.0) * toSeconds(aNow - mUpdatedAt);
   mUpdatedAt = aNow;
   credit(added);
-  mIdeal = std::min(mIdeal + added, mRate.burstRequests);
+  creditIdeal(added);
 }
 
 void RateBucket::credit(double aTokens)
@@ -324,6 +341,11 @@
   mLevel += std::min(aTokens, room);
 }
 
+void RateBucket::creditIdeal(double aTokens)
+{
+  mIdeal = std::min(mIdeal + aTokens, mRate.burstRequests);
+}
+
 Duration RateBucket::untilNext() const
 {
   const double missing = 1 - mLevel;
--- a/packages/traffic/RateBucket.h
+++ b/packages/traffic/RateBucket.h
@@ -82,7 +82,8 @@
   struct Grant
   {
     std::uint64_t sequence = 0;
-    std::uint32_t count = 0; // Not reported yet.
+    std::uint32_t count = 0;   // Not reported yet.
+    std::uint32_t charged = 0; // Of these, the ones that the ideal level has paid for.
     bool isExpired = false;
     bool isUnreported = false; // Its fate will not be reported: the drawer had another home since.
   };
@@ -108,6 +109,8 @@
   void takeReports(Drawer& aDrawer, const wire::TokenRequest& aRequest);
   void discardUnaccepted(Drawer& aDrawer, std::uint64_t aAccepted);
   void consume(Drawer& aDrawer, std::uint32_t aCount, bool aWasSpent);
+  void settleIdeal(Grant& aGrant, std::uint32_t aCount, bool aWasSpent);
+  void creditIdeal(double aTokens);
   void grant(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
              wire::TokenAnswer& aAnswer);
   void promise(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
--- /dev/null
+++ b/packages/traffic/testing/RatePropertyTest.cc
@@ -0,0 +1,285 @@
+// Guards against accounts that get more than rate x time + burst, and against refusals of requests
+// that are within the rate.
+
+#include <catch2/catch.hpp>
+
+#include "World.h"
+
+namespace camphorcleat::traffic {
+namespace {
+
+constexpr double kTolerance = 1e-6; // Of sums of floating-point refills.
+
+struct Limits
+{
+  double rate = 0;
+  double burst = 0;
+};
+
+Limits randomLimits(World& aWorld)
+{
+  constexpr Limits kChoices[] = { { 0.5, 1 }, { 5, 1 },     { 20, 3 },    { 100, 10 },
+                                  { 200, 1 }, { 300, 300 }, { 1000, 50 }, { 2000, 7 } };
+  return kChoices[aWorld.random() % std::size(kChoices)];
+}
+
+// Limits whose burst covers rate x round trip of a token message (up to 2 ms here). With a smaller
+// burst, such as 1 at 200/s, the refill has to wait for each report, and the account gets less than
+// its rate: the home can't know when within the round trip a token was spent.
+Limits coveredLimits(World& aWorld)
+{
+  constexpr Limits kChoices[] = { { 0.5, 1 }, { 5, 1 },     { 20, 3 },    { 100, 10 },
+                                  { 200, 4 }, { 300, 300 }, { 1000, 50 }, { 2000, 20 } };
+  return kChoices[aWorld.random() % std::size(kChoices)];
+}
+
+// Requests at about eight times the rate that jump between daemons.
+void jumpingDemand(World& aWorld, Limits aLimits, TimePoint aEnd)
+{
+  auto active = std::make_shared<std::size_t>(0);
+  aWorld.repeat(Millis(70), false, aEnd,
+                [&aWorld, active] { *active = aWorld.random() % aWorld.daemons.size(); });
+  aWorld.repeat(fromSeconds(1 / (8 * aLimits.rate)), false, aEnd,
+                [&aWorld, active] { aWorld.request(*aWorld.daemons[*active], "acme"); });
+}
+
+// A home that changes between processes: lost with its lease, moved with its bucket, or moved
+// without it.
+struct ChangingHome
+{
+  std::unique_ptr<RateHome> home;
+  HomeStart start = HomeStart::AfterLoss;
+  TimePoint leaseEnd;
+  std::uint64_t number = 0;
+};
+
+void serve(World& aWorld, const std::shared_ptr<ChangingHome>& aState, Limits aLimits)
+{
+  aWorld.home = [aState, aLimits](TimePoint aNow, const wire::TokenRequest& aRequest) {
+    return aState->home->handle(aNow, aRequest, aLimits.rate, aLimits.burst, aState->leaseEnd,
+                                aState->start);
+  };
+}
+
+void changeHome(World& aWorld, const std::shared_ptr<ChangingHome>& aState, Limits aLimits)
+{
+  const TimePoint now = aWorld.agenda.now;
+  auto old = std::move(aState->home);
+  aState->home = std::make_unique<RateHome>(++aState->number);
+  const auto kind = aWorld.random() % 3;
+  if (kind == 0) {
+    aState->start = HomeStart::AfterLoss;
+    aWorld.home = nullptr;
+    const TimePoint leaseEnd = aState->leaseEnd;
+    aWorld.agenda.at(leaseEnd, [=, &aWorld] {
+      aState->leaseEnd = aWorld.agenda.now + Millis(1'000);
+      serve(aWorld, aState, aLimits);
+    });
+    return;
+  }
+  aState->start = HomeStart::AfterPlannedMove;
+  aState->leaseEnd = now + Millis(1'000);
+  const auto record = old->exportAccount(now, "acme");
+  if (kind == 1 && record) {
+    aState->home->importAccount(now, *record);
+  }
+}
+
+std::shared_ptr<ChangingHome> changingHome(World& aWorld, Limits aLimits, TimePoint aEnd)
+{
+  auto state = std::make_shared<ChangingHome>();
+  state->home = std::make_unique<RateHome>(++state->number);
+  state->leaseEnd = aWorld.agenda.now + Millis(1'000);
+  serve(aWorld, state, aLimits);
+  // Renewals stop while there is no home, so that its lease ends.
+  aWorld.repeat(Millis(200), true, aEnd, [&aWorld, state] {
+    if (aWorld.home) {
+      state->leaseEnd = aWorld.agenda.now + Millis(1'000);
+    }
+  });
+  aWorld.repeat(Millis(1'500), false, aEnd, [&aWorld, state, aLimits] {
+    if (aWorld.home) {
+      changeHome(aWorld, state, aLimits);
+    }
+  });
+  return state;
+}
+
+Network randomNetwork(World& aWorld)
+{
+  Network out;
+  out.lossShare = aWorld.random() % 2 == 0 ? 0 : 0.1;
+  out.duplicateShare = aWorld.random() % 2 == 0 ? 0 : 0.2;
+  out.lateShare = aWorld.random() % 2 == 0 ? 0 : 0.2;
+  return out;
+}
+
+// Excess of one random run; aHome replaces the homes if given. Adds the spends to aSpends.
+double excessOf(std::uint64_t aSeed, std::size_t& aSpends,
+                const std::function<World::Home(Limits)>& aHome = nullptr)
+{
+  World world(aSeed);
+  const Limits limits = randomLimits(world);
+  world.network = randomNetwork(world);
+  const TimePoint end = world.agenda.now + std::chrono::seconds(8);
+  for (int i = 0; i < 4; ++i) {
+    Daemon& daemon = world.addDaemon(1 + world.random() % 40);
+    daemon.serviceTime = Millis(1 + world.random() % 60);
+  }
+  std::shared_ptr<ChangingHome> state;
+  if (aHome) {
+    world.home = aHome(limits);
+  } else {
+    state = changingHome(world, limits, end);
+  }
+  jumpingDemand(world, limits, end);
+  world.agenda.runUntil(end);
+  aSpends += world.spends["acme"].size();
+  return rateExcess(world.spends["acme"], limits.rate, limits.burst);
+}
+
+// A plain bucket that forgets what it has granted: parked tokens come on top of the burst.
+World::Home forgetfulHome(Limits aLimits)
+{
+  auto level = std::make_shared<double>(0);
+  auto updated = std::make_shared<TimePoint>();
+  return [=](TimePoint aNow, const wire::TokenRequest& aRequest) {
+    *level = std::min(aLimits.burst, *level + aLimits.rate * toSeconds(aNow - *updated));
+    *updated = aNow;
+    wire::TokenAnswer answer;
+    answer.account = aRequest.account;
+    answer.sequence = aRequest.sequence;
+    answer.bucket = 1;
+    answer.granted = std::min(aRequest.wanted, static_cast<std::uint32_t>(*level));
+    *level -= answer.granted;
+    answer.lifetime = Millis(250);
+    answer.retryAfter = Millis(1);
+    answer.code = ErrorCode::OverRate;
+    return answer;
+  };
+}
+
+} // namespace
+
+TEST_CASE("spends never exceed rate x time + burst over any two instants")
+{
+  std::size_t spends = 0;
+  for (const auto seed : seeds(60)) {
+    INFO(replay(seed, "spends never exceed rate x time + burst over any two instants"));
+    REQUIRE(excessOf(seed, spends) <= kTolerance);
+  }
+  // A run may have no spend: at 0.5/s, homes that change every 1.5 s never reach a token.
+  REQUIRE((spends > 10'000 || std::getenv("CAMPHORCLEAT_SEED") != nullptr));
+}
+
+TEST_CASE("the check of the rate notices a home that forgets parked tokens")
+{
+  double worst = -1e9;
+  std::size_t spends = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    worst = std::max(worst, excessOf(seed, spends, forgetfulHome));
+  }
+  REQUIRE(worst > 0.5);
+}
+
+TEST_CASE("a rate change never lets more through than the larger of both rates")
+{
+  for (const auto seed : seeds(15)) {
+    INFO(replay(seed, "a rate change never lets more through than the larger of both rates"));
+    World world(seed);
+    RateHome home(seed);
+    Limits now{ 100, 20 };
+    const TimePoint end = world.agenda.now + std::chrono::seconds(6);
+    for (int i = 0; i < 3; ++i) {
+      world.addDaemon(20);
+    }
+    world.home = [&](TimePoint aNow, const wire::TokenRequest& aRequest) {
+      return home.handle(aNow, aRequest, now.rate, now.burst, aNow + Millis(1'000));
+    };
+    world.repeat(Millis(400), false, end, [&] {
+      now = now.rate > 50 ? Limits{ 10, 2 } : Limits{ 100, 20 };
+    });
+    jumpingDemand(world, Limits{ 100, 20 }, end);
+    world.agenda.runUntil(end);
+    REQUIRE(rateExcess(world.spends["acme"], 100, 20) <= kTolerance);
+  }
+}
+
+TEST_CASE("no request within the rate is refused while the home lives")
+{
+  for (const auto seed : seeds(40)) {
+    INFO(replay(seed, "no request within the rate is refused while the home lives"));
+    World world(seed);
+    RateHome home(seed);
+    const Limits limits = coveredLimits(world);
+    for (int i = 0; i < 4; ++i) {
+      world.addDaemon(100).serviceTime = Millis(1 + world.random() % 8);
+    }
+    world.home = [&](TimePoint aNow, const wire::TokenRequest& aRequest) {
+      return home.handle(aNow, aRequest, limits.rate, limits.burst, aNow + Millis(1'000));
+    };
+    // The bucket is full when the measurement begins.
+    world.request(*world.daemons[0], "acme");
+    world.agenda.runUntil(world.agenda.now + fromSeconds(1 + limits.burst / limits.rate));
+    world.refusals.clear(); // The first request may not outlast the wait for the first token.
+    const TimePoint end = world.agenda.now + fromSeconds(std::min(30.0, 2 + 400 / limits.rate));
+    // An ideal bucket lets the requests pass; 2 % below the rate, for the reports under way.
+    double level = limits.burst;
+    TimePoint updated = world.agenda.now;
+    unsigned sent = 0;
+    world.repeat(fromSeconds(0.3 / limits.rate), false, end, [&] {
+      const double refill = 0.98 * limits.rate * toSeconds(world.agenda.now - updated);
+      level = std::min(limits.burst, level + refill);
+      updated = world.agenda.now;
+      if (level >= 1 && world.uniform() < 0.8) {
+        level -= 1;
+        ++sent;
+        world.request(*world.daemons[world.random() % 4], "acme");
+      }
+    });
+    world.agenda.runUntil(end + Millis(3'000));
+    INFO("rate " << limits.rate << " burst " << limits.burst << " sent " << sent);
+    REQUIRE(sent > 0);
+    INFO("over_rate " << world.refusals[ErrorCode::OverRate] << " overloaded "
+                      << world.refusals[ErrorCode::Overloaded]);
+    REQUIRE(world.refusals[ErrorCode::OverRate] == 0);
+    REQUIRE(world.refusals[ErrorCode::Overloaded] == 0);
+  }
+}
+
+TEST_CASE("an account far above its rate is refused and still gets its rate")
+{
+  World world(1);
+  RateHome home(1);
+  for (int i = 0; i < 3; ++i) {
+    world.addDaemon(50);
+  }
+  world.home = [&](TimePoint aNow, const wire::TokenRequest& aRequest) {
+    return home.handle(aNow, aRequest, 200, 20, aNow + Millis(1'000));
+  };
+  const TimePoint end = world.agenda.now + std::chrono::seconds(5);
+  jumpingDemand(world, Limits{ 200, 20 }, end);
+  world.agenda.runUntil(end + Millis(2'500));
+  CHECK(world.spends["acme"].size() >= 950);
+  CHECK(world.refusals[ErrorCode::OverRate] > 6'000);
+  CHECK(world.draws < 3'000); // About 100 a second for each daemon in use.
+  CHECK(world.refusals.size() == 1);
+}
+
+TEST_CASE("requests wait for a home that is gone instead of being refused")
+{
+  World world(1);
+  Daemon& daemon = world.addDaemon(10);
+  const RequestId id = world.request(daemon, "acme");
+  world.agenda.runUntil(world.agenda.now + Millis(1'500));
+  REQUIRE(world.refusals.empty());
+  RateHome home(1);
+  world.home = [&](TimePoint aNow, const wire::TokenRequest& aRequest) {
+    return home.handle(aNow, aRequest, 100, 10, aNow + Millis(1'000), HomeStart::AfterLoss);
+  };
+  world.agenda.runUntil(world.agenda.now + Millis(400));
+  REQUIRE(world.spends["acme"].size() == 1);
+  REQUIRE(world.accountOf.count(id) == 1);
+}
+
+} // namespace camphorcleat::traffic
