--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -53,6 +53,12 @@
 
 void OwnerLogic::on(TimePoint aNow, const RequestArrived& aEvent)
 {
+  if (aEvent.isOpenRoute && !aEvent.account.empty()) {
+    RequestArrived event = aEvent;
+    event.account.clear();
+    on(aNow, event);
+    return;
+  }
   if (mWaiting.count(aEvent.id) != 0 || mRunning.count(aEvent.id) != 0) {
     return; // A duplicate of a request in progress.
   }
@@ -275,9 +281,8 @@
 
 void OwnerLogic::enqueue(TimePoint aNow, const RequestArrived& aRequest)
 {
-  const std::string account = aRequest.isOpenRoute ? std::string() : aRequest.account;
+  const std::string& account = aRequest.account;
   mWaiting[aRequest.id] = Waiting{ aRequest, mStep, false };
-  mWaiting[aRequest.id].request.account = account;
   if (!account.empty() && !mTokens.noteArrival(aNow, account)) {
     refuseWaiting(aNow, aRequest.id, ErrorCode::Overloaded, "too many accounts in use",
                   kBusyRetryAfter);
@@ -301,7 +306,7 @@
 }
 
 // Refuses a request that passed its arrival and was not dispatched.
-void OwnerLogic::refuseWaiting(TimePoint aNow, const RequestId& aId, ErrorCode aCode,
+void OwnerLogic::refuseWaiting(TimePoint aNow, RequestId aId, ErrorCode aCode,
                                const std::string& aMessage, Millis aRetryAfter)
 {
   const auto it = mWaiting.find(aId);
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -104,8 +104,8 @@
   void enqueue(TimePoint aNow, const RequestArrived& aRequest);
   void refuse(const RequestArrived& aRequest, wire::Outcome aOutcome, ErrorCode aCode,
               std::string aMessage, Millis aRetryAfter = Millis(0));
-  void refuseWaiting(TimePoint aNow, const RequestId& aId, ErrorCode aCode,
-                     const std::string& aMessage, Millis aRetryAfter = Millis(0));
+  void refuseWaiting(TimePoint aNow, RequestId aId, ErrorCode aCode, const std::string& aMessage,
+                     Millis aRetryAfter = Millis(0));
   void refuseAllWaiting(TimePoint aNow, ErrorCode aCode, const std::string& aMessage);
   void applyReply(TimePoint aNow, const std::string& aAccount, const TokenCache::Reply& aReply);
   void updateAccount(TimePoint aNow, const std::string& aAccount);
