--- /dev/null
+++ b/packages/traffic/testing/TargetChooserTest.cc
@@ -0,0 +1,106 @@
+// Guards against choosers that pick unusable targets, prefer a slow one or ignore zones.
+
+#include <catch2/catch.hpp>
+
+#include "traffic/LatencyTracker.h"
+#include "traffic/LeastReportedLoadChooser.h"
+#include "traffic/PowerOfTwoChooser.h"
+#include "traffic/RoundRobinChooser.h"
+
+namespace camphorcleat::traffic {
+namespace {
+
+std::vector<Candidate> candidates()
+{
+  std::vector<Candidate> out;
+  for (NodeId i = 0; i < 6; ++i) {
+    out.push_back(Candidate{ i + 1, i < 3 ? "a" : "b", 0, 20, Millis(5), 6.0 - i, true });
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("no chooser picks an unusable target")
+{
+  std::mt19937_64 random(1);
+  PowerOfTwoChooser power("a", random);
+  RoundRobinChooser round;
+  LeastReportedLoadChooser least;
+  auto all = candidates();
+  for (auto& it : all) {
+    it.isUsable = it.node == 5;
+  }
+  for (TargetChooser* it : std::initializer_list<TargetChooser*>{ &power, &round, &least }) {
+    for (int i = 0; i < 20; ++i) {
+      REQUIRE(it->choose(all) == std::size_t{ 4 });
+    }
+    REQUIRE_FALSE(it->choose({}));
+  }
+  all[4].isUsable = false;
+  REQUIRE_FALSE(power.choose(all));
+}
+
+TEST_CASE("the own zone is preferred until it is fuller")
+{
+  std::mt19937_64 random(1);
+  PowerOfTwoChooser chooser("a", random);
+  auto all = candidates();
+  all[0].inFlight = 5; // 5 of 60 slots: within the margin.
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(*chooser.choose(all) < 3);
+  }
+  all[0].inFlight = all[1].inFlight = 20;
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(*chooser.choose(all) >= 3);
+  }
+}
+
+TEST_CASE("a target ten times slower gets few requests")
+{
+  std::mt19937_64 random(1);
+  PowerOfTwoChooser chooser("a", random);
+  auto all = candidates();
+  all[1].averageLatency = Millis(50);
+  int slow = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    slow += *chooser.choose(all) == 1 ? 1 : 0;
+  }
+  REQUIRE(slow == 0);
+}
+
+TEST_CASE("round robin takes turns and least load believes the reports")
+{
+  RoundRobinChooser round;
+  LeastReportedLoadChooser least;
+  auto all = candidates();
+  all[2].isUsable = false;
+  std::vector<std::size_t> order;
+  for (int i = 0; i < 6; ++i) {
+    order.push_back(*round.choose(all));
+  }
+  REQUIRE(order == std::vector<std::size_t>{ 0, 1, 3, 4, 5, 0 });
+  REQUIRE(least.choose(all) == std::size_t{ 5 });
+}
+
+TEST_CASE("a latency quantile forgets what is older than two windows")
+{
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  LatencyTracker tracker(0.95, Millis(1'000));
+  const auto feed = [&](int aFactor) {
+    for (int i = 0; i < 1'000; ++i) {
+      tracker.add(now, Micros(aFactor * (i * 7 % 1'000)));
+      now += Millis(1);
+    }
+  };
+  REQUIRE_FALSE(tracker.quantile(now));
+  feed(10);
+  REQUIRE(toMillis(*tracker.quantile(now)) == Approx(9.5).margin(1));
+  feed(100);
+  feed(100);
+  REQUIRE(toMillis(*tracker.quantile(now)) == Approx(95).margin(5));
+  now += Millis(3'000);
+  REQUIRE_FALSE(tracker.quantile(now));
+}
+
+} // namespace camphorcleat::traffic
--- /dev/null
+++ b/packages/traffic/testing/TrafficBenchmark.cc
@@ -0,0 +1,155 @@
+// Times the decisions that each request passes, with a plain loop on the real clock. Prints
+// nanoseconds per operation; the least of several runs, since other programs only add time.
+
+#include <cstdio>
+#include <functional>
+
+#include "traffic/EntryRequest.h"
+#include "traffic/FairQueue.h"
+#include "traffic/OwnerLogic.h"
+#include "traffic/RateHome.h"
+
+namespace camphorcleat::traffic {
+namespace {
+
+constexpr int kRuns = 5;
+
+void report(const char* aName, int aOperations, const std::function<void()>& aRun)
+{
+  double least = 1e18;
+  for (int i = 0; i < kRuns; ++i) {
+    const TimePoint start = Clock::now();
+    aRun();
+    least = std::min(least, toSeconds(Clock::now() - start) * 1e9 / aOperations);
+  }
+  std::printf("%-44s %8.0f ns\n", aName, least);
+}
+
+class OpenView : public OwnershipView
+{
+public:
+  std::optional<FencingToken> tokenOf(const std::string&, PartitionId) const override { return 1; }
+  TimePoint leaseValidUntil() const override { return TimePoint::max(); }
+  bool isConfigFresh(TimePoint) const override { return true; }
+  bool checksGrants() const override { return false; }
+};
+
+std::vector<std::string> names(int aCount)
+{
+  std::vector<std::string> out;
+  for (int i = 0; i < aCount; ++i) {
+    out.push_back("account-" + std::to_string(i));
+  }
+  return out;
+}
+
+void fairQueue(int aAccounts)
+{
+  constexpr int kOperations = 200'000;
+  const auto accounts = names(aAccounts);
+  const std::string name = "FairQueue push + pop, " + std::to_string(aAccounts) + " accounts";
+  report(name.c_str(), kOperations, [&] {
+    FairQueue queue(1024);
+    const TimePoint now;
+    for (int i = 0; i < kOperations; ++i) {
+      queue.push(QueuedRequest{ RequestId{ 1, static_cast<std::uint64_t>(i) },
+                                accounts[i % accounts.size()], 1, now + Millis(i) });
+      if (queue.size() > 500) {
+        queue.popFront();
+      }
+    }
+  });
+}
+
+void tokenCache(int aAccounts)
+{
+  constexpr int kOperations = 200'000;
+  const auto accounts = names(aAccounts);
+  const std::string name = "TokenCache arrival + spend, " + std::to_string(aAccounts) + " accounts";
+  report(name.c_str(), kOperations, [&] {
+    TokenCache cache(1);
+    RateHome home(1);
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    for (int i = 0; i < kOperations; ++i) {
+      now += Micros(120); // 8,300 a second.
+      const std::string& account = accounts[i % accounts.size()];
+      cache.noteArrival(now, account);
+      cache.setWaiting(now, account, 1);
+      for (const auto& it : cache.due(now)) {
+        cache.accept(now, home.handle(now, it, 1e6, 1e6, now + Millis(1'000)), now);
+      }
+      cache.spend(now, account);
+      cache.setWaiting(now, account, 0);
+    }
+  });
+}
+
+// One request: arrival, dispatch, head, end, with its draws answered at once.
+void ownerLogic(int aAccounts)
+{
+  constexpr int kOperations = 100'000;
+  const auto accounts = names(aAccounts);
+  const std::string name =
+    "OwnerLogic request, 3 steps, " + std::to_string(aAccounts) + " accounts";
+  report(name.c_str(), kOperations, [&] {
+    OpenView view;
+    OwnerLogic logic(OwnerConfig(), view, 1);
+    RateHome home(1);
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    const auto step = [&](const OwnerEvent& aEvent) {
+      for (const auto& it : logic.step(now, aEvent)) {
+        if (const auto* draw = std::get_if<DrawTokens>(&it)) {
+          const auto answer = home.handle(now, draw->request, 1e6, 1e6, now + Millis(1'000));
+          logic.step(now, TokensAnswered{ answer, now });
+        }
+      }
+    };
+    step(TargetReport{ true, 1, 20, 20, Millis(0), false, false });
+    for (int i = 0; i < kOperations; ++i) {
+      now += Micros(120);
+      RequestArrived event;
+      event.id = RequestId{ 1, static_cast<std::uint64_t>(i) };
+      event.account = accounts[i % accounts.size()];
+      event.service = "station-lookup";
+      event.partition = static_cast<PartitionId>(i % 64);
+      event.isIdempotent = true;
+      event.deadline = now + Millis(10'000);
+      step(event);
+      step(ResponseStarted{ event.id, 200, false, false });
+      step(RequestEnded{ event.id, wire::Outcome::Answered, ErrorCode::None, std::nullopt });
+    }
+  });
+}
+
+void entryRequest()
+{
+  constexpr int kOperations = 200'000;
+  report("EntryRequest life, 4 steps", kOperations, [&] {
+    RetryBudget budget;
+    HedgePolicy hedge;
+    std::mt19937_64 random(1);
+    const TimePoint now = TimePoint() + std::chrono::hours(1);
+    for (int i = 0; i < kOperations; ++i) {
+      EntryRequest request(EntryShared{ budget, hedge, random });
+      request.step(now, Started{ true, true, false, now + Millis(10'000), false });
+      request.step(now, RouteKnown{ 1 });
+      request.step(now, AttemptHead{ 1 });
+      request.step(now, AttemptDone{ 1 });
+    }
+  });
+}
+
+} // namespace
+} // namespace camphorcleat::traffic
+
+int main()
+{
+  using namespace camphorcleat::traffic;
+  for (const int accounts : { 8, 1'000 }) {
+    fairQueue(accounts);
+    tokenCache(accounts);
+    ownerLogic(accounts);
+  }
+  entryRequest();
+  return 0;
+}
