Test refusals, outcomes and back pressure of the transport

Cause: only the straight paths of the transport were tested.

Buffers are enlarged before a body is read: Beast reads as much as its buffer has room for, which was 512 bytes.

--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -96,7 +96,9 @@
   virtual void abort() = 0;
 
   /// Sets a function to call once if the caller closes its connection, in either direction, before
-  /// the answer is complete. Noticed within 50 ms. Not called after abort().
+  /// the answer is complete. Noticed within 50 ms; if more of the body is unread than the socket's
+  /// receive buffer holds, only once it is read, since TCP delivers the end after the data. Not
+  /// called after abort().
   virtual void onGone(std::function<void()> aCallback) = 0;
 };
 
--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -326,6 +326,8 @@
 void HttpSession::readSome()
 {
   mBodyBuffer.resize(mShared->limits.chunkBytes);
+  // Beast reads as much as the buffer has room for, which is 512 bytes unless it was enlarged.
+  mBuffer.reserve(std::min(mShared->limits.chunkBytes, kReadAheadBytes));
   auto& body = mParser->get().body();
   body.data = mBodyBuffer.data();
   body.size = mBodyBuffer.size();
--- a/packages/transport/TargetRun.cc
+++ b/packages/transport/TargetRun.cc
@@ -6,6 +6,7 @@
 
 #include "transport/TargetRun.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -23,6 +24,7 @@
 
 namespace {
 
+constexpr std::size_t kReadAheadBytes = 64U << 10U;
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 constexpr unsigned kMaxInterimResponses = 8;
 constexpr unsigned kHttp11 = 11;
@@ -300,6 +302,8 @@
 void TargetRun::readSome()
 {
   mBodyBuffer.resize(mPool->config.chunkBytes);
+  // Beast reads as much as the buffer has room for, which is 512 bytes unless it was enlarged.
+  mSocket->buffer.reserve(std::min(mPool->config.chunkBytes, kReadAheadBytes));
   auto& body = mParser->get().body();
   body.data = mBodyBuffer.data();
   body.size = mBodyBuffer.size();
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -48,6 +48,32 @@
   std::unique_ptr<HttpFrontend> frontend;
 };
 
+/// Reads the whole body, then answers with its length or with the name of the fault.
+void countBody(const Stream& aStream, std::size_t aBytes = 0)
+{
+  aStream->readBody([aStream, aBytes](BodyPart aPart) {
+    const std::size_t bytes = aBytes + aPart.data.size();
+    if (aPart.error) {
+      aStream->sendWhole(400, {}, std::string(enumName(*aPart.error)));
+    } else if (aPart.isLast) {
+      aStream->sendWhole(200, {}, std::to_string(bytes));
+    } else {
+      countBody(aStream, bytes);
+    }
+  });
+}
+
+HttpLimits shortLimits()
+{
+  HttpLimits limits;
+  limits.headerTimeout = Millis(200);
+  limits.bodyIdleTimeout = Millis(200);
+  limits.keepAliveTimeout = Millis(200);
+  return limits;
+}
+
+constexpr const char* kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
 } // namespace
 
 TEST_CASE("requests on one connection are answered in order")
@@ -65,4 +91,338 @@
   REQUIRE(c != std::string::npos);
 }
 
+TEST_CASE("requests whose end is ambiguous, or that are malformed or too large, are refused")
+{
+  struct Example
+  {
+    std::string text;
+    std::string status;
+  };
+  const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const auto example = GENERATE_COPY(values<Example>({
+    { post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", "400" },
+    { post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc", "400" },
+    { post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400" },
+    { post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400" },
+    { post + "Content-Length: 3, 3\r\n\r\nabc", "400" },
+    { post + "Content-Length: -3\r\n\r\nabc", "400" },
+    { post + "Transfer-Encoding: gzip\r\n\r\n", "400" },
+    { post + "Transfer-Encoding: gzip, chunked\r\n\r\n", "400" },
+    { post + "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", "400" },
+    { post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", "400" },
+    { "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400" },
+    { "GET / HTTP/1.1\r\n\r\n", "400" },
+    { "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", "400" },
+    { "GET / HTTP/1.1\r\nHost : x\r\n\r\n", "400" },
+    { "GET /\r\n\r\n", "400" },
+    { "GET / HTTP/2.0\r\nHost: x\r\n\r\n", "400" },
+    { "GET / HTTP/1.1\r\nHost: x\r\nExpect: tea\r\n\r\n", "417" },
+    { post + "A: " + std::string(20000, 'a') + "\r\n\r\n", "431" },
+    { post + "A: " + std::string(200000, 'a'), "431" },
+    { post + "Content-Length: 2000000000\r\n\r\n", "413" },
+  }));
+  CAPTURE(example.text.substr(0, 100));
+  Server server;
+  PlainSocket caller(server.frontend->port());
+  caller.write(example.text);
+  const std::string got = caller.readAll();
+  REQUIRE(got.substr(0, 13) == "HTTP/1.1 " + example.status + " ");
+  REQUIRE(got.find("Camphorcleat-Outcome: not-run\r\n") != std::string::npos);
+  REQUIRE(got.find("Connection: close\r\n") != std::string::npos);
+  REQUIRE(server.handler.requests() == 0);
+}
+
+TEST_CASE("faults within a body reach the handler, which can still answer")
+{
+  HttpLimits limits = shortLimits();
+  limits.maxBodyBytes = 100;
+  Server server(limits);
+  server.handler.set([](const Stream& aStream) { countBody(aStream); });
+  const std::string post = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  PlainSocket caller(server.frontend->port());
+  std::string expected;
+  SECTION("malformed chunk")
+  {
+    caller.write(post + "3\r\nabc\r\nzz\r\n");
+    expected = "bad_request";
+  }
+  SECTION("chunks longer than the limit")
+  {
+    caller.write(post + "c8\r\n" + std::string(200, 'a') + "\r\n0\r\n\r\n");
+    expected = "body_too_large";
+  }
+  SECTION("body that stalls")
+  {
+    caller.write(post + "3\r\nabc\r\n");
+    expected = "deadline_exceeded";
+  }
+  const std::string got = caller.readAll();
+  REQUIRE(got.find("\r\n\r\n" + expected) != std::string::npos);
+  REQUIRE(caller.hasEnded());
+  REQUIRE(server.frontend->openRequests() == 0);
+}
+
+TEST_CASE("connections that are slow with a header, or idle, are closed")
+{
+  Server server(shortLimits());
+  PlainSocket caller(server.frontend->port());
+  std::string expected;
+  SECTION("one header byte at a time")
+  {
+    const TimePoint start = Clock::now();
+    const std::string text = "GET / HTTP/1.1\r\nHost: x\r\nA: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+    for (const char it : text) {
+      caller.write(std::string(1, it));
+      std::this_thread::sleep_for(Millis(10));
+    }
+    REQUIRE(Clock::now() - start > Millis(300));
+    REQUIRE(server.frontend->openConnections() == 0);
+  }
+  SECTION("nothing sent") {}
+  SECTION("idle after an answer")
+  {
+    caller.write(kGet);
+    expected = "/a";
+  }
+  const std::string got = caller.readAll();
+  REQUIRE(got.substr(got.size() - expected.size()) == expected);
+  REQUIRE(caller.hasEnded());
+  REQUIRE(waitFor([&] { return server.frontend->openConnections() == 0; }));
+}
+
+TEST_CASE("100 Continue is sent when the body is first read, not before")
+{
+  Server server;
+  Stream held;
+  server.handler.set([&](Stream aStream) { held = std::move(aStream); });
+  PlainSocket caller(server.frontend->port());
+  caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+  REQUIRE(waitFor([&] { return server.handler.requests() == 1; }));
+  char byte = 0;
+  std::this_thread::sleep_for(Millis(50));
+  REQUIRE(::recv(caller.native(), &byte, 1, MSG_DONTWAIT) < 0);
+  runOn(server.thread, [&] {
+    REQUIRE(findHeader(held->headers(), "Expect") == nullptr);
+    countBody(std::exchange(held, nullptr));
+  });
+  REQUIRE(caller.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  caller.write("hello");
+  REQUIRE(caller.readUntil("\r\n\r\n5").find("HTTP/1.1 200 OK") == 0);
+}
+
+TEST_CASE("headers that concern one connection only are removed, and Content-Length stays")
+{
+  std::vector<wire::Header> headers = { { "Connection", "keep-alive, X-Hop, content-length" },
+                                        { "x-hop", "1" },
+                                        { "TE", "trailers" },
+                                        { "Content-Length", "12" },
+                                        { "X-Kept", "1" } };
+  removeHopByHop(headers);
+  REQUIRE(headers.size() == 2);
+  REQUIRE(contentLengthOf(headers) == 12U);
+  REQUIRE(headers[1].name == "X-Kept");
+}
+
+TEST_CASE("an answer given before the whole body is read arrives, and the connection is closed")
+{
+  Server server;
+  PlainSocket caller(server.frontend->port());
+  caller.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n" +
+               std::string(300000, 'a') + kGet);
+  const std::string got = caller.readAll();
+  REQUIRE(got.find("Connection: close\r\n") != std::string::npos);
+  REQUIRE(got.substr(got.size() - 6) == "\r\n\r\n/a");
+  REQUIRE(!caller.wasReset());
+  REQUIRE(server.handler.requests() == 1);
+}
+
+TEST_CASE("a handler that gives up an answer leaves it recognizably truncated")
+{
+  Server server;
+  std::string expected;
+  SECTION("abort within a chunked answer")
+  {
+    server.handler.set([](const Stream& aStream) {
+      aStream->sendHead(200, {}, std::nullopt);
+      aStream->sendBody("part", false, [aStream](bool) { aStream->abort(); });
+    });
+  }
+  SECTION("stream released without an answer")
+  {
+    server.handler.set([](const Stream&) {});
+  }
+  SECTION("fewer bytes than announced")
+  {
+    server.handler.set([](const Stream& aStream) {
+      aStream->sendHead(200, {}, 10);
+      aStream->sendBody("part", true, nullptr);
+    });
+  }
+  PlainSocket caller(server.frontend->port());
+  caller.write(kGet);
+  const std::string got = caller.readAll();
+  REQUIRE(got.find("\r\n0\r\n\r\n") == std::string::npos);
+  REQUIRE(caller.wasReset());
+  REQUIRE(server.frontend->openRequests() == 0);
+}
+
+TEST_CASE("a caller that closes while its request runs is noticed once, even with input unread")
+{
+  Server server;
+  std::atomic<int> gone{ 0 };
+  Stream held;
+  server.handler.set([&](Stream aStream) {
+    held = std::move(aStream);
+    held->onGone([&] { ++gone; });
+  });
+  PlainSocket caller(server.frontend->port());
+  const auto write = [&](std::size_t aBytes) {
+    caller.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 30000000\r\n\r\n" +
+                 std::string(aBytes, 'a'));
+  };
+  const auto post = [&](std::size_t aBytes) {
+    write(aBytes);
+    REQUIRE(waitFor([&] { return server.handler.requests() == 1; }));
+    REQUIRE(server.frontend->openRequests() == 1);
+  };
+  SECTION("close")
+  {
+    post(20000);
+    caller.close();
+  }
+  SECTION("reset")
+  {
+    post(20000);
+    caller.reset();
+  }
+  SECTION("close behind more input than the socket buffer holds")
+  {
+    // TCP delivers the end only after the data before it, so the handler has to read.
+    std::thread sender([&] { write(4000000); });
+    REQUIRE(waitFor([&] { return server.handler.requests() == 1; }));
+    std::function<void(BodyPart)> read = [&](const BodyPart& aPart) {
+      if (!aPart.error && held) {
+        held->readBody(read);
+      }
+    };
+    runOn(server.thread, [&] { held->readBody(read); });
+    sender.join();
+    caller.close();
+    REQUIRE(waitFor([&] { return gone == 1; }));
+    runOn(server.thread, [] {});
+  }
+  REQUIRE(waitFor([&] { return gone == 1; }));
+  std::atomic<int> refused{ 0 };
+  runOn(server.thread, [&] {
+    held->sendHead(200, {}, 5);
+    held->sendBody("hello", true, [&](bool aIsOpen) { refused += aIsOpen ? 0 : 1; });
+    held->readBody(
+      [&](const BodyPart& aPart) { refused += aPart.error == ErrorCode::Cancelled ? 1 : 0; });
+    held.reset();
+  });
+  REQUIRE(waitFor([&] { return refused == 2; }));
+  REQUIRE(gone == 1);
+  REQUIRE(server.frontend->openRequests() == 0);
+}
+
+TEST_CASE("a caller that stops reading stops the handler, and is cut off")
+{
+  HttpLimits limits;
+  limits.bodyIdleTimeout = Millis(400);
+  Server server(limits);
+  std::atomic<std::size_t> sent{ 0 };
+  std::atomic<bool> isGone{ false };
+  std::function<void(Stream)> sendMore = [&](const Stream& aStream) {
+    aStream->sendBody(std::string(65536, 'a'), false, [&, aStream](bool aIsOpen) {
+      if (aIsOpen) {
+        sent += 65536;
+        sendMore(aStream);
+      }
+    });
+  };
+  server.handler.set([&](const Stream& aStream) {
+    aStream->onGone([&] { isGone = true; });
+    aStream->sendHead(200, {}, std::nullopt);
+    sendMore(aStream);
+  });
+  PlainSocket caller(server.frontend->port());
+  caller.write(kGet);
+  REQUIRE(waitFor([&] { return isGone.load(); }));
+  REQUIRE(sent < (32U << 20U)); // What the kernel buffers on both ends of a loopback connection.
+}
+
+TEST_CASE("a drain ends every connection after its answer")
+{
+  Server server;
+  Stream held;
+  PlainSocket idle(server.frontend->port());
+  idle.write(kGet);
+  REQUIRE(idle.readUntil("/a").find("Connection: close") == std::string::npos);
+  server.handler.set([&](Stream aStream) { held = std::move(aStream); });
+  PlainSocket busy(server.frontend->port());
+  busy.write(kGet);
+  REQUIRE(waitFor([&] { return server.handler.requests() == 2; }));
+  runOn(server.thread, [&] { server.frontend->beginDrain(); });
+  REQUIRE(idle.readAll().empty());
+  REQUIRE(idle.hasEnded());
+  REQUIRE(server.frontend->openRequests() == 1);
+  runOn(server.thread, [&] { std::exchange(held, nullptr)->sendWhole(200, {}, "late"); });
+  const std::string got = busy.readAll();
+  REQUIRE(got.find("Connection: close\r\n") != std::string::npos);
+  REQUIRE(got.substr(got.size() - 4) == "late");
+
+  server.handler.set([](const Stream& aStream) { aStream->sendWhole(200, {}, "new"); });
+  PlainSocket fresh(server.frontend->port());
+  fresh.write(kGet);
+  REQUIRE(fresh.readAll().find("Connection: close\r\n") != std::string::npos);
+  runOn(server.thread, [&] { server.frontend->stopAccepting(); });
+  REQUIRE_THROWS(PlainSocket(server.frontend->port()));
+}
+
+TEST_CASE("at the connection limit an idle connection gives way, a busy one doesn't")
+{
+  HttpLimits limits;
+  limits.maxConnections = 1;
+  Server server(limits);
+  PlainSocket idle(server.frontend->port());
+  idle.write(kGet);
+  idle.readUntil("/a");
+  Stream held;
+  server.handler.set([&](Stream aStream) { held = std::move(aStream); });
+  PlainSocket busy(server.frontend->port());
+  busy.write(kGet);
+  REQUIRE(waitFor([&] { return server.handler.requests() == 2; }));
+  PlainSocket refused(server.frontend->port());
+  REQUIRE(refused.readAll().empty());
+  runOn(server.thread, [&] { std::exchange(held, nullptr)->sendWhole(200, {}, "kept"); });
+  REQUIRE(busy.readUntil("kept").find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("answers to HEAD and with status 204 carry no body")
+{
+  Server server;
+  PlainSocket caller(server.frontend->port());
+  caller.write("HEAD /abc HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(caller.readUntil("\r\n\r\n").find("Content-Length: 4\r\n") != std::string::npos);
+  server.handler.set([](const Stream& aStream) { aStream->sendWhole(204, {}, ""); });
+  caller.write(kGet);
+  const std::string got = caller.readUntil("\r\n\r\n");
+  REQUIRE(got.find("HTTP/1.1 204") == 0);
+  REQUIRE(got.find("Content-Length") == std::string::npos);
+}
+
+TEST_CASE("HTTP/1.0 callers get unchunked answers")
+{
+  Server server;
+  server.handler.set([](const Stream& aStream) {
+    aStream->sendHead(200, {}, std::nullopt);
+    aStream->sendBody("whole", true, nullptr);
+  });
+  PlainSocket caller(server.frontend->port());
+  caller.write("GET /a HTTP/1.0\r\n\r\n");
+  const std::string got = caller.readAll();
+  REQUIRE(got.find("Transfer-Encoding") == std::string::npos);
+  REQUIRE(got.substr(got.size() - 9) == "\r\n\r\nwhole");
+}
+
 } // namespace camphorcleat::transport::testing
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -102,6 +102,53 @@
   return wire::LeaseRenew{ 1, 2, aSequence, 0, 0 };
 }
 
+wire::BodyChunk chunk(std::uint64_t aSequence, std::size_t aBytes)
+{
+  wire::BodyChunk out;
+  out.sequence = aSequence;
+  out.data = Bytes(std::string(aBytes, 'x'));
+  return out;
+}
+
+/// One masked client frame with a mask of zero. aLength may differ from the payload's length.
+std::string frame(unsigned char aOpcode, const std::string& aPayload, std::uint64_t aLength)
+{
+  std::string out(1, static_cast<char>(0x80U | aOpcode));
+  // RFC 6455 demands the shortest of three encodings of the length.
+  const int lengthBytes = aLength < 126 ? 0 : aLength <= 0xFFFF ? 2 : 8;
+  const std::uint64_t code = lengthBytes == 0 ? aLength : lengthBytes == 2 ? 126 : 127;
+  out += static_cast<char>(0x80U | code);
+  for (int i = lengthBytes - 1; i >= 0; --i) {
+    out += static_cast<char>((aLength >> (8U * static_cast<unsigned>(i))) & 0xFFU);
+  }
+  return out + std::string(4, '\0') + aPayload;
+}
+
+std::string binaryFrame(const std::string& aPayload)
+{
+  return frame(2, aPayload, aPayload.size());
+}
+
+/// A peer written by hand, from TCP up to the point where it misbehaves.
+struct RawPeer
+{
+  explicit RawPeer(const PeerHub& aHub, const std::string& aPath = "/camphorcleat/control")
+    : socket(aHub.port())
+  {
+    socket.write("GET " + aPath +
+                 " HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                 "Sec-WebSocket-Version: 13\r\n"
+                 "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n");
+    head = socket.readUntil("\r\n\r\n");
+  }
+  void sayHello(const std::string& aFleet = "tbilisi")
+  {
+    socket.write(binaryFrame(wire::encodePeerMessage(wire::Hello{ 9, 99, aFleet })));
+  }
+  PlainSocket socket;
+  std::string head;
+};
+
 } // namespace
 
 TEST_CASE("messages arrive once and in order, also those sent while the link is dialed")
@@ -129,4 +176,306 @@
   REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
 }
 
+TEST_CASE("messages of concurrent senders keep each sender's order")
+{
+  Node a(configOf(1));
+  Node b(configOf(2));
+  a.hub.setAddress(2, addressOf(b.hub));
+  constexpr std::uint64_t kPerThread = 1000;
+  constexpr unsigned kThreads = 3;
+  std::vector<std::thread> threads;
+  for (unsigned n = 0; n < kThreads; ++n) {
+    threads.emplace_back([&, n] {
+      for (std::uint64_t i = 0; i < kPerThread; ++i) {
+        a.hub.send(2, Lane::Data, wire::LeaseRenew{ n, 2, i, 0, 0 });
+      }
+    });
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  REQUIRE(waitFor([&] { return b.handler.count() == kThreads * kPerThread; }));
+  std::map<NodeId, std::uint64_t> next;
+  for (const auto& it : b.handler.messages()) {
+    const auto& message = std::get<wire::LeaseRenew>(it);
+    REQUIRE(message.sequence == next[message.node]++);
+  }
+}
+
+TEST_CASE("a connection that goes silent is found by both sides, and a new one is used")
+{
+  Node b(configOf(2));
+  FreezingProxy proxy(b.hub.port());
+  Node a(configOf(1));
+  a.hub.setAddress(2, proxy.address());
+  const auto first = a.hub.send(2, Lane::Control, numbered(1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+
+  // An idle link must survive longer than the silence limit, because pings keep it alive.
+  std::this_thread::sleep_for(Millis(1000));
+  REQUIRE(a.handler.losses().empty());
+  REQUIRE(b.handler.losses().empty());
+
+  proxy.freeze();
+  const TimePoint frozenAt = Clock::now();
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(2)).link == first.link);
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(waitFor([&] { return b.handler.losses().size() == 1; }));
+  REQUIRE(Clock::now() - frozenAt < Millis(1100));
+  const Loss loss = a.handler.losses()[0];
+  REQUIRE(loss.link == first.link);
+  REQUIRE(loss.wasDialed);
+  REQUIRE(!loss.neverOpened); // The message may have been delivered.
+
+  const auto second = a.hub.send(2, Lane::Control, numbered(3));
+  REQUIRE(second.link != first.link);
+  REQUIRE(waitFor([&] { return b.handler.count() == 2; }));
+  REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 3);
+}
+
+TEST_CASE("a peer that accepts and never speaks is given up, and nothing counts as delivered")
+{
+  std::promise<void> done;
+  FakeServer silent([finished = done.get_future().share()](PlainSocket&, int) { finished.wait(); });
+  Node a(configOf(1));
+  a.hub.setAddress(2, silent.address());
+  const auto sent = a.hub.send(2, Lane::Data, numbered(1));
+  REQUIRE(sent.status == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return !a.handler.losses().empty(); }));
+  REQUIRE(a.handler.losses()[0].link == sent.link);
+  REQUIRE(a.handler.losses()[0].neverOpened);
+  done.set_value();
+}
+
+TEST_CASE("a refused connection loses what was accepted for it, once, and is dialed again")
+{
+  unsigned short port = 0;
+  {
+    Node gone(configOf(2));
+    port = gone.hub.port();
+  }
+  Node a(configOf(1));
+  a.hub.setAddress(2, "127.0.0.1:" + std::to_string(port));
+  const auto first = a.hub.send(2, Lane::Control, numbered(1));
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(a.handler.losses()[0].neverOpened);
+  REQUIRE(a.handler.losses()[0].link == first.link);
+
+  auto config = configOf(2);
+  config.listenAddress = "127.0.0.1:" + std::to_string(port);
+  Node b(config);
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(2)).link != first.link);
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  REQUIRE(a.handler.losses().size() == 1);
+}
+
+TEST_CASE("dialing is not repeated faster than the backoff allows")
+{
+  FakeServer closing([](PlainSocket&, int) {});
+  Node a(configOf(1));
+  a.hub.setAddress(2, closing.address());
+  const TimePoint end = Clock::now() + Millis(600);
+  while (Clock::now() < end) {
+    a.hub.send(2, Lane::Control, numbered(1));
+    std::this_thread::sleep_for(Millis(2));
+  }
+  // Pauses of 20, 40, 80, 160 and 320 ms: six dials in 600 ms, one more for timing.
+  REQUIRE(closing.connections() >= 3);
+  REQUIRE(closing.connections() <= 7);
+}
+
+TEST_CASE("the loss of a link is reported exactly once on each side")
+{
+  Node a(configOf(1));
+  {
+    Node b(configOf(2));
+    a.hub.setAddress(2, addressOf(b.hub));
+    a.hub.send(2, Lane::Control, numbered(1));
+    a.hub.send(2, Lane::Data, numbered(1));
+    REQUIRE(waitFor([&] { return b.handler.count() == 2; }));
+    b.hub.stop();
+    b.hub.stop();
+    REQUIRE(b.handler.losses().size() == 2);
+    REQUIRE(b.hub.send(1, Lane::Control, numbered(1)).status == SendStatus::Unreachable);
+    REQUIRE(b.hub.reply(b.handler.lastLink(), numbered(1)) == SendStatus::Unreachable);
+  }
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 2; }));
+  std::this_thread::sleep_for(Millis(100));
+  REQUIRE(a.handler.losses().size() == 2);
+  REQUIRE(!a.hub.isLinked(2, Lane::Control));
+}
+
+TEST_CASE("a changed address closes the link to the old one")
+{
+  Node a(configOf(1));
+  Node before(configOf(2));
+  Node after(configOf(2));
+  a.hub.setAddress(2, addressOf(before.hub));
+  a.hub.send(2, Lane::Control, numbered(1));
+  REQUIRE(waitFor([&] { return before.handler.count() == 1; }));
+  a.hub.setAddress(2, addressOf(after.hub));
+  a.hub.send(2, Lane::Control, numbered(2));
+  REQUIRE(waitFor([&] { return after.handler.count() == 1; }));
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(before.handler.count() == 1);
+  a.hub.setAddress(2, "");
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(3)).status == SendStatus::Unreachable);
+}
+
+TEST_CASE("a peer that doesn't read makes the link full, and nothing accepted is lost")
+{
+  auto config = configOf(1);
+  config.silenceLimit = Millis(10000); // The frozen connection has to stay open.
+  config.maxBufferedBytes = 1U << 20U;
+  auto peerConfig = configOf(2);
+  peerConfig.silenceLimit = Millis(10000);
+  Node b(peerConfig);
+  FreezingProxy proxy(b.hub.port());
+  Node a(config);
+  a.hub.setAddress(2, proxy.address());
+  a.hub.send(2, Lane::Data, chunk(0, 1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  proxy.freeze();
+
+  std::uint64_t accepted = 1;
+  std::uint64_t refusedInARow = 0;
+  while (refusedInARow < 50 && accepted < 2000) {
+    const auto status = a.hub.send(2, Lane::Data, chunk(accepted, 64U << 10U)).status;
+    if (status == SendStatus::Accepted) {
+      ++accepted;
+      refusedInARow = 0;
+    } else {
+      REQUIRE(status == SendStatus::Full);
+      ++refusedInARow;
+      std::this_thread::sleep_for(Millis(2));
+    }
+  }
+  // 1 MiB waits in the hub; the rest of what was taken is in the kernel's socket buffers.
+  REQUIRE(accepted < 500);
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(1)).status == SendStatus::Accepted);
+
+  proxy.thaw();
+  REQUIRE(waitFor([&] { return b.handler.count() == accepted + 1; }));
+  REQUIRE(a.hub.send(2, Lane::Data, chunk(accepted, 1)).status == SendStatus::Accepted);
+  std::uint64_t next = 0;
+  for (const auto& it : b.handler.messages()) {
+    if (const auto* body = std::get_if<wire::BodyChunk>(&it)) {
+      REQUIRE(body->sequence == next++);
+    }
+  }
+}
+
+TEST_CASE("a queue towards a peer that is being dialed is bounded")
+{
+  std::promise<void> done;
+  FakeServer silent([finished = done.get_future().share()](PlainSocket&, int) { finished.wait(); });
+  auto config = configOf(1);
+  config.maxBufferedBytes = 256U << 10U;
+  Node a(config);
+  a.hub.setAddress(2, silent.address());
+  int accepted = 0;
+  while (a.hub.send(2, Lane::Data, chunk(0, 64U << 10U)).status == SendStatus::Accepted) {
+    ++accepted;
+    REQUIRE(accepted < 10);
+  }
+  REQUIRE(accepted == 3);
+  done.set_value();
+}
+
+TEST_CASE("peers of another fleet and peers with another id are not linked")
+{
+  const bool isOtherFleet = GENERATE(true, false);
+  Node a(configOf(1));
+  Node b(isOtherFleet ? configOf(2, "lagos") : configOf(3));
+  a.hub.setAddress(2, addressOf(b.hub));
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(1)).status == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(a.handler.losses()[0].neverOpened);
+  REQUIRE(b.handler.count() == 0);
+}
+
+TEST_CASE("frames that break the protocol close the connection")
+{
+  auto config = configOf(1);
+  config.maxMessageBytes = 4096;
+  Node a(config);
+  RawPeer peer(a.hub);
+  REQUIRE(peer.head.find(" 101 ") != std::string::npos);
+  bool isReported = true;
+  SECTION("message before hello")
+  {
+    isReported = false;
+    peer.socket.write(binaryFrame(wire::encodePeerMessage(numbered(1))));
+  }
+  SECTION("hello of another fleet")
+  {
+    isReported = false;
+    peer.sayHello("lagos");
+  }
+  SECTION("second hello")
+  {
+    peer.sayHello();
+    peer.sayHello();
+  }
+  SECTION("text frame")
+  {
+    peer.sayHello();
+    peer.socket.write(frame(1, "hello", 5));
+  }
+  SECTION("bytes that are no message")
+  {
+    peer.sayHello();
+    peer.socket.write(binaryFrame("\x01\x02\x03"));
+  }
+  SECTION("frame that announces more than the limit")
+  {
+    peer.sayHello();
+    peer.socket.write(frame(2, "x", 1ULL << 40U));
+  }
+  peer.socket.readAll();
+  REQUIRE(peer.socket.hasEnded());
+  REQUIRE(a.handler.count() == 0);
+  if (isReported) {
+    REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+    REQUIRE(a.handler.losses()[0].peer == 9);
+  } else {
+    REQUIRE(a.handler.losses().empty());
+  }
+}
+
+TEST_CASE("a connection for an unknown lane, or one that says nothing, is closed")
+{
+  Node a(configOf(1));
+  RawPeer other(a.hub, "/other");
+  REQUIRE(other.head.find(" 101 ") == std::string::npos);
+  PlainSocket mute(a.hub.port());
+  mute.readAll();
+  REQUIRE(mute.hasEnded());
+}
+
+TEST_CASE("a message above the limit is refused by its sender")
+{
+  Node a(configOf(1));
+  a.hub.setAddress(2, "127.0.0.1:1");
+  REQUIRE(a.hub.send(2, Lane::Data, chunk(0, 1U << 20U)).status == SendStatus::TooLarge);
+}
+
+TEST_CASE("a hub whose address is in use or unreadable fails to start")
+{
+  Node a(configOf(1));
+  RecordingHandler handler;
+  for (const std::string& address : { addressOf(a.hub), std::string("nowhere") }) {
+    auto config = configOf(2);
+    config.listenAddress = address;
+    PeerHub hub(config, handler);
+    const auto code = orElse(
+      [&]() -> Result<ErrorCode> {
+        BOOST_LEAF_CHECK(hub.start());
+        return ErrorCode::None;
+      },
+      [](const ErrorInfo& aInfo) { return aInfo.code; });
+    REQUIRE(code == ErrorCode::SettingsInvalid);
+  }
+}
+
 } // namespace camphorcleat::transport::testing
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Sends a body given in advance and reads the whole response.
-class RecordingTarget final : public TargetHandler
+class RecordingTarget : public TargetHandler
 {
 public:
   void onWritable() override
@@ -117,4 +117,268 @@
   REQUIRE(target.connections() == 1);
 }
 
+TEST_CASE("a request is sent once and its outcome is true, wherever the connection ends")
+{
+  struct Example
+  {
+    std::string name;
+    std::string response; ///< What the target sends before it closes.
+    bool isRead = true;   ///< Whether it reads the request first.
+    bool isReset = false;
+    ErrorCode code = ErrorCode::None;
+  };
+  const auto example = GENERATE(values<Example>({
+    { "before reading", "", false, false, ErrorCode::OutcomeUnknown },
+    { "before reading, with a reset", "", false, true, ErrorCode::OutcomeUnknown },
+    { "before the answer", "", true, false, ErrorCode::OutcomeUnknown },
+    { "before the answer, with a reset", "", true, true, ErrorCode::OutcomeUnknown },
+    { "within the head", "HTTP/1.1 200 OK\r\nContent-", true, false, ErrorCode::AnswerTruncated },
+    { "after the head", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true, false,
+      ErrorCode::AnswerTruncated },
+    { "within the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", true, false,
+      ErrorCode::AnswerTruncated },
+    { "within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", true, false,
+      ErrorCode::AnswerTruncated },
+    { "before the final chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+      true, false, ErrorCode::AnswerTruncated },
+    { "without a length", "HTTP/1.1 200 OK\r\n\r\nabc", true, false, ErrorCode::AnswerTruncated },
+    { "malformed answer", "HELLO\r\n\r\n", true, false, ErrorCode::OutcomeUnknown },
+  }));
+  const bool isKept = GENERATE(false, true);
+  CAPTURE(example.name, isKept);
+  std::atomic<int> requests{ 0 };
+  FakeServer target([&](PlainSocket& aSocket, int) {
+    if (isKept && requests == 0) {
+      aSocket.readUntil("\r\n\r\n");
+      ++requests;
+      aSocket.write(kOk);
+    }
+    if (example.isRead) {
+      requests += aSocket.readUntil("hello").empty() ? 0 : 1;
+    } else {
+      char byte = 0; // The request has arrived, but stays unread.
+      ::recv(aSocket.native(), &byte, 1, MSG_PEEK);
+    }
+    aSocket.write(example.response);
+    if (example.isReset) {
+      aSocket.reset();
+    }
+  });
+  Client client(target.address());
+  if (isKept) {
+    REQUIRE(client.run("GET")->ends == 1);
+  }
+  const auto run = client.run("POST", "hello");
+  REQUIRE(run->failures == 1);
+  REQUIRE(run->mayHaveRun);
+  REQUIRE(run->code == example.code);
+  std::this_thread::sleep_for(Millis(20));
+  REQUIRE(run->ends + run->failures == 1);
+  REQUIRE(target.connections() == 1);
+  REQUIRE(requests == (isKept ? 1 : 0) + (example.isRead ? 1 : 0));
+  REQUIRE(waitFor([&] { return client.client->openConnections() == 0; }));
+}
+
+TEST_CASE("a kept connection that was closed, or on which data waits, isn't used again")
+{
+  const bool isData = GENERATE(false, true);
+  FakeServer target([&](PlainSocket& aSocket, int aConnection) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write(kOk);
+    if (aConnection == 1) {
+      std::this_thread::sleep_for(Millis(20));
+      aSocket.write(isData ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong" : "");
+      if (isData) {
+        std::this_thread::sleep_for(Millis(100));
+      }
+    }
+  });
+  Client client(target.address());
+  REQUIRE(client.run("GET")->ends == 1);
+  std::this_thread::sleep_for(Millis(60));
+  REQUIRE(client.run("POST", "hello")->received == "ok");
+  REQUIRE(target.connections() == 2);
+}
+
+TEST_CASE("a request that was never sent is reported as not run")
+{
+  SECTION("nobody listens")
+  {
+    Client client("127.0.0.1:1");
+    const auto run = client.run("GET");
+    REQUIRE(run->code == ErrorCode::TargetDown);
+    REQUIRE(!run->mayHaveRun);
+  }
+  SECTION("all connections are in use")
+  {
+    std::promise<void> done;
+    FakeServer target(
+      [finished = done.get_future().share()](PlainSocket&, int) { finished.wait(); });
+    Client client(target.address(), 1);
+    const auto first = client.start("GET");
+    const auto second = client.run("GET");
+    REQUIRE(second->code == ErrorCode::Overloaded);
+    REQUIRE(!second->mayHaveRun);
+    REQUIRE(!first->isDone());
+    done.set_value();
+  }
+  SECTION("the right to send ends before the write")
+  {
+    class Refusing final : public RecordingTarget
+    {
+    public:
+      bool mayStartWrite() override { return false; }
+    };
+    std::string got;
+    std::atomic<bool> isRead{ false };
+    FakeServer target([&](PlainSocket& aSocket, int) {
+      got = aSocket.readUntil("\r\n\r\n");
+      isRead = true;
+    });
+    auto refusing = std::make_shared<Refusing>();
+    {
+      Client client(target.address());
+      runOn(client.thread, [&] {
+        client.client->start({ "GET", "/x", {}, 0 }, refusing, Clock::now() + Millis(1000));
+      });
+      REQUIRE(waitFor([&] { return refusing->isDone(); }));
+    }
+    REQUIRE(refusing->code == ErrorCode::LeaseExpired);
+    REQUIRE(!refusing->mayHaveRun);
+    REQUIRE(waitFor([&] { return isRead.load(); }));
+    REQUIRE(got.empty());
+  }
+}
+
+TEST_CASE("deadline and cancellation close the connection, so that the target can stop")
+{
+  std::atomic<bool> hasEnded{ false };
+  FakeServer target([&](PlainSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.readAll();
+    hasEnded = aSocket.hasEnded();
+  });
+  Client client(target.address());
+  SECTION("deadline")
+  {
+    const auto run = client.run("GET", "", Millis(100));
+    REQUIRE(run->code == ErrorCode::DeadlineExceeded);
+    REQUIRE(run->mayHaveRun);
+  }
+  SECTION("cancellation")
+  {
+    const auto run = client.start("GET");
+    REQUIRE(waitFor([&] { return target.connections() == 1; }));
+    std::this_thread::sleep_for(Millis(20));
+    runOn(client.thread, [&] {
+      run->exchange->cancel();
+      run->exchange->cancel();
+    });
+    REQUIRE(waitFor([&] { return run->isDone(); }));
+    REQUIRE(run->failures == 1);
+    REQUIRE(run->code == ErrorCode::Cancelled);
+    REQUIRE(run->mayHaveRun);
+  }
+  REQUIRE(waitFor([&] { return hasEnded.load(); }));
+}
+
+TEST_CASE("interim responses are skipped, and bodiless responses end at their head")
+{
+  FakeServer target([](PlainSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 100 Continue\r\n\r\n" + std::string(kOk));
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n");
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 204 No Content\r\n\r\n");
+  });
+  Client client(target.address());
+  REQUIRE(client.run("GET")->received == "ok");
+  REQUIRE(client.run("HEAD")->ends == 1);
+  REQUIRE(client.run("GET")->status == 204U);
+  REQUIRE(target.connections() == 1);
+}
+
+TEST_CASE("an answer given before the whole body was sent arrives, and the connection isn't reused")
+{
+  FakeServer target([](PlainSocket& aSocket, int aConnection) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write(aConnection == 1 ? "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n" : kOk);
+    aSocket.readSome();
+  });
+  Client client(target.address());
+  auto early = std::make_shared<RecordingTarget>();
+  runOn(client.thread, [&] {
+    early->exchange =
+      client.client->start({ "POST", "/x", {}, 5 }, early, Clock::now() + Millis(2000));
+  });
+  REQUIRE(waitFor([&] { return early->isDone(); }));
+  REQUIRE(early->status == 413U);
+  REQUIRE(early->ends == 1);
+  REQUIRE(client.run("GET")->received == "ok");
+  REQUIRE(target.connections() == 2);
+}
+
+TEST_CASE("a body that differs from its announced length fails the exchange")
+{
+  FakeServer target([](PlainSocket& aSocket, int) { aSocket.readAll(); });
+  Client client(target.address());
+  auto run = std::make_shared<RecordingTarget>();
+  run->body = "too long";
+  runOn(client.thread, [&] {
+    run->exchange = client.client->start({ "POST", "/x", {}, 3 }, run, Clock::now() + Millis(2000));
+  });
+  REQUIRE(waitFor([&] { return run->isDone(); }));
+  REQUIRE(run->code == ErrorCode::BadRequest);
+  REQUIRE(!run->mayHaveRun);
+}
+
+TEST_CASE("fetch returns a whole small response, and an error for every other one")
+{
+  std::string answer;
+  ErrorCode expected = ErrorCode::None;
+  SECTION("whole")
+  {
+    answer = kOk;
+  }
+  SECTION("truncated")
+  {
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+    expected = ErrorCode::AnswerTruncated;
+  }
+  SECTION("too large")
+  {
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n";
+    expected = ErrorCode::BodyTooLarge;
+  }
+  SECTION("none in time")
+  {
+    expected = ErrorCode::DeadlineExceeded;
+  }
+  FakeServer target([&](PlainSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    if (answer.empty()) {
+      aSocket.readSome();
+    }
+    aSocket.write(answer);
+  });
+  Client client(target.address());
+  std::promise<FetchResult> done;
+  const TimePoint start = Clock::now();
+  runOn(client.thread, [&] {
+    client.client->fetch("POST", "/grant", "{}", Millis(200),
+                         [&](FetchResult aResult) { done.set_value(std::move(aResult)); });
+  });
+  const FetchResult result = done.get_future().get();
+  REQUIRE(result.ok == (expected == ErrorCode::None));
+  REQUIRE(result.code == expected);
+  if (result.ok) {
+    REQUIRE(result.status == 200);
+    REQUIRE(result.body == "ok");
+    REQUIRE(result.sentAt >= start);
+    REQUIRE(result.receivedAt >= result.sentAt);
+  }
+  REQUIRE(client.client->openConnections() == 0);
+}
+
 } // namespace camphorcleat::transport::testing
--- a/packages/transport/testing/TransportFakes.h
+++ b/packages/transport/testing/TransportFakes.h
@@ -13,6 +13,8 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -186,6 +188,105 @@
   std::thread mThread;
 };
 
+/// Forwards TCP connections to a port. freeze() stops forwarding on the connections that are open,
+/// without closing them; new connections work.
+class FreezingProxy
+{
+public:
+  explicit FreezingProxy(unsigned short aPort)
+    : mAcceptor(mThread.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    , mTarget(boost::asio::ip::address_v4::loopback(), aPort)
+  {
+    accept();
+    mThread.start();
+  }
+  ~FreezingProxy() { mThread.stop(); }
+  FreezingProxy(const FreezingProxy&) = delete;
+  FreezingProxy& operator=(const FreezingProxy&) = delete;
+
+  std::string address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  void freeze() { setFrozen(true); }
+  void thaw() { setFrozen(false); }
+
+private:
+  struct Pipe
+  {
+    std::shared_ptr<tcp::socket> from;
+    std::shared_ptr<tcp::socket> to;
+    bool isFrozen = false;
+    bool isWaiting = false; ///< Holds bytes for thaw().
+    std::size_t bytes = 0;
+    std::string buffer = std::string(65536, '\0');
+  };
+
+  void setFrozen(bool aIsFrozen)
+  {
+    runOn(mThread, [&] {
+      for (const auto& it : mPipes) {
+        it->isFrozen = aIsFrozen;
+        if (!aIsFrozen && std::exchange(it->isWaiting, false)) {
+          pass(it);
+        }
+      }
+    });
+  }
+
+  void accept()
+  {
+    mAcceptor.async_accept([this](const boost::system::error_code& aEc, tcp::socket aSocket) {
+      if (aEc) {
+        return;
+      }
+      const auto near = std::make_shared<tcp::socket>(std::move(aSocket));
+      const auto far = std::make_shared<tcp::socket>(mThread.context());
+      boost::system::error_code ec;
+      far->connect(mTarget, ec);
+      for (const auto& it : { std::make_pair(near, far), std::make_pair(far, near) }) {
+        mPipes.push_back(std::make_shared<Pipe>());
+        mPipes.back()->from = it.first;
+        mPipes.back()->to = it.second;
+        forward(mPipes.back());
+      }
+      accept();
+    });
+  }
+
+  void forward(const std::shared_ptr<Pipe>& aPipe)
+  {
+    aPipe->from->async_read_some(
+      boost::asio::buffer(aPipe->buffer),
+      [this, aPipe](const boost::system::error_code& aEc, std::size_t aBytes) {
+        if (aEc && !aPipe->isFrozen) {
+          boost::system::error_code ec;
+          aPipe->to->shutdown(tcp::socket::shutdown_send, ec);
+        }
+        if (!aEc) {
+          aPipe->bytes = aBytes;
+          pass(aPipe);
+        }
+      });
+  }
+
+  void pass(const std::shared_ptr<Pipe>& aPipe)
+  {
+    if (aPipe->isFrozen) {
+      aPipe->isWaiting = true;
+      return;
+    }
+    boost::asio::async_write(
+      *aPipe->to, boost::asio::buffer(aPipe->buffer, aPipe->bytes),
+      [this, aPipe](const boost::system::error_code&, std::size_t) { forward(aPipe); });
+  }
+
+  DutyThread mThread{ "proxy" };
+  tcp::acceptor mAcceptor;
+  tcp::endpoint mTarget;
+  std::vector<std::shared_ptr<Pipe>> mPipes;
+};
+
 } // namespace camphorcleat::transport::testing
 
 #endif // CAMPHORCLEAT_TRANSPORT_TESTING_TRANSPORTFAKES_H_
