--- /dev/null
+++ b/packages/harness/Fleet.cc
@@ -0,0 +1,358 @@
+// Starting and steering of the processes of a test fleet.
+
+#include "harness/Fleet.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "base/Codec.h"
+#include "harness/HarnessErrors.h"
+#include "harness/HttpCall.h"
+#include "harness/Interruption.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+constexpr Millis kCallTimeout{ 2000 };
+constexpr Millis kReadyTimeout{ 20'000 };
+constexpr Millis kCommandTimeout{ 20'000 };
+constexpr Millis kStopTimeout{ 30'000 }; // A planned stop waits for requests of up to 10 s.
+
+struct StatusAnswer
+{
+  std::string role;
+
+  static constexpr auto fields() { return std::make_tuple(field("role", &StatusAnswer::role)); }
+};
+
+struct OwnersAnswer
+{
+  std::map<std::string, std::map<PartitionId, std::optional<NodeId>>> services;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("services", &OwnersAnswer::services));
+  }
+};
+
+std::string readFile(const std::string& aPath)
+{
+  std::ifstream in(aPath, std::ios::binary);
+  std::stringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+bool isLeader(const NodeLayout& aNode)
+{
+  return orElse(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(reply, httpCall(aNode.operators, "GET", "/status", "", Millis(300)));
+      BOOST_LEAF_AUTO(status, fromJson<StatusAnswer>(reply.body));
+      return status.role == "leader";
+    },
+    [](const ErrorInfo&) { return false; });
+}
+
+} // namespace
+
+std::string RunFolders::targetRecord(NodeId aNode) const
+{
+  return work + "/targets/" + std::to_string(aNode) + ".jsonl";
+}
+
+std::string RunFolders::nodeFolder(NodeId aNode) const
+{
+  return work + "/nodes/" + std::to_string(aNode);
+}
+
+Fleet::Fleet(FleetLayout aLayout, RunFolders aFolders, std::uint64_t aSeed,
+             ProcessGroup& aProcesses)
+  : mLayout(std::move(aLayout))
+  , mFolders(std::move(aFolders))
+  , mSeed(aSeed)
+  , mProcesses(aProcesses)
+{
+}
+
+Result<void> Fleet::start()
+{
+  for (const char* it : { "/targets", "/nodes", "/ctl" }) {
+    std::filesystem::create_directories(mFolders.work + it);
+  }
+  if (!mLayout.links().empty()) {
+    BOOST_LEAF_CHECK(startProxy());
+  }
+  for (const auto& it : mLayout.nodes()) {
+    if (it.service) {
+      BOOST_LEAF_CHECK(startTarget(it));
+    }
+  }
+  for (const auto& it : mLayout.nodes()) {
+    BOOST_LEAF_CHECK(startDaemon(it));
+  }
+  BOOST_LEAF_CHECK(waitReady());
+  return pauseUntil("a control leader", kReadyTimeout, [&] {
+    return std::any_of(mLayout.nodes().begin(), mLayout.nodes().end(), isLeader);
+  });
+}
+
+Result<void> Fleet::startProxy()
+{
+  std::vector<std::string> arguments{ "--admin", endpointText(mLayout.proxyAdmin()), "--seed",
+                                      std::to_string(mSeed) };
+  for (const auto& it : mLayout.links()) {
+    arguments.emplace_back("--link");
+    arguments.push_back(it.name() + "=" + endpointText(it.listen) + ">" +
+                        endpointText(mLayout.node(it.to).peers));
+  }
+  BOOST_LEAF_CHECK(mProcesses.start(
+    { "proxy", mFolders.testing + "/fault-proxy", arguments, mFolders.work + "/proxy.log" }));
+  return {};
+}
+
+Result<void> Fleet::startTarget(const NodeLayout& aNode)
+{
+  const ServiceStatement& service = *aNode.service;
+  std::vector<std::string> arguments{
+    "--listen",
+    endpointText(aNode.target),
+    "--admin",
+    endpointText(aNode.targetAdmin),
+    "--id",
+    std::to_string(aNode.id),
+    "--service",
+    service.name,
+    "--slots",
+    std::to_string(service.slots),
+    "--cold-slots",
+    std::to_string(service.coldSlots),
+    "--warm-up-ms",
+    std::to_string(service.warmUp.count()),
+    "--service-time-ms",
+    std::to_string(service.serviceTimeMs),
+    "--record",
+    mFolders.targetRecord(aNode.id),
+    "--seed",
+    std::to_string(mSeed * 1000 + aNode.id),
+  };
+  if (service.isFixedTime) {
+    arguments.emplace_back("--fixed");
+  }
+  if (service.sheds) {
+    arguments.emplace_back("--shed");
+  }
+  if (mLayout.fleet().checksGrants) {
+    arguments.emplace_back("--checks-grants");
+  }
+  for (const auto& it : mSecrets) {
+    arguments.emplace_back("--secret");
+    arguments.push_back(it);
+  }
+  const std::string id = std::to_string(aNode.id);
+  BOOST_LEAF_AUTO(pid, mProcesses.start({ "target " + id, mFolders.testing + "/target-standin",
+                                          arguments, mFolders.work + "/targets/" + id + ".log" }));
+  mTargets[aNode.id] = pid;
+  return {};
+}
+
+Result<void> Fleet::startDaemon(const NodeLayout& aNode)
+{
+  const std::string folder = mFolders.nodeFolder(aNode.id);
+  std::filesystem::create_directories(folder + "/data");
+  std::ofstream(folder + "/settings.ini") << mLayout.settings(aNode.id, folder + "/data");
+  BOOST_LEAF_AUTO(pid, mProcesses.start({ "node " + std::to_string(aNode.id),
+                                          mFolders.bin + "/camphorcleatd",
+                                          { "--config", folder + "/settings.ini" },
+                                          folder + "/log.txt" }));
+  mDaemons[aNode.id] = pid;
+  return {};
+}
+
+bool Fleet::isReady(const NodeLayout& aNode) const
+{
+  return orElse(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(reply, httpCall(aNode.operators, "GET", "/readyz", "", Millis(300)));
+      return reply.status == 200;
+    },
+    [](const ErrorInfo&) { return false; });
+}
+
+Result<void> Fleet::waitReady()
+{
+  for (const auto& it : mLayout.nodes()) {
+    const std::string name = "node " + std::to_string(it.id) + " to be ready";
+    BOOST_LEAF_CHECK(pauseUntil(
+      name, kReadyTimeout, [&] { return !mProcesses.isRunning(mDaemons[it.id]) || isReady(it); }));
+  }
+  return {};
+}
+
+Result<CommandResult> Fleet::command(const std::string& aText)
+{
+  const std::string output = mFolders.work + "/ctl/" + std::to_string(++mCommands) + ".txt";
+  BOOST_LEAF_AUTO(pid,
+                  mProcesses.start({ "camphorcleatctl",
+                                     mFolders.bin + "/camphorcleatctl",
+                                     { "--connect", mLayout.operatorAddresses(), "--json", aText },
+                                     output }));
+  BOOST_LEAF_CHECK(pauseUntil("the answer to '" + aText + "'", kCommandTimeout,
+                              [&] { return !mProcesses.isRunning(pid); }));
+  return CommandResult{ mProcesses.wait(pid, Millis(0))->exitStatus, readFile(output) };
+}
+
+Result<Owners> Fleet::owners(const std::string& aService)
+{
+  BOOST_LEAF_AUTO(result, command("show owners"));
+  if (result.exitStatus != 0) {
+    return fail(HarnessError{ "show owners failed: " + result.output });
+  }
+  BOOST_LEAF_AUTO(answer, fromJson<OwnersAnswer>(result.output));
+  Owners out;
+  for (const auto& [partition, node] : answer.services[aService]) {
+    if (node.value_or(kNoNode) != kNoNode) {
+      out[partition] = *node;
+    }
+  }
+  return out;
+}
+
+Result<NodeId> Fleet::leader()
+{
+  NodeId out = kNoNode;
+  // Between two leaders there is a moment without one.
+  BOOST_LEAF_CHECK(pauseUntil("a control leader", kReadyTimeout, [&] {
+    for (const auto& it : mLayout.nodes()) {
+      if (out == kNoNode && it.isControl && isLeader(it)) {
+        out = it.id;
+      }
+    }
+    return out != kNoNode;
+  }));
+  return out;
+}
+
+void Fleet::signalDaemon(NodeId aNode, int aSignal)
+{
+  mProcesses.signal(mDaemons[aNode], aSignal);
+}
+
+void Fleet::signalTarget(NodeId aNode, int aSignal)
+{
+  const auto it = mTargets.find(aNode);
+  if (it != mTargets.end()) {
+    mProcesses.signal(it->second, aSignal);
+  }
+}
+
+Result<void> Fleet::stopDaemon(NodeId aNode)
+{
+  signalDaemon(aNode, SIGTERM);
+  const pid_t pid = mDaemons[aNode];
+  BOOST_LEAF_CHECK(pauseUntil("the end of node " + std::to_string(aNode), kStopTimeout,
+                              [&] { return !mProcesses.isRunning(pid); }));
+  const auto end = mProcesses.wait(pid, Millis(0));
+  if (end && end->exitStatus != 0 && end->signal != SIGKILL) {
+    return fail(HarnessError{ end->message() + " after SIGTERM" });
+  }
+  return {};
+}
+
+Result<void> Fleet::restartDaemon(NodeId aNode, bool aWithEmptyDisk)
+{
+  if (mProcesses.isRunning(mDaemons[aNode])) {
+    BOOST_LEAF_CHECK(stopDaemon(aNode));
+  }
+  if (aWithEmptyDisk) {
+    std::filesystem::remove_all(mFolders.nodeFolder(aNode) + "/data");
+  }
+  return startDaemon(mLayout.node(aNode));
+}
+
+Result<void> Fleet::restartTargetProcess(NodeId aNode)
+{
+  const NodeLayout& node = mLayout.node(aNode);
+  if (!node.service || mProcesses.isRunning(mTargets[aNode])) {
+    return {};
+  }
+  return startTarget(node);
+}
+
+Result<void> Fleet::set(const std::string& aLink, const std::string& aQuery)
+{
+  BOOST_LEAF_AUTO(reply, httpCall(mLayout.proxyAdmin(), "POST", "/set?link=" + aLink + "&" + aQuery,
+                                  "", kCallTimeout));
+  if (reply.status != 200) {
+    return fail(HarnessError{ "fault-proxy refused: " + reply.body });
+  }
+  return {};
+}
+
+Result<void> Fleet::cut(NodeId aFrom, NodeId aTo)
+{
+  // What one node sends to another travels towards the server on connections that it dialled, and
+  // towards the client on connections that the other one dialled.
+  const std::pair<std::string, std::string> parts[] = {
+    { LinkLayout{ aFrom, aTo, {} }.name(), "to_server" },
+    { LinkLayout{ aTo, aFrom, {} }.name(), "to_client" },
+  };
+  for (const auto& [link, direction] : parts) {
+    auto& directions = mCuts[link];
+    directions.insert(direction);
+    BOOST_LEAF_CHECK(set(link, "cut=" + (directions.size() == 2 ? "both" : direction)));
+  }
+  return {};
+}
+
+Result<void> Fleet::heal()
+{
+  mCuts.clear();
+  return mLayout.links().empty() ? Result<void>() : set("*", "cut=none");
+}
+
+Result<void> Fleet::silence(NodeId aFrom, NodeId aTo)
+{
+  BOOST_LEAF_CHECK(set(LinkLayout{ aFrom, aTo, {} }.name(), "silence_open=1"));
+  return set(LinkLayout{ aTo, aFrom, {} }.name(), "silence_open=1");
+}
+
+Result<void> Fleet::reset(NodeId aFrom, NodeId aTo)
+{
+  BOOST_LEAF_CHECK(set(LinkLayout{ aFrom, aTo, {} }.name(), "reset=1"));
+  return set(LinkLayout{ aTo, aFrom, {} }.name(), "reset=1");
+}
+
+Result<void> Fleet::delayAll(Millis aDelay, Millis aJitter)
+{
+  return set("*", "delay_ms=" + std::to_string(aDelay.count()) +
+                    "&jitter_ms=" + std::to_string(aJitter.count()));
+}
+
+Result<void> Fleet::controlTarget(NodeId aNode, const std::string& aPathAndQuery,
+                                  const std::string& aBody)
+{
+  BOOST_LEAF_AUTO(
+    reply, httpCall(mLayout.node(aNode).targetAdmin, "POST", aPathAndQuery, aBody, kCallTimeout));
+  if (reply.status != 200) {
+    return fail(HarnessError{ "target " + std::to_string(aNode) + " refused " + aPathAndQuery +
+                              ": " + reply.body });
+  }
+  return {};
+}
+
+Result<void> Fleet::watchSecret(const std::string& aText)
+{
+  mSecrets.push_back(aText);
+  for (const auto& [node, pid] : mTargets) {
+    if (mProcesses.isRunning(pid)) {
+      BOOST_LEAF_CHECK(controlTarget(node, "/secret", aText));
+    }
+  }
+  return {};
+}
+
+} // namespace camphorcleat::harness
--- /dev/null
+++ b/packages/harness/Interruption.cc
@@ -0,0 +1,66 @@
+// A flag set by signal handlers and polled by waits.
+
+#include "harness/Interruption.h"
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+#include "harness/HarnessErrors.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+constexpr Millis kPollInterval{ 20 };
+volatile std::sig_atomic_t sInterrupted = 0;
+
+void noteSignal(int)
+{
+  sInterrupted = 1;
+}
+
+} // namespace
+
+void watchInterruption()
+{
+  struct sigaction action = {};
+  action.sa_handler = noteSignal;
+  for (const int it : { SIGINT, SIGTERM, SIGHUP }) {
+    sigaction(it, &action, nullptr);
+  }
+}
+
+bool wasInterrupted()
+{
+  return sInterrupted != 0;
+}
+
+Result<void> pauseFor(Millis aDuration)
+{
+  const TimePoint end = Clock::now() + aDuration;
+  while (!wasInterrupted()) {
+    const TimePoint now = Clock::now();
+    if (now >= end) {
+      return {};
+    }
+    std::this_thread::sleep_for(std::min<Duration>(kPollInterval, end - now));
+  }
+  return fail(HarnessError{ "interrupted by a signal" });
+}
+
+Result<void> pauseUntil(const std::string& aWhat, Millis aTimeout,
+                        const std::function<bool()>& aFunction)
+{
+  const TimePoint end = Clock::now() + aTimeout;
+  while (!aFunction()) {
+    if (Clock::now() >= end) {
+      return fail(
+        HarnessError{ "waited " + std::to_string(aTimeout.count()) + " ms in vain for " + aWhat });
+    }
+    BOOST_LEAF_CHECK(pauseFor(kPollInterval));
+  }
+  return {};
+}
+
+} // namespace camphorcleat::harness
--- /dev/null
+++ b/packages/harness/Scenario.h
@@ -0,0 +1,222 @@
+// The statements of a scenario, as the parser delivers them.
+
+#ifndef CAMPHORCLEAT_HARNESS_SCENARIO_H_
+#define CAMPHORCLEAT_HARNESS_SCENARIO_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+namespace camphorcleat::harness {
+
+/// `service NAME keyed|unkeyed nodes N slots N cold-slots N warm-up 500ms service-time 5ms`
+struct ServiceStatement
+{
+  std::string name;
+  bool isKeyed = true;
+  unsigned nodes = 0; ///< 0: all nodes that no other service takes.
+  unsigned slots = 10;
+  unsigned coldSlots = 2;
+  Millis warmUp{ 500 };
+  double serviceTimeMs = 5;
+  bool isFixedTime = false;
+  bool sheds = false;
+};
+
+/// `fleet NAME zones N nodes N control N [apart] partitions N [proxied] [checks-grants]`
+struct FleetStatement
+{
+  std::string name;
+  unsigned zones = 1;
+  unsigned nodes = 1;
+  unsigned control = 1;
+  bool isControlApart = false; ///< Control members are VMs of their own, without targets.
+  unsigned partitions = 64;
+  bool isProxied = false;
+  bool checksGrants = false;
+  std::vector<ServiceStatement> services;
+};
+
+struct StartStatement
+{};
+
+/// `operator "TEXT" [expect-code CODE]`
+struct OperatorStatement
+{
+  std::string text;
+  std::string expectedCode; ///< Empty: must succeed.
+};
+
+/// `account NAME rate R burst B`
+struct AccountStatement
+{
+  std::string name;
+  double ratePerSecond = 0;
+  double burst = 0;
+};
+
+/// `load NAME account A service S rate 50/s keys 1000 [...] for 10s`
+struct LoadStatement
+{
+  std::string name;
+  std::string account;
+  std::string service;
+  double ratePerSecond = 0;
+  bool isSteady = false;
+  unsigned keys = 1000;
+  std::string onlyKey; ///< `key K`: all requests use this key.
+  std::optional<double> zipf;
+  double postPercent = 0;
+  bool hasIdempotencyKeys = false;
+  unsigned bodyBytes = 0;
+  unsigned answerBytes = 0;
+  std::optional<Millis> deadline;
+  std::optional<Millis> work;
+  NodeId via = kNoNode; ///< 0: any node.
+  Millis duration{ 0 };
+};
+
+struct WaitStatement
+{
+  Millis duration{ 0 };
+};
+
+/// `wait owned SERVICE`: until every partition of the service has an owner.
+struct WaitOwnedStatement
+{
+  std::string service;
+};
+
+/// `wait loads`: until every load started so far has ended.
+struct WaitLoadsStatement
+{};
+
+/// `wait ready`: until every running daemon says it is ready.
+struct WaitReadyStatement
+{};
+
+/// Which VMs a statement means.
+struct NodeReference
+{
+  enum class Kind
+  {
+    Node,
+    Leader,
+    OwnerOf,
+    All
+  };
+  Kind kind = Kind::Node;
+  NodeId node = kNoNode;
+  std::string service; ///< Of `owner-of SERVICE/KEY`; empty: the only keyed service.
+  std::string key;
+  bool isWholeVm = false; ///< `vm N`: the target too, not only the daemon.
+};
+
+/// `kill|freeze|resume|stop|restart REFERENCE [with empty disk]`
+struct ProcessStatement
+{
+  enum class Action
+  {
+    Kill,   ///< SIGKILL
+    Freeze, ///< SIGSTOP
+    Resume, ///< SIGCONT
+    Stop,   ///< SIGTERM
+    Restart ///< Started again; ended first if it runs.
+  };
+  Action action = Action::Kill;
+  NodeReference node;
+  bool hasEmptyDisk = false;
+};
+
+/// `cut A -> B` or `cut A <-> B`
+struct CutStatement
+{
+  NodeReference from;
+  NodeReference to;
+  bool isBothWays = false;
+};
+
+struct HealStatement
+{};
+
+/// `silence A -> B`: the connections open now between A and B go silent for good.
+struct SilenceStatement
+{
+  NodeReference from;
+  NodeReference to;
+};
+
+/// `reset A -> B`: the connections open now between A and B are reset.
+struct ResetStatement
+{
+  NodeReference from;
+  NodeReference to;
+};
+
+/// `delay all 5ms [jitter 2ms]`
+struct DelayStatement
+{
+  Millis delay{ 0 };
+  Millis jitter{ 0 };
+};
+
+/// `target N slow 10 for 500ms|cold|drain|restart|kill|freeze|resume`
+struct TargetStatement
+{
+  enum class Action
+  {
+    Slow,
+    Cold,
+    Drain,
+    Restart,
+    Kill,
+    Freeze,
+    Resume
+  };
+  Action action = Action::Cold;
+  NodeId node = kNoNode;
+  double factor = 1;
+  Millis duration{ 0 };
+};
+
+/// `expect MEASURE [ARGUMENT...] <= VALUE [UNIT]`
+struct ExpectStatement
+{
+  enum class Comparison
+  {
+    AtMost,
+    AtLeast,
+    Below,
+    Above,
+    Equal
+  };
+  std::string measure;
+  std::vector<std::string> arguments;
+  Comparison comparison = Comparison::AtMost;
+  double value = 0;     ///< Milliseconds if a unit was given.
+  bool hasUnit = false; ///< A unit of time was given.
+};
+
+using StatementBody =
+  std::variant<FleetStatement, ServiceStatement, StartStatement, OperatorStatement,
+               AccountStatement, LoadStatement, WaitStatement, WaitOwnedStatement,
+               WaitLoadsStatement, WaitReadyStatement, ProcessStatement, CutStatement,
+               HealStatement, SilenceStatement, ResetStatement, DelayStatement, TargetStatement,
+               ExpectStatement>;
+
+struct Statement
+{
+  unsigned line = 0;
+  std::string text; ///< As written, without a comment.
+  StatementBody body;
+};
+
+using Scenario = std::vector<Statement>;
+
+} // namespace camphorcleat::harness
+
+#endif // CAMPHORCLEAT_HARNESS_SCENARIO_H_
--- /dev/null
+++ b/packages/harness/ScenarioCheck.cc
@@ -0,0 +1,193 @@
+// One pass over the statements that remembers what was declared so far.
+
+#include "harness/ScenarioCheck.h"
+
+#include <set>
+
+#include "harness/Measures.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+constexpr unsigned kMaxNodes = 30; // Each node is two processes and, proxied, a link to each other.
+
+// Each overload returns the fault of a statement, or an empty text.
+class Checker
+{
+public:
+  std::string operator()(const FleetStatement& aFleet)
+  {
+    if (mHasFleet) {
+      return "a scenario has one fleet";
+    }
+    mHasFleet = true;
+    mFleet = aFleet;
+    mNodeCount = aFleet.nodes + (aFleet.isControlApart ? aFleet.control : 0);
+    if (aFleet.nodes == 0 || mNodeCount > kMaxNodes) {
+      return "a fleet has 1 to " + std::to_string(kMaxNodes) + " nodes, control included";
+    }
+    if (aFleet.zones == 0 || aFleet.zones > aFleet.nodes) {
+      return "a fleet has at least one zone, and a node in each";
+    }
+    if (aFleet.control == 0 || (!aFleet.isControlApart && aFleet.control > aFleet.nodes)) {
+      return "control needs at least one member and, unless apart, a node for each";
+    }
+    for (const auto& it : aFleet.services) {
+      if (const std::string fault = (*this)(it); !fault.empty()) {
+        return fault;
+      }
+    }
+    return {};
+  }
+
+  std::string operator()(const ServiceStatement& aService)
+  {
+    if (!mHasFleet || mIsStarted) {
+      return "services stand between fleet and start";
+    }
+    if (!mServices.insert(aService.name).second) {
+      return "service " + aService.name + " is declared twice";
+    }
+    mServiceNodes += aService.nodes;
+    if (mServiceNodes > mFleet.nodes) {
+      return "the services have more nodes than the fleet";
+    }
+    return {};
+  }
+
+  std::string operator()(const StartStatement&)
+  {
+    if (!mHasFleet || mIsStarted || mServices.empty()) {
+      return "start comes once, after fleet and at least one service";
+    }
+    mIsStarted = true;
+    return {};
+  }
+
+  std::string operator()(const AccountStatement& aAccount)
+  {
+    if (!mAccounts.insert(aAccount.name).second) {
+      return "account " + aAccount.name + " is declared twice";
+    }
+    if (aAccount.ratePerSecond <= 0 || aAccount.burst < 1) {
+      return "an account needs a rate above 0 and a burst of at least 1";
+    }
+    return started();
+  }
+
+  std::string operator()(const LoadStatement& aLoad)
+  {
+    if (!mLoads.insert(aLoad.name).second) {
+      return "load " + aLoad.name + " is declared twice";
+    }
+    if (mServices.count(aLoad.service) == 0) {
+      return "unknown service '" + aLoad.service + "'";
+    }
+    if (mAccounts.count(aLoad.account) == 0) {
+      return "unknown account '" + aLoad.account + "'";
+    }
+    if (aLoad.ratePerSecond <= 0 || aLoad.duration.count() <= 0 || aLoad.keys == 0) {
+      return "a load needs account, service, rate above 0, keys above 0 and for DURATION";
+    }
+    return aLoad.via == kNoNode ? started() : node(aLoad.via);
+  }
+
+  std::string operator()(const WaitOwnedStatement& aWait)
+  {
+    return mServices.count(aWait.service) > 0 ? started()
+                                              : "unknown service '" + aWait.service + "'";
+  }
+
+  std::string operator()(const ProcessStatement& aProcess)
+  {
+    if (aProcess.hasEmptyDisk && aProcess.action != ProcessStatement::Action::Restart) {
+      return "'with empty disk' goes with restart only";
+    }
+    return reference(aProcess.node);
+  }
+
+  std::string operator()(const CutStatement& aCut) { return proxied(aCut.from, aCut.to); }
+  std::string operator()(const SilenceStatement& aCut) { return proxied(aCut.from, aCut.to); }
+  std::string operator()(const ResetStatement& aCut) { return proxied(aCut.from, aCut.to); }
+
+  std::string operator()(const DelayStatement&)
+  {
+    return mFleet.isProxied ? started() : "the fleet isn't proxied";
+  }
+
+  std::string operator()(const TargetStatement& aTarget)
+  {
+    if (aTarget.node == kNoNode || aTarget.node > mFleet.nodes) {
+      return "node " + std::to_string(aTarget.node) + " has no target";
+    }
+    return started();
+  }
+
+  std::string operator()(const ExpectStatement& aExpect)
+  {
+    const Measure* measure = findMeasure(aExpect.measure);
+    if (measure == nullptr) {
+      return "unknown measure '" + aExpect.measure + "'";
+    }
+    if (aExpect.hasUnit && measure->unit != MeasureUnit::Millis) {
+      return aExpect.measure + " has no unit";
+    }
+    return started();
+  }
+
+  template<class Other>
+  std::string operator()(const Other&)
+  {
+    return started();
+  }
+
+private:
+  std::string started() const { return mIsStarted ? "" : "the fleet isn't started yet"; }
+
+  std::string node(NodeId aNode) const
+  {
+    return aNode == kNoNode || aNode > mNodeCount ? "the fleet has no node " + std::to_string(aNode)
+                                                  : started();
+  }
+
+  std::string reference(const NodeReference& aReference) const
+  {
+    return aReference.kind == NodeReference::Kind::Node ? node(aReference.node) : started();
+  }
+
+  std::string proxied(const NodeReference& aFrom, const NodeReference& aTo) const
+  {
+    if (!mFleet.isProxied) {
+      return "the fleet isn't proxied";
+    }
+    const std::string fault = reference(aFrom);
+    return fault.empty() ? reference(aTo) : fault;
+  }
+
+  bool mHasFleet = false;
+  bool mIsStarted = false;
+  FleetStatement mFleet;
+  unsigned mNodeCount = 0;
+  unsigned mServiceNodes = 0;
+  std::set<std::string> mServices;
+  std::set<std::string> mAccounts;
+  std::set<std::string> mLoads;
+};
+
+} // namespace
+
+std::vector<ScenarioFault> checkScenario(const std::string& aFile, const Scenario& aScenario)
+{
+  Checker checker;
+  std::vector<ScenarioFault> out;
+  for (const auto& it : aScenario) {
+    const std::string fault = std::visit(checker, it.body);
+    if (!fault.empty()) {
+      out.push_back({ aFile, it.line, 1, fault });
+    }
+  }
+  return out;
+}
+
+} // namespace camphorcleat::harness
--- /dev/null
+++ b/packages/harness/ScenarioParser.cc
@@ -0,0 +1,430 @@
+// The grammar of scenarios on Boost.Spirit X3.
+//
+// Rules carry the text that a fault shows as "expected ...". Options of a statement may stand in
+// any order.
+
+#include "harness/ScenarioParser.h"
+
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/spirit/home/x3.hpp>
+
+#include "harness/Measures.h"
+#include "harness/ScenarioCheck.h"
+
+namespace camphorcleat::harness {
+
+namespace {
+
+namespace x3 = boost::spirit::x3;
+using Iterator = std::string::const_iterator;
+
+// Skips blanks and a comment.
+const auto kSkipper = x3::blank | ('#' >> *x3::char_);
+const auto kWordChar = x3::alnum | x3::char_("-_");
+
+struct NamedTag
+{};
+
+auto keyword(const char* aText)
+{
+  return x3::rule<NamedTag>{ aText } = x3::lexeme[x3::lit(aText) >> !kWordChar];
+}
+
+// Assignments for semantic actions.
+
+template<class M, class A>
+M converted(const A& aValue)
+{
+  if constexpr (std::is_same_v<M, Millis>) {
+    return Millis(std::llround(aValue));
+  } else if constexpr (std::is_same_v<M, std::optional<Millis>>) {
+    return std::optional<Millis>(Millis(std::llround(aValue)));
+  } else if constexpr (std::is_arithmetic_v<M>) {
+    return static_cast<M>(aValue);
+  } else {
+    return M(aValue);
+  }
+}
+
+template<class S, class M>
+auto set(M S::*aMember)
+{
+  return
+    [aMember](auto& aContext) { x3::_val(aContext).*aMember = converted<M>(x3::_attr(aContext)); };
+}
+
+template<class S, class M>
+auto setTo(M S::*aMember, M aValue)
+{
+  return [aMember, aValue](auto& aContext) { x3::_val(aContext).*aMember = aValue; };
+}
+
+const auto kStore = [](auto& aContext) { x3::_val(aContext) = x3::_attr(aContext); };
+
+// Values.
+
+const auto kName = x3::rule<NamedTag, std::string>{ "a name" } =
+  x3::lexeme[+(x3::alnum | x3::char_("-_."))];
+
+const auto kWholeNumber = x3::rule<struct WholeNumberTag, unsigned>{ "a whole number" } =
+  x3::lexeme[x3::uint_ >> !(kWordChar | '.')];
+
+const auto kQuotedText = x3::rule<struct QuotedTag, std::string>{ "a text in double quotes" } =
+  x3::lexeme['"' >> *(x3::char_ - '"') >> '"'];
+
+struct UnitTable : x3::symbols<double>
+{
+  UnitTable() { add("ms", 1.0)("s", 1000.0)("min", 60'000.0); }
+};
+const UnitTable kUnits;
+
+const auto kScaled = [](auto& aContext) {
+  const auto& value = x3::_attr(aContext);
+  x3::_val(aContext) = boost::fusion::at_c<0>(value) * boost::fusion::at_c<1>(value);
+};
+
+// In milliseconds.
+const auto kDuration = x3::rule<struct DurationTag, double>{ "a duration such as 500ms or 2s" } =
+  x3::lexeme[(x3::double_ >> kUnits >> !kWordChar)[kScaled]];
+
+const auto kRate = x3::rule<struct RateTag, double>{ "a rate such as 50/s" } =
+  x3::lexeme[x3::double_ >> -x3::lit("/s") >> !kWordChar];
+
+const auto kPercent = x3::rule<struct PercentTag, double>{ "a percentage such as 20%" } =
+  x3::lexeme[x3::double_ >> '%'];
+
+const auto kNumber = x3::rule<struct NumberTag, double>{ "a number" } = x3::lexeme[x3::double_];
+
+// Statements.
+
+using Ref = NodeReference;
+
+const auto kSplitOwner = [](auto& aContext) {
+  const std::string text = x3::_attr(aContext);
+  const auto slash = text.find('/');
+  Ref& out = x3::_val(aContext);
+  out.kind = Ref::Kind::OwnerOf;
+  out.service = slash == std::string::npos ? "" : text.substr(0, slash);
+  out.key = slash == std::string::npos ? text : text.substr(slash + 1);
+};
+
+const auto kOwnedKey = x3::rule<struct OwnedKeyTag, std::string>{ "SERVICE/KEY or KEY" } =
+  x3::lexeme[+(x3::alnum | x3::char_("-_./"))];
+
+const auto kReference =
+  x3::rule<struct ReferenceTag, Ref>{ "node N, vm N, leader, owner-of KEY or all" } =
+    (keyword("node") > kWholeNumber[set(&Ref::node)]) |
+    (keyword("vm")[setTo(&Ref::isWholeVm, true)] > kWholeNumber[set(&Ref::node)]) |
+    keyword("leader")[setTo(&Ref::kind, Ref::Kind::Leader)] |
+    keyword("all")[setTo(&Ref::kind, Ref::Kind::All)] |
+    (keyword("owner-of") > kOwnedKey[kSplitOwner]);
+
+using Service = ServiceStatement;
+
+const auto kService = x3::rule<struct ServiceTag, Service>{ "service" } =
+  keyword("service") > kName[set(&Service::name)] >
+  *(keyword("keyed")[setTo(&Service::isKeyed, true)] |
+    keyword("unkeyed")[setTo(&Service::isKeyed, false)] |
+    (keyword("nodes") > kWholeNumber[set(&Service::nodes)]) |
+    (keyword("slots") > kWholeNumber[set(&Service::slots)]) |
+    ((keyword("cold-slots") | keyword("cold")) > kWholeNumber[set(&Service::coldSlots)]) |
+    (keyword("warm-up") > kDuration[set(&Service::warmUp)]) |
+    (keyword("service-time") > kDuration[set(&Service::serviceTimeMs)]) |
+    keyword("fixed")[setTo(&Service::isFixedTime, true)] |
+    keyword("sheds")[setTo(&Service::sheds, true)]);
+
+using Fleet = FleetStatement;
+
+const auto kAddService = [](auto& aContext) {
+  x3::_val(aContext).services.push_back(x3::_attr(aContext));
+};
+
+const auto kFleet = x3::rule<struct FleetTag, Fleet>{ "fleet" } =
+  keyword("fleet") > kName[set(&Fleet::name)] >
+  *((keyword("zones") > kWholeNumber[set(&Fleet::zones)]) |
+    (keyword("nodes") > kWholeNumber[set(&Fleet::nodes)]) |
+    (keyword("control") > kWholeNumber[set(&Fleet::control)]) |
+    keyword("apart")[setTo(&Fleet::isControlApart, true)] |
+    (keyword("partitions") > kWholeNumber[set(&Fleet::partitions)]) |
+    keyword("proxied")[setTo(&Fleet::isProxied, true)] |
+    keyword("checks-grants")[setTo(&Fleet::checksGrants, true)] |
+    (x3::lit('[') > kService[kAddService] > ']'));
+
+const auto kStart = x3::rule<struct StartTag, StartStatement>{
+  "start"
+} = keyword("start") >> x3::attr(StartStatement());
+
+using Operator = OperatorStatement;
+
+const auto kOperator = x3::rule<struct OperatorTag, Operator>{ "operator" } =
+  keyword("operator") > kQuotedText[set(&Operator::text)] >
+  -(keyword("expect-code") > kName[set(&Operator::expectedCode)]);
+
+using Account = AccountStatement;
+
+const auto kAccount = x3::rule<struct AccountTag, Account>{ "account" } =
+  keyword("account") > kName[set(&Account::name)] >
+  keyword("rate") > kRate[set(&Account::ratePerSecond)] >
+  keyword("burst") > kNumber[set(&Account::burst)];
+
+using Load = LoadStatement;
+
+const auto kLoad = x3::rule<struct LoadTag, Load>{ "load" } =
+  keyword("load") > kName[set(&Load::name)] >
+  *((keyword("account") > kName[set(&Load::account)]) |
+    (keyword("service") > kName[set(&Load::service)]) |
+    (keyword("rate") > kRate[set(&Load::ratePerSecond)]) |
+    keyword("steady")[setTo(&Load::isSteady, true)] |
+    (keyword("keys") > kWholeNumber[set(&Load::keys)]) |
+    (keyword("key") > kName[set(&Load::onlyKey)]) | (keyword("zipf") > kNumber[set(&Load::zipf)]) |
+    keyword("uniform") | (keyword("post") > kPercent[set(&Load::postPercent)]) |
+    keyword("idempotent")[setTo(&Load::hasIdempotencyKeys, true)] |
+    (keyword("body") > kWholeNumber[set(&Load::bodyBytes)]) |
+    (keyword("bytes") > kWholeNumber[set(&Load::answerBytes)]) |
+    (keyword("deadline") > kDuration[set(&Load::deadline)]) |
+    (keyword("work") > kDuration[set(&Load::work)]) |
+    (keyword("via") > (keyword("any") | (keyword("node") > kWholeNumber[set(&Load::via)]))) |
+    (keyword("for") > kDuration[set(&Load::duration)]));
+
+const auto kWaitOwned = x3::rule<struct WaitOwnedTag, WaitOwnedStatement>{
+  "wait owned"
+} = keyword("wait") >> keyword("owned") > kName[set(&WaitOwnedStatement::service)];
+
+const auto kWaitLoads = x3::rule<struct WaitLoadsTag, WaitLoadsStatement>{
+  "wait loads"
+} = keyword("wait") >> keyword("loads") >> x3::attr(WaitLoadsStatement());
+
+const auto kWaitReady = x3::rule<struct WaitReadyTag, WaitReadyStatement>{
+  "wait ready"
+} = keyword("wait") >> keyword("ready") >> x3::attr(WaitReadyStatement());
+
+const auto kWait = x3::rule<struct WaitTag, WaitStatement>{ "wait" } =
+  keyword("wait") > kDuration[set(&WaitStatement::duration)];
+
+using Process = ProcessStatement;
+
+const auto kProcess = x3::rule<struct ProcessTag, Process>{ "kill" } =
+  (keyword("kill")[setTo(&Process::action, Process::Action::Kill)] |
+   keyword("freeze")[setTo(&Process::action, Process::Action::Freeze)] |
+   keyword("resume")[setTo(&Process::action, Process::Action::Resume)] |
+   keyword("stop")[setTo(&Process::action, Process::Action::Stop)] |
+   keyword("restart")[setTo(&Process::action, Process::Action::Restart)]) >
+  kReference[set(&Process::node)] >
+  -(keyword("with") > keyword("empty") > keyword("disk")[setTo(&Process::hasEmptyDisk, true)]);
+
+const auto kCut = x3::rule<struct CutTag, CutStatement>{ "cut" } =
+  keyword("cut") > kReference[set(&CutStatement::from)] >
+  (x3::rule<struct ArrowTag, std::string>{ "-> or <->" } = x3::string("->") |
+                                                           x3::string("<->"))[([](auto& aContext) {
+    x3::_val(aContext).isBothWays = x3::_attr(aContext) == "<->";
+  })] > kReference[set(&CutStatement::to)];
+
+const auto kHeal = x3::rule<struct HealTag, HealStatement>{ "heal" } = keyword("heal") >>
+                                                                       x3::attr(HealStatement());
+
+const auto kSilence = x3::rule<struct SilenceTag, SilenceStatement>{ "silence" } =
+  keyword("silence") > kReference[set(&SilenceStatement::from)] > "->" >
+  kReference[set(&SilenceStatement::to)];
+
+const auto kReset = x3::rule<struct ResetTag, ResetStatement>{ "reset" } =
+  keyword("reset") > kReference[set(&ResetStatement::from)] > "->" >
+  kReference[set(&ResetStatement::to)];
+
+const auto kDelay = x3::rule<struct DelayTag, DelayStatement>{ "delay" } =
+  keyword("delay") > keyword("all") > kDuration[set(&DelayStatement::delay)] >
+  -(keyword("jitter") > kDuration[set(&DelayStatement::jitter)]);
+
+using Target = TargetStatement;
+
+const auto kTargetSlow = x3::rule<struct TargetSlowTag, Target>{ "target N slow" } =
+  keyword("target") >> kWholeNumber[set(&Target::node)] >>
+  keyword("slow")[setTo(&Target::action, Target::Action::Slow)] > kNumber[set(&Target::factor)] >
+  keyword("for") > kDuration[set(&Target::duration)];
+
+const auto kTarget = x3::rule<struct TargetTag, Target>{ "target" } =
+  keyword("target") > kWholeNumber[set(&Target::node)] >
+  (x3::rule<struct TargetActionTag, Target::Action>{
+     "slow, cold, drain, restart, kill, freeze or resume" } =
+     (keyword("cold") >> x3::attr(Target::Action::Cold)) |
+     (keyword("drain") >> x3::attr(Target::Action::Drain)) |
+     (keyword("restart") >> x3::attr(Target::Action::Restart)) |
+     (keyword("kill") >> x3::attr(Target::Action::Kill)) |
+     (keyword("freeze") >> x3::attr(Target::Action::Freeze)) |
+     (keyword("resume") >> x3::attr(Target::Action::Resume)))[set(&Target::action)];
+
+using Expect = ExpectStatement;
+
+struct ComparisonTable : x3::symbols<Expect::Comparison>
+{
+  ComparisonTable()
+  {
+    add("<=", Expect::Comparison::AtMost)(">=", Expect::Comparison::AtLeast)(
+      "<", Expect::Comparison::Below)(">", Expect::Comparison::Above)("==",
+                                                                      Expect::Comparison::Equal);
+  }
+};
+const ComparisonTable kComparisons;
+
+struct MeasureTable : x3::symbols<std::string>
+{
+  MeasureTable()
+  {
+    for (const auto& it : allMeasures()) {
+      add(it.name, std::string(it.name));
+    }
+  }
+};
+const MeasureTable kMeasures;
+
+std::string measureList()
+{
+  std::string out = "a measure (";
+  for (const auto& it : allMeasures()) {
+    out += (out.back() == '(' ? "" : ", ") + std::string(it.name);
+  }
+  return out + ")";
+}
+const std::string kMeasureList = measureList();
+
+const auto kAddArgument = [](auto& aContext) {
+  x3::_val(aContext).arguments.push_back(x3::_attr(aContext));
+};
+
+// Whether the unit fits the measure is checked afterwards.
+const auto kScaleValue = [](auto& aContext) {
+  x3::_val(aContext).value *= x3::_attr(aContext);
+  x3::_val(aContext).hasUnit = true;
+};
+
+const auto kMeasureName = x3::rule<struct MeasureTag, std::string>{ kMeasureList.c_str() } =
+  x3::lexeme[kMeasures >> !kWordChar];
+
+const auto kComparison =
+  x3::rule<struct ComparisonTag, Expect::Comparison>{ "<=, >=, <, > or ==" } = kComparisons;
+
+const auto kUnit = x3::rule<struct UnitTag, double>{ "ms or s" } = x3::lexeme[kUnits >> !kWordChar];
+
+const auto kExpect = x3::rule<struct ExpectTag, Expect>{ "expect" } =
+  keyword("expect") > kMeasureName[set(&Expect::measure)] > *kName[kAddArgument] >
+  kComparison[set(&Expect::comparison)] > kNumber[set(&Expect::value)] > -kUnit[kScaleValue];
+
+const auto kEnd = x3::rule<NamedTag>{ "another option of this statement, or the end of the line" } =
+  x3::eoi;
+
+// In two groups: one alternative of all statements takes the compiler much longer.
+const auto kSetUp = x3::rule<struct SetUpTag, StatementBody>{ "statement" } =
+  kFleet[kStore] | kService[kStore] | kStart[kStore] | kOperator[kStore] | kAccount[kStore] |
+  kLoad[kStore] | kWaitOwned[kStore] | kWaitLoads[kStore] | kWaitReady[kStore] | kWait[kStore];
+
+const auto kFault = x3::rule<struct FaultTag, StatementBody>{ "statement" } =
+  kProcess[kStore] | kCut[kStore] | kHeal[kStore] | kSilence[kStore] | kReset[kStore] |
+  kDelay[kStore] | kTargetSlow[kStore] | kTarget[kStore] | kExpect[kStore];
+
+const auto kStatement = x3::rule<struct StatementTag, StatementBody>{ "statement" } =
+  (kSetUp[kStore] | kFault[kStore]) > kEnd;
+
+const char* const kExpectedStatement =
+  "expected a statement (fleet, service, start, operator, account, load, wait, kill, freeze, "
+  "resume, stop, restart, cut, heal, silence, reset, delay, target or expect)";
+
+// The column of the first character that isn't blank at or after a position.
+unsigned columnOf(const std::string& aLine, Iterator aAt)
+{
+  while (aAt != aLine.end() && (*aAt == ' ' || *aAt == '\t')) {
+    ++aAt;
+  }
+  return static_cast<unsigned>(aAt - aLine.begin()) + 1;
+}
+
+struct LineFault
+{
+  unsigned column = 0;
+  std::string reason;
+};
+
+std::optional<LineFault> parseLine(const std::string& aLine, StatementBody& aOut)
+{
+  Iterator at = aLine.begin();
+  try {
+    if (x3::phrase_parse(at, aLine.end(), kStatement, kSkipper, aOut)) {
+      return std::nullopt;
+    }
+    return LineFault{ columnOf(aLine, aLine.begin()), kExpectedStatement };
+  } catch (const x3::expectation_failure<Iterator>& failure) {
+    return LineFault{ columnOf(aLine, failure.where()), "expected " + failure.which() };
+  }
+}
+
+std::string withoutComment(const std::string& aLine)
+{
+  bool isQuoted = false;
+  for (std::size_t i = 0; i < aLine.size(); ++i) {
+    isQuoted = isQuoted != (aLine[i] == '"');
+    if (aLine[i] == '#' && !isQuoted) {
+      return aLine.substr(0, i);
+    }
+  }
+  return aLine;
+}
+
+} // namespace
+
+std::string ScenarioFault::message() const
+{
+  return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + reason;
+}
+
+std::string ScenarioError::message() const
+{
+  std::string out;
+  for (const auto& it : faults) {
+    out += (out.empty() ? "" : "\n") + it.message();
+  }
+  return out;
+}
+
+Result<Scenario> parseScenario(const std::string& aFile, const std::string& aText)
+{
+  Scenario out;
+  ScenarioError error;
+  std::istringstream in(aText);
+  std::string raw;
+  for (unsigned n = 1; std::getline(in, raw); ++n) {
+    boost::trim_right(raw);
+    const std::string line = boost::trim_right_copy(withoutComment(raw));
+    if (line.find_first_not_of(" \t") == std::string::npos) {
+      continue;
+    }
+    Statement statement{ n, boost::trim_copy(line), {} };
+    if (const auto fault = parseLine(line, statement.body)) {
+      error.faults.push_back({ aFile, n, fault->column, fault->reason });
+    } else {
+      out.push_back(std::move(statement));
+    }
+  }
+  // Names can only be checked when every declaration was understood.
+  if (error.faults.empty()) {
+    error.faults = checkScenario(aFile, out);
+  }
+  if (!error.faults.empty()) {
+    return fail(std::move(error));
+  }
+  return out;
+}
+
+Result<Scenario> loadScenario(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    return fail(StorageError{ aFile, "opening", errno });
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  return parseScenario(aFile, text.str());
+}
+
+} // namespace camphorcleat::harness
--- /dev/null
+++ b/packages/harness/ScenarioRunner.h
@@ -0,0 +1,81 @@
+// Runs the statements of a scenario in order and judges its expectations.
+
+#ifndef CAMPHORCLEAT_HARNESS_SCENARIORUNNER_H_
+#define CAMPHORCLEAT_HARNESS_SCENARIORUNNER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "harness/Evidence.h"
+#include "harness/Fleet.h"
+#include "harness/LoadGroup.h"
+#include "harness/ScenarioParser.h"
+#include "harness/ScenarioReport.h"
+
+namespace camphorcleat::harness {
+
+/// Not thread-safe. All processes that it starts are ended when it is destroyed.
+class ScenarioRunner
+{
+public:
+  ScenarioRunner(RunFolders aFolders, std::uint64_t aSeed, ScenarioReport& aReport);
+
+  /// Runs all statements; stops at the first one that can't be done. Outcomes go to the report.
+  void run(const Scenario& aScenario);
+
+private:
+  Result<void> step(const Statement& aStatement);
+
+  Result<void> execute(const FleetStatement& aFleet);
+  Result<void> execute(const ServiceStatement& aService);
+  Result<void> execute(const StartStatement& aStart);
+  Result<void> execute(const OperatorStatement& aOperator);
+  Result<void> execute(const AccountStatement& aAccount);
+  Result<void> execute(const LoadStatement& aLoad);
+  Result<void> execute(const WaitStatement& aWait);
+  Result<void> execute(const WaitOwnedStatement& aWait);
+  Result<void> execute(const WaitLoadsStatement& aWait);
+  Result<void> execute(const WaitReadyStatement& aWait);
+  Result<void> execute(const ProcessStatement& aProcess);
+  Result<void> execute(const CutStatement& aCut);
+  Result<void> execute(const HealStatement& aHeal);
+  Result<void> execute(const SilenceStatement& aSilence);
+  Result<void> execute(const ResetStatement& aReset);
+  Result<void> execute(const DelayStatement& aDelay);
+  Result<void> execute(const TargetStatement& aTarget);
+  Result<void> execute(const ExpectStatement& aExpect);
+
+  Result<std::vector<NodeId>> resolve(const NodeReference& aReference);
+  Result<NodeId> ownerOf(const std::string& aService, const std::string& aKey);
+  Result<std::vector<std::pair<NodeId, NodeId>>> pairs(const NodeReference& aFrom,
+                                                       const NodeReference& aTo);
+  Result<void> act(const ProcessStatement& aProcess, NodeId aNode);
+  Result<void> createAccount(const std::string& aName, double aRate, double aBurst);
+  Result<void> noteCommand(const std::string& aText, std::int64_t aAtUs);
+  Result<void> beginLoss(const std::string& aDescription, NodeId aNode);
+  Result<std::vector<std::string>> keysOf(const std::string& aService, NodeId aNode);
+  std::vector<std::string> entries(NodeId aVia, NodeId aExcept) const;
+  const ServiceStatement* keyedService() const;
+  Result<void> collectEvidence();
+  void checkProcesses();
+
+  RunFolders mFolders;
+  std::uint64_t mSeed;
+  ScenarioReport& mReport;
+  PortBlock mPorts;
+  ProcessGroup mProcesses;
+  LoadGroup mLoads;
+  FleetStatement mFleetPlan;
+  std::optional<Fleet> mFleet;
+  std::map<std::string, std::string> mAccountKeys;
+  Evidence mEvidence;
+  bool mIsEvidenceFresh = false;
+  const Statement* mStatement = nullptr; ///< The one that is executed now.
+};
+
+} // namespace camphorcleat::harness
+
+#endif // CAMPHORCLEAT_HARNESS_SCENARIORUNNER_H_
--- /dev/null
+++ b/packages/harness/ScenarioRunnerMain.cc
@@ -0,0 +1,94 @@
+// scenario-runner: runs a scenario against real processes and judges its expectations.
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include <CLI/CLI.hpp>
+
+#include "harness/HarnessErrors.h"
+#include "harness/Interruption.h"
+#include "harness/Program.h"
+#include "harness/ScenarioRunner.h"
+
+namespace camphorcleat::harness {
+namespace {
+
+struct Arguments
+{
+  std::string file;
+  std::optional<std::uint64_t> seed;
+  std::string json;
+  bool checksOnly = false;
+  RunFolders folders{ "build/bin", "build/testing", "" };
+};
+
+// A new folder below the system's folder for temporary files.
+Result<std::string> newWorkFolder()
+{
+  std::string path =
+    (std::filesystem::temp_directory_path() / "camphorcleat-scenario-XXXXXX").string();
+  if (mkdtemp(path.data()) == nullptr) {
+    return fail(StorageError{ path, "creating", errno });
+  }
+  return path;
+}
+
+std::string repeatCommand(const Arguments& aArguments, std::uint64_t aSeed)
+{
+  return aArguments.folders.testing + "/scenario-runner " + aArguments.file + " --seed " +
+         std::to_string(aSeed) + " --bin-dir " + aArguments.folders.bin + " --testing-dir " +
+         aArguments.folders.testing;
+}
+
+Result<int> run(Arguments aArguments)
+{
+  BOOST_LEAF_AUTO(scenario, loadScenario(aArguments.file));
+  if (aArguments.checksOnly) {
+    return kExitSuccess;
+  }
+  const bool isTemporary = aArguments.folders.work.empty();
+  if (isTemporary) {
+    BOOST_LEAF_ASSIGN(aArguments.folders.work, newWorkFolder());
+  }
+  std::filesystem::create_directories(aArguments.folders.work);
+  const std::uint64_t seed = aArguments.seed.value_or(std::random_device()());
+  watchInterruption();
+  ScenarioReport report;
+  {
+    ScenarioRunner runner(aArguments.folders, seed, report);
+    runner.run(scenario);
+  }
+  report.printSummary(seed, repeatCommand(aArguments, seed));
+  if (!aArguments.json.empty()) {
+    std::ofstream(aArguments.json) << report.json(aArguments.file, seed) << '\n';
+  }
+  if (report.passed() && isTemporary) {
+    std::filesystem::remove_all(aArguments.folders.work);
+  } else {
+    std::cout << "logs and records: " << aArguments.folders.work << std::endl;
+  }
+  return report.passed() ? kExitSuccess : kExitFailedExpectation;
+}
+
+} // namespace
+} // namespace camphorcleat::harness
+
+int main(int argc, char** argv)
+{
+  using namespace camphorcleat::harness;
+  Arguments arguments;
+  CLI::App app("Runs a scenario against real processes");
+  app.add_option("file", arguments.file, "scenario file")->required();
+  app.add_option("--seed", arguments.seed, "seed of loads, targets and faults; random if absent");
+  app.add_option("--bin-dir", arguments.folders.bin, "folder of camphorcleatd");
+  app.add_option("--testing-dir", arguments.folders.testing, "folder of the test programs");
+  app.add_option("--work-dir", arguments.folders.work,
+                 "folder for logs and records, should be empty; a temporary one if absent");
+  app.add_option("--json", arguments.json, "file that receives the report as JSON");
+  app.add_flag("--check", arguments.checksOnly, "only parse the scenario");
+  CLI11_PARSE(app, argc, argv);
+  return runProgram("scenario-runner", [&] { return run(arguments); });
+}
