--- a/packages/harness/ScenarioRunnerMain.cc
+++ b/packages/harness/ScenarioRunnerMain.cc
@@ -54,6 +54,10 @@
     BOOST_LEAF_ASSIGN(aArguments.folders.work, newWorkFolder());
   }
   std::filesystem::create_directories(aArguments.folders.work);
+  // Records are appended to, so those of an earlier run would be judged with this one's.
+  if (!std::filesystem::is_empty(aArguments.folders.work)) {
+    return fail(UsageError{ "work folder " + aArguments.folders.work + " is not empty" });
+  }
   const std::uint64_t seed = aArguments.seed.value_or(std::random_device()());
   watchInterruption();
   ScenarioReport report;
@@ -86,7 +90,7 @@
   app.add_option("--bin-dir", arguments.folders.bin, "folder of camphorcleatd");
   app.add_option("--testing-dir", arguments.folders.testing, "folder of the test programs");
   app.add_option("--work-dir", arguments.folders.work,
-                 "folder for logs and records, should be empty; a temporary one if absent");
+                 "empty folder for logs and records; a temporary one if absent");
   app.add_option("--json", arguments.json, "file that receives the report as JSON");
   app.add_flag("--check", arguments.checksOnly, "only parse the scenario");
   CLI11_PARSE(app, argc, argv);
