--- a/packages/harness/ScenarioParser.cc
+++ b/packages/harness/ScenarioParser.cc
@@ -15,6 +15,21 @@
 #include "harness/Measures.h"
 #include "harness/ScenarioCheck.h"
 
+namespace boost::spirit::x3 {
+
+// Without this, a fault of a value with a semantic action shows the name of a C++ type.
+template<class Subject, class Action>
+struct get_info<action<Subject, Action>>
+{
+  using result_type = std::string;
+  std::string operator()(const action<Subject, Action>& aParser) const
+  {
+    return what(aParser.subject);
+  }
+};
+
+} // namespace boost::spirit::x3
+
 namespace camphorcleat::harness {
 
 namespace {
--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -20,12 +20,10 @@
 namespace {
 
 // Probes of keys whose node is lost: 8 keys of it, each every 50 ms, which bounds the error of the
-// measured gap to 50 ms. They start before the loss so that connections are open, and last longer
-// than the 2000 ms of R13 so that a later recovery still gets a figure.
+// measured gap to 50 ms. They start before the loss so that connections are open.
 constexpr std::size_t kProbedKeys = 8;
 constexpr double kProbesPerSecond = 20;
 constexpr Millis kProbeLead{ 500 };
-constexpr Millis kProbeDuration{ 6000 };
 constexpr const char* kProbeAccount = "scenario-probe";
 constexpr double kProbeRate = 10'000;
 
@@ -83,9 +81,10 @@
 
 } // namespace
 
-ScenarioRunner::ScenarioRunner(RunFolders aFolders, std::uint64_t aSeed, ScenarioReport& aReport)
-  : mFolders(std::move(aFolders))
-  , mSeed(aSeed)
+ScenarioRunner::ScenarioRunner(RunSettings aSettings, ScenarioReport& aReport)
+  : mFolders(std::move(aSettings.folders))
+  , mSeed(aSettings.seed)
+  , mProbeDuration(aSettings.probeDuration)
   , mReport(aReport)
   , mProcesses(mFolders.testing + "/child-starter")
   , mLoads(mFolders.testing + "/load-driver", mFolders.work + "/loads", mProcesses)
@@ -394,7 +393,7 @@
   LoadPlan plan;
   plan.name = "probe-" + std::to_string(mEvidence.losses.size() + 1);
   plan.entries = entries(kNoNode, aNode);
-  plan.duration = kProbeLead + kProbeDuration;
+  plan.duration = kProbeLead + mProbeDuration;
   plan.seed = mSeed;
   for (const auto& key : keys) {
     LoadStreamPlan stream;
--- a/packages/harness/ScenarioRunner.h
+++ b/packages/harness/ScenarioRunner.h
@@ -17,11 +17,20 @@
 
 namespace camphorcleat::harness {
 
+struct RunSettings
+{
+  RunFolders folders;
+  std::uint64_t seed = 1;
+  /// How long the keys of a lost node are probed. Longer than the 2000 ms of R13, so that a later
+  /// recovery still gets a figure.
+  Millis probeDuration{ 6000 };
+};
+
 /// Not thread-safe. All processes that it starts are ended when it is destroyed.
 class ScenarioRunner
 {
 public:
-  ScenarioRunner(RunFolders aFolders, std::uint64_t aSeed, ScenarioReport& aReport);
+  ScenarioRunner(RunSettings aSettings, ScenarioReport& aReport);
 
   /// Runs all statements; stops at the first one that can't be done. Outcomes go to the report.
   void run(const Scenario& aScenario);
@@ -64,6 +73,7 @@
 
   RunFolders mFolders;
   std::uint64_t mSeed;
+  Millis mProbeDuration;
   ScenarioReport& mReport;
   PortBlock mPorts;
   ProcessGroup mProcesses;
--- a/packages/harness/ScenarioRunnerMain.cc
+++ b/packages/harness/ScenarioRunnerMain.cc
@@ -22,6 +22,7 @@
   std::optional<std::uint64_t> seed;
   std::string json;
   bool checksOnly = false;
+  std::int64_t probeMs = 6000;
   RunFolders folders{ "build/bin", "build/testing", "" };
 };
 
@@ -62,7 +63,7 @@
   watchInterruption();
   ScenarioReport report;
   {
-    ScenarioRunner runner(aArguments.folders, seed, report);
+    ScenarioRunner runner({ aArguments.folders, seed, Millis(aArguments.probeMs) }, report);
     runner.run(scenario);
   }
   report.printSummary(seed, repeatCommand(aArguments, seed));
@@ -92,6 +93,7 @@
   app.add_option("--work-dir", arguments.folders.work,
                  "empty folder for logs and records; a temporary one if absent");
   app.add_option("--json", arguments.json, "file that receives the report as JSON");
+  app.add_option("--probe-ms", arguments.probeMs, "how long keys of a lost node are probed");
   app.add_flag("--check", arguments.checksOnly, "only parse the scenario");
   CLI11_PARSE(app, argc, argv);
   return runProgram("scenario-runner", [&] { return run(arguments); });
