Run the demo scenario against the real daemons

Cause: the scenario runner was written against stand-ins of camphorcleatctl. Change: it reads the answers that camphorcleatctl prints; the entry keeps a request alive while it waits between two attempts.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -414,9 +414,9 @@
 void EntryExchange::setTimer(TimePoint aWhen)
 {
   mTimer.expires_at(aWhen);
-  mTimer.async_wait([weak = weak_from_this()](boost::system::error_code aError) {
-    const auto self = weak.lock();
-    if (!aError && self && !self->mIsFinished && !self->mUsed) {
+  // The timer keeps the exchange alive while it waits between two attempts; finish() cancels it.
+  mTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError && !self->mIsFinished && !self->mUsed) {
       self->step(traffic::TimerFired{});
     }
   });
--- a/packages/harness/Fleet.cc
+++ b/packages/harness/Fleet.cc
@@ -38,6 +38,17 @@
   }
 };
 
+// camphorcleatctl --json wraps what a query found.
+struct OwnersEnvelope
+{
+  OwnersAnswer result;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("result", &OwnersEnvelope::result));
+  }
+};
+
 std::string readFile(const std::string& aPath)
 {
   std::ifstream in(aPath, std::ios::binary);
@@ -211,7 +222,8 @@
   if (result.exitStatus != 0) {
     return fail(HarnessError{ "show owners failed: " + result.output });
   }
-  BOOST_LEAF_AUTO(answer, fromJson<OwnersAnswer>(result.output));
+  BOOST_LEAF_AUTO(envelope, fromJson<OwnersEnvelope>(result.output));
+  OwnersAnswer& answer = envelope.result;
   Owners out;
   for (const auto& [partition, node] : answer.services[aService]) {
     if (node.value_or(kNoNode) != kNoNode) {
--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -30,11 +30,29 @@
 constexpr Millis kOwnedTimeout{ 15'000 };
 constexpr Millis kEndGrace{ 3000 };
 
+// What camphorcleatctl --json prints for a key that it generated.
+struct GeneratedKey
+{
+  std::string value;
+
+  static constexpr auto fields() { return std::make_tuple(field("value", &GeneratedKey::value)); }
+};
+
+struct KeyResult
+{
+  std::vector<GeneratedKey> generatedKeys;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("generated_keys", &KeyResult::generatedKeys));
+  }
+};
+
 struct KeyAnswer
 {
-  std::string key;
+  KeyResult result;
 
-  static constexpr auto fields() { return std::make_tuple(field("key", &KeyAnswer::key)); }
+  static constexpr auto fields() { return std::make_tuple(field("result", &KeyAnswer::result)); }
 };
 
 std::vector<std::string> words(const std::string& aText)
@@ -210,7 +228,10 @@
     }
     if (text != create.str()) {
       BOOST_LEAF_AUTO(answer, fromJson<KeyAnswer>(result.output));
-      mAccountKeys[aName] = answer.key;
+      if (answer.result.generatedKeys.empty()) {
+        return fail(HarnessError{ "no generated key in: " + result.output });
+      }
+      mAccountKeys[aName] = answer.result.generatedKeys.front().value;
     }
   }
   mEvidence.rates[aName].push_back({ monotonicMicros(), aRate, aBurst });
