--- a/packages/agreement/MembershipHistory.h
+++ b/packages/agreement/MembershipHistory.h
@@ -8,7 +8,8 @@
 //
 // A restarted member doesn't know what is committed. So the leader follows a committed replacement
 // with a second entry of the same content, which tells every later reader of the log that the first
-// one was committed and that the old store is no longer asked.
+// one was committed and that the old store is no longer asked. A snapshot doesn't tell whether that
+// entry exists, so a leader that started from one writes it again.
 //
 // A store identity of 0 is not known yet. If fewer than a majority are known, the group is being
 // created, and a quorum is every member: only then can no later quorum of empty stores create the
@@ -63,8 +64,8 @@
   /// The member of this id in current(); null if there is none.
   const wire::Member* find(NodeId aId) const;
 
-  /// Whether current() is a replacement that no second entry has confirmed yet.
-  bool isUnconfirmed() const;
+  /// Whether current() may be a replacement that no second entry has confirmed yet.
+  bool isUnconfirmed() const { return !mPoints.back().isConfirmed; }
 
   /// The largest value that a quorum reaches, given what is known to be committed.
   std::uint64_t quorumValue(LogIndex aCommitIndex, const Value& aValue) const;
@@ -74,6 +75,7 @@
   {
     LogIndex index = 0;
     wire::Membership membership;
+    bool isConfirmed = true;
   };
   std::vector<Point> mPoints; ///< Ascending, never empty.
 };
--- a/packages/agreement/testing/LogNodeTest.cc
+++ b/packages/agreement/testing/LogNodeTest.cc
@@ -599,6 +599,24 @@
   CHECK(bench.node().role() == (isConfirmed ? Role::Candidate : Role::PreCandidate));
 }
 
+TEST_CASE("A leader that started from a snapshot confirms the membership once")
+{
+  StoredState stored;
+  stored.term = 1;
+  Snapshot snapshot{ 50, 1, {}, "state" };
+  snapshot.membership.members = { { 1, 11 }, { 2, 12 }, { 3, 99 } };
+  stored.snapshot = std::make_shared<const Snapshot>(snapshot);
+  Bench bench(stored);
+  bench.lead();
+  const auto batch = only<Persist>(bench.last()).at(0);
+  REQUIRE(batch.entries.size() == 1);
+  CHECK(batch.entries[0].kind == wire::EntryKind::Membership);
+  bench.sync();
+  bench.ack(2, 52);
+  CHECK(bench.node().commitIndex() == 52);
+  CHECK(only<Persist>(bench.last()).empty());
+}
+
 TEST_CASE("Leadership goes to a member that is up to date, and proposals wait meanwhile")
 {
   Bench bench;
--- a/packages/agreement/testing/SimulatedGroup.h
+++ b/packages/agreement/testing/SimulatedGroup.h
@@ -345,7 +345,7 @@
       }
       const auto proposed = aMachine.proposed.find(it.index);
       if (proposed != aMachine.proposed.end() && proposed->second == it.term) {
-        mNewestKnown = std::max(mNewestKnown, it.index); // Its client gets the response now.
+        noteKnown(it.index); // Its client gets the response now.
       }
       if (it.kind == wire::EntryKind::Membership && it.index > mMembershipIndex) {
         mMembershipIndex = it.index;
@@ -378,17 +378,21 @@
     if (aReady.index > aMachine.applied) {
       violate("a read is ready before its entries are applied");
     }
-    mNewestKnown = std::max(mNewestKnown, aReady.index); // A later read must not see less.
+    noteKnown(aReady.index); // A later read must not see less.
     mReads.erase(it);
     ++mReadsDone;
   }
   void perform(NodeId, Machine&, const ReadRefused& aRefused) { mReads.erase(aRefused.read); }
 
-  void perform(NodeId, Machine& aMachine, const BecameLeader&)
+  void perform(NodeId, Machine& aMachine, const BecameLeader& aBecame)
   {
     aMachine.isEstablished = true;
-    if (aMachine.applied < mNewestKnown) {
-      violate("a new leader lacks an acknowledged entry");
+    // A late reply may establish a leader that a newer one has overtaken. It has to hold what was
+    // acknowledged in the terms before its own.
+    for (const auto& [term, index] : mKnownInTerm) {
+      if (term < aBecame.term && aMachine.applied < index) {
+        violate("a new leader lacks an acknowledged entry");
+      }
     }
   }
   void perform(NodeId, Machine& aMachine, const LostLeadership&) { aMachine.isEstablished = false; }
@@ -414,6 +418,16 @@
     step(aId, SnapshotTaken{ aTake.lastIndex, std::move(bytes) });
   }
 
+  void noteKnown(LogIndex aIndex)
+  {
+    mNewestKnown = std::max(mNewestKnown, aIndex);
+    const auto agreed = mAgreed.find(aIndex);
+    if (agreed != mAgreed.end()) {
+      LogIndex& newest = mKnownInTerm[agreed->second.entry.term];
+      newest = std::max(newest, aIndex);
+    }
+  }
+
   void checkLeader(NodeId aId, Machine& aMachine)
   {
     if (!aMachine.node || aMachine.node->role() != Role::Leader) {
@@ -440,7 +454,8 @@
   wire::Membership mCommittedMembership;
   LogIndex mMembershipIndex = 0;
   bool mIsConfirmed = true;
-  LogIndex mNewestKnown = 0; ///< Newest entry that some client knows to be in effect.
+  LogIndex mNewestKnown = 0;             ///< Newest entry that some client knows to be in effect.
+  std::map<Term, LogIndex> mKnownInTerm; ///< The same, by the term of the entry.
   std::map<std::uint64_t, LogIndex> mReads; ///< What each pending read has to see.
   std::uint64_t mNextRequest = 0;
   std::size_t mReadsDone = 0;
