--- a/packages/ctl/testing/ControlClientTest.cc
+++ b/packages/ctl/testing/ControlClientTest.cc
@@ -101,6 +101,7 @@
 {
   aWords.insert(aWords.begin(), "camphorcleatctl");
   std::vector<char*> arguments;
+  arguments.reserve(aWords.size());
   for (auto& it : aWords) {
     arguments.push_back(it.data());
   }
