--- a/packages/fleet/testing/FleetScheduleTest.cc
+++ b/packages/fleet/testing/FleetScheduleTest.cc
@@ -107,11 +107,15 @@
 }
 
 // Whether the command is the owner's own release, or the end of its lease.
-bool endsOwnership(const wire::Command& aCommand, const wire::PartitionGrant& aGrant)
+bool endsOwnership(const wire::Command& aCommand, const wire::PartitionGrant& aGrant,
+                   PartitionId aPartition)
 {
   const wire::CommandBody& body = aCommand.bodies.front();
   if (const auto* release = std::get_if<wire::Release>(&body)) {
-    return release->node == aGrant.owner && release->incarnation == aGrant.incarnation;
+    return release->node == aGrant.owner && release->incarnation == aGrant.incarnation &&
+           std::any_of(release->grants.begin(), release->grants.end(), [&](const auto& aReleased) {
+             return aReleased.partition == aPartition && aReleased.token == aGrant.token;
+           });
   }
   const auto* lost = std::get_if<wire::NodeLost>(&body);
   return lost != nullptr && lost->node == aGrant.owner && lost->incarnation == aGrant.incarnation;
@@ -119,7 +123,8 @@
 
 // What is wrong with the step from one grant to the next; empty if nothing.
 std::string faultOf(const wire::Command& aCommand, Revision aRevision, const FleetModel& aModel,
-                    const wire::PartitionGrant& aOld, const wire::PartitionGrant& aNew)
+                    const wire::PartitionGrant& aOld, const wire::PartitionGrant& aNew,
+                    PartitionId aPartition)
 {
   const wire::Node* node = aModel.node(aNew.owner);
   if (aNew.token < aOld.token) {
@@ -132,7 +137,7 @@
   if (sameOwner(aOld, aNew)) {
     return "";
   }
-  if (aOld.owner != kNoNode && !endsOwnership(aCommand, aOld)) {
+  if (aOld.owner != kNoNode && !endsOwnership(aCommand, aOld, aPartition)) {
     return "another owner without a release";
   }
   return aNew.owner != kNoNode && aNew.token != aRevision ? "a new owner with an old token" : "";
@@ -143,7 +148,7 @@
 {
   const auto check = [&](const std::string& aService, PartitionId aPartition) {
     const std::string fault = faultOf(aCommand, aRevision, aNew, *aOld.grant(aService, aPartition),
-                                      *aNew.grant(aService, aPartition));
+                                      *aNew.grant(aService, aPartition), aPartition);
     return fault.empty() ? "" : aService + "/" + std::to_string(aPartition) + ": " + fault + "; ";
   };
   std::string faults;
@@ -157,10 +162,11 @@
   }
   // Pinning and unpinning must not give a key to another node, except one without an owner.
   for (const auto& key : Schedule::keys()) {
-    const auto& before = *aOld.grant("lookup", aOld.partitionOf("lookup", key));
+    const PartitionId partition = aOld.partitionOf("lookup", key);
+    const auto& before = *aOld.grant("lookup", partition);
     const auto& after = *aNew.grant("lookup", aNew.partitionOf("lookup", key));
-    const bool isAllowed =
-      before.owner == kNoNode || sameOwner(before, after) || endsOwnership(aCommand, before);
+    const bool isAllowed = before.owner == kNoNode || sameOwner(before, after) ||
+                           endsOwnership(aCommand, before, partition);
     faults += isAllowed ? "" : key + ": another owner; ";
   }
   return faults;
