Check in random schedules that no idempotency key runs twice

Cause: only single cases covered it. Change: the ledger of the owner's random test records keys that ran.

--- a/packages/traffic/testing/OwnerPropertyTest.cc
+++ b/packages/traffic/testing/OwnerPropertyTest.cc
@@ -12,8 +12,10 @@
 struct Ledger
 {
   std::map<RequestId, int> dispatches;
-  std::map<RequestId, int> ends; // Refusals and replays.
-  std::string fault;             // The first rule that was broken.
+  std::map<RequestId, int> ends;         // Refusals and replays.
+  std::map<RequestId, std::string> keys; // Idempotency keys of requests that must not repeat.
+  std::set<std::string> keysThatRan;
+  std::string fault; // The first rule that was broken.
 
   void check(bool aIsRight, const char* aRule)
   {
@@ -27,6 +29,9 @@
     if (const auto* dispatch = std::get_if<Dispatch>(&aAction)) {
       check(++dispatches[dispatch->id] == 1, "a request was dispatched twice");
       check(ends.count(dispatch->id) == 0, "a request was dispatched after its end");
+      const auto key = keys.find(dispatch->id);
+      check(key == keys.end() || keysThatRan.insert(key->second).second,
+            "a request that must not repeat ran twice");
     } else if (const auto* refuse = std::get_if<Refuse>(&aAction)) {
       check(dispatches.count(refuse->id) == 0, "a refusal followed a dispatch");
       check(++ends[refuse->id] == 1, "a request was ended twice");
@@ -43,6 +48,7 @@
   std::vector<RequestId> recent;
   std::vector<RequestId> cancelled;
   std::uint64_t counter = 0;
+  bool allowsSheds = false;
 };
 
 RequestArrived randomRequest(Script& aScript)
@@ -99,7 +105,7 @@
       daemon.view.isFresh = world.random() % 3 != 0;
       break;
     case 8:
-      daemon.shedShare = world.random() % 3 == 0 ? 0.2 : 0;
+      daemon.shedShare = aScript.allowsSheds && world.random() % 3 == 0 ? 0.2 : 0;
       break;
     default:
       daemon.isFrozenTarget = world.random() % 3 == 0;
@@ -107,13 +113,18 @@
   }
 }
 
-void runScript(Script& aScript, const Ledger& aLedger, TimePoint aEnd)
+void runScript(Script& aScript, Ledger& aLedger, TimePoint aEnd)
 {
   World& world = aScript.world;
   world.repeat(Millis(1), false, aEnd, [&aScript, &aLedger, &world] {
     const RequestArrived event = randomRequest(aScript);
     aScript.recent.push_back(event.id);
     world.accountOf[event.id] = event.isOpenRoute ? "" : event.account;
+    // A shed request did not run, so its key may run again.
+    if (!aScript.allowsSheds && !event.isIdempotent && !event.idempotencyKey.empty()) {
+      aLedger.keys[event.id] = world.accountOf[event.id] + " " + event.idempotencyKey + " " +
+                               std::to_string(event.partition);
+    }
     world.step(aScript.daemon, event);
     if (world.random() % 10 == 0 && aLedger.ends.count(event.id) == 0) {
       world.step(aScript.daemon, event); // A duplicate while it waits or runs.
@@ -151,7 +162,7 @@
     ledger.check(aDaemon.logic->inFlightCount() <= 10, "more in flight than slots");
     ledger.check(aDaemon.logic->queuedCount() <= 30, "the queue grew above its bound");
   };
-  Script script{ world, daemon, {}, {}, 0 };
+  Script script{ world, daemon, {}, {}, 0, aSeed % 3 == 0 };
   const TimePoint end = world.agenda.now + std::chrono::seconds(2);
   runScript(script, ledger, end);
   world.agenda.runUntil(end + std::chrono::seconds(3));
--- a/packages/traffic/testing/TrafficBenchmark.cc
+++ b/packages/traffic/testing/TrafficBenchmark.cc
@@ -37,6 +37,7 @@
 std::vector<std::string> names(int aCount)
 {
   std::vector<std::string> out;
+  out.reserve(aCount);
   for (int i = 0; i < aCount; ++i) {
     out.push_back("account-" + std::to_string(i));
   }
