Drop expired grants of a drawer that has changed homes

Cause: grants that expired before the drawer's first request with another bucket number were kept forever, and 64 of them stopped all further grants to that drawer. Change: they are dropped when the other bucket number is seen; dropped promises are credited again.

--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -162,8 +162,13 @@
 void RateBucket::takeReports(Drawer& aDrawer, const wire::TokenRequest& aRequest)
 {
   if (aRequest.bucket != mNumber) {
-    // The counts belong to tokens of another bucket.
-    for (auto& it : aDrawer.grants) {
+    // The counts belong to tokens of another bucket. Those granted here will never be reported and
+    // leave when they expire.
+    auto& grants = aDrawer.grants;
+    grants.erase(std::remove_if(grants.begin(), grants.end(),
+                                [](const Grant& aGrant) { return aGrant.isExpired; }),
+                 grants.end());
+    for (auto& it : grants) {
       it.isUnreported = true;
     }
     return;
@@ -296,6 +301,7 @@
   for (auto& [id, drawer] : mDrawers) {
     if (drawer.promised > 0 && aNow - drawer.lastSeen >= kSilence) {
       mPromised -= drawer.promised;
+      creditIdeal(drawer.promised);
       drawer.promised = 0;
     }
   }
--- a/packages/traffic/testing/RateHomeTest.cc
+++ b/packages/traffic/testing/RateHomeTest.cc
@@ -141,6 +141,19 @@
   REQUIRE(f.send(f.request(6, 5, 5)).granted == 2);
 }
 
+TEST_CASE("a drawer that alternates between two homes keeps getting tokens")
+{
+  Fixture f;
+  f.rate = 100;
+  f.fill();
+  for (std::uint64_t i = 3; i < 3 + 3 * RateBucket::kMaxGrants; ++i) {
+    auto request = f.request(i, 1, i - 1);
+    request.bucket = 12345; // The other home answered in between.
+    f.now += Millis(300);
+    REQUIRE(f.send(request).granted == 1);
+  }
+}
+
 TEST_CASE("a burst of one token is never stuck")
 {
   Fixture f;
