Fix lint findings and a data race between two hubs

Cause: websocketpp finds out the byte order on first use and stores it in an unguarded variable; the thread sanitizer reported the race between two hubs in one process. Asio's fences don't build under GCC's thread sanitizer.

Change: use the byte order once before a hub starts its thread; build without Asio's fences under the thread sanitizer; const references and names that clang-tidy asked for.

--- a/cmake/CamphorcleatPackage.cmake
+++ b/cmake/CamphorcleatPackage.cmake
@@ -14,6 +14,11 @@
     -fsanitize=${CAMPHORCLEAT_SANITIZE} -fno-omit-frame-pointer)
   target_link_options(camphorcleat_options INTERFACE -fsanitize=${CAMPHORCLEAT_SANITIZE})
 endif()
+if(CAMPHORCLEAT_SANITIZE STREQUAL "thread")
+  # GCC's thread sanitizer doesn't support the fences; Asio's own locks order the handlers.
+  target_compile_definitions(camphorcleat_options INTERFACE
+    $<BUILD_INTERFACE:BOOST_ASIO_DISABLE_FENCED_BLOCK>)
+endif()
 
 set(CAMPHORCLEAT_TARGETS camphorcleat_options CACHE INTERNAL "")
 
--- a/packages/transport/HttpFrontend.cc
+++ b/packages/transport/HttpFrontend.cc
@@ -2,6 +2,8 @@
 
 #include "transport/HttpFrontend.h"
 
+#include <algorithm>
+
 #include <poll.h>
 
 #include <boost/asio/io_context.hpp>
@@ -91,13 +93,10 @@
 
   void closeOneIdle()
   {
-    for (const auto& it : shared->sessions) {
-      const auto session = it;
-      const std::size_t before = shared->sessions.size();
-      session->closeIfIdle();
-      if (shared->sessions.size() < before) {
-        return;
-      }
+    const auto it = std::find_if(shared->sessions.begin(), shared->sessions.end(),
+                                 [](const auto& aSession) { return aSession->isIdle(); });
+    if (it != shared->sessions.end()) {
+      std::shared_ptr<HttpSession>(*it)->closeIfIdle(); // Erases itself from the set.
     }
   }
 
--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -61,7 +61,7 @@
   void sendHead(unsigned aStatus, std::vector<wire::Header> aHeaders,
                 std::optional<std::uint64_t> aContentLength) override
   {
-    mSession->sendHead(mRequest, aStatus, std::move(aHeaders), aContentLength);
+    mSession->sendHead(mRequest, aStatus, aHeaders, aContentLength);
   }
   void sendBody(std::string aData, bool aIsLast, std::function<void(bool aIsOpen)> aDone) override
   {
@@ -70,7 +70,7 @@
   void sendWhole(unsigned aStatus, std::vector<wire::Header> aHeaders, std::string aBody) override
   {
     const std::uint64_t length = aBody.size();
-    mSession->sendHead(mRequest, aStatus, std::move(aHeaders), length);
+    mSession->sendHead(mRequest, aStatus, aHeaders, length);
     mSession->sendBody(mRequest, std::move(aBody), true, nullptr);
   }
   void abort() override { mSession->abort(mRequest); }
@@ -433,7 +433,7 @@
 }
 
 void HttpSession::sendHead(std::uint64_t aRequest, unsigned aStatus,
-                           std::vector<wire::Header> aHeaders,
+                           const std::vector<wire::Header>& aHeaders,
                            std::optional<std::uint64_t> aContentLength)
 {
   if (!isCurrent(aRequest) || mHeadSent) {
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -56,6 +56,9 @@
   /// Whether a request is with the handler.
   bool isRunning() const { return mPhase == Phase::Running; }
 
+  /// Whether it waits for the next request.
+  bool isIdle() const { return mPhase == Phase::Idle; }
+
   /// The socket, to be polled for the caller's close.
   int nativeSocket() { return mSocket.native_handle(); }
 
@@ -71,7 +74,7 @@
   // The part of CallerStream that acts on the connection. aRequest is the number of the request:
   // calls for an earlier one do nothing.
   void readBody(std::uint64_t aRequest, std::function<void(BodyPart)> aCallback);
-  void sendHead(std::uint64_t aRequest, unsigned aStatus, std::vector<wire::Header> aHeaders,
+  void sendHead(std::uint64_t aRequest, unsigned aStatus, const std::vector<wire::Header>& aHeaders,
                 std::optional<std::uint64_t> aContentLength);
   void sendBody(std::uint64_t aRequest, std::string aData, bool aIsLast,
                 std::function<void(bool)> aDone);
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -41,6 +41,14 @@
            : std::nullopt;
 }
 
+// websocketpp finds out the byte order on first use and keeps it in a variable without a lock. With
+// two hubs in one process that is a data race, so the first use happens here.
+void prepareByteOrder()
+{
+  static const std::uint64_t sFirstUse = websocketpp::lib::net::_htonll(0);
+  static_cast<void>(sFirstUse);
+}
+
 struct Backoff
 {
   Millis delay{ 0 };
@@ -96,7 +104,7 @@
     if (!ec) {
       port = server.get_local_endpoint(bec).port();
       server.set_tcp_post_init_handler(
-        [this](websocketpp::connection_hdl aHandle) { onAccepted(aHandle); });
+        [this](const websocketpp::connection_hdl& aHandle) { onAccepted(aHandle); });
       server.start_accept(ec);
     }
     if (ec) {
@@ -158,7 +166,7 @@
       return;
     }
     prepare(aLink, socket);
-    socket->set_tcp_post_init_handler([this, aLink](const websocketpp::connection_hdl&) {
+    socket->set_tcp_post_init_handler([aLink](const websocketpp::connection_hdl&) {
       if (aLink->socket) {
         setNoDelay(*aLink->socket);
       }
@@ -391,6 +399,7 @@
 
 Result<void> PeerHub::start()
 {
+  prepareByteOrder();
   BOOST_LEAF_CHECK(mImpl->listen());
   mImpl->isStarted = true;
   mImpl->ticker.start();
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -86,7 +86,7 @@
 std::shared_ptr<PeerLink> PeerLinks::addAccepted()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  const auto link = std::make_shared<PeerLink>(nextLinkId(), false);
+  auto link = std::make_shared<PeerLink>(nextLinkId(), false);
   mLinks[link->id] = link;
   ++mAcceptedCount;
   return link;
--- a/packages/transport/PeerSocket.h
+++ b/packages/transport/PeerSocket.h
@@ -118,6 +118,7 @@
   // A peer that breaks the protocol is cut off at once.
   static const bool drop_on_protocol_error = true;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is given by websocketpp.
   struct transport_config : public websocketpp::config::core::transport_config
   {
     using concurrency_type = type::concurrency_type;
