--- a/packages/harness/LoadConnection.cc
+++ b/packages/harness/LoadConnection.cc
@@ -108,7 +108,7 @@
 {
   mCall.record.doneUs = monotonicMicros();
   mCall.record.latencyUs = mCall.record.doneUs - mCall.record.sentUs;
-  mDone(shared_from_this(), std::move(mCall.record));
+  mDone(shared_from_this(), mCall.record);
 }
 
 void LoadConnection::watchIdle()
--- a/packages/harness/LoadConnection.h
+++ b/packages/harness/LoadConnection.h
@@ -32,7 +32,8 @@
 {
 public:
   /// Receives the finished record; the connection is reusable if isReusable() holds.
-  using DoneFunction = std::function<void(const std::shared_ptr<LoadConnection>&, CallRecord)>;
+  using DoneFunction =
+    std::function<void(const std::shared_ptr<LoadConnection>&, const CallRecord&)>;
   /// Called when an idle connection was closed by its peer.
   using LostFunction = std::function<void(const std::shared_ptr<LoadConnection>&)>;
 
--- a/packages/harness/LoadDriver.cc
+++ b/packages/harness/LoadDriver.cc
@@ -179,7 +179,7 @@
 std::shared_ptr<LoadConnection> LoadDriver::connectionTo(Entry& aEntry)
 {
   while (!aEntry.idle.empty()) {
-    const auto connection = aEntry.idle.back();
+    auto connection = aEntry.idle.back();
     aEntry.idle.pop_back();
     if (connection->isReusable()) {
       return connection;
@@ -192,8 +192,8 @@
   }
   auto connection = std::make_shared<LoadConnection>(
     mLoop, aEntry.endpoint,
-    [this, &aEntry](const std::shared_ptr<LoadConnection>& aConnection, CallRecord aRecord) {
-      finished(aEntry, aConnection, std::move(aRecord));
+    [this, &aEntry](const std::shared_ptr<LoadConnection>& aConnection, const CallRecord& aRecord) {
+      finished(aEntry, aConnection, aRecord);
     },
     [&aEntry](const std::shared_ptr<LoadConnection>& aConnection) {
       aEntry.idle.erase(std::remove(aEntry.idle.begin(), aEntry.idle.end(), aConnection),
@@ -205,7 +205,7 @@
 }
 
 void LoadDriver::finished(Entry& aEntry, const std::shared_ptr<LoadConnection>& aConnection,
-                          CallRecord aRecord)
+                          const CallRecord& aRecord)
 {
   --mUnderWay;
   if (aRecord.result == CallResult::Unreachable) {
--- a/packages/harness/LoadDriver.h
+++ b/packages/harness/LoadDriver.h
@@ -71,7 +71,7 @@
   Entry& chooseEntry();
   std::shared_ptr<LoadConnection> connectionTo(Entry& aEntry);
   void finished(Entry& aEntry, const std::shared_ptr<LoadConnection>& aConnection,
-                CallRecord aRecord);
+                const CallRecord& aRecord);
   void checkFinished();
 
   boost::asio::io_context& mLoop;
--- a/packages/harness/ProcessGroup.cc
+++ b/packages/harness/ProcessGroup.cc
@@ -84,6 +84,7 @@
   std::vector<std::string> words{ mStarter, std::to_string(::getpid()), aSpec.program };
   words.insert(words.end(), aSpec.arguments.begin(), aSpec.arguments.end());
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (auto& it : words) {
     arguments.push_back(it.data());
   }
--- a/packages/harness/Program.h
+++ b/packages/harness/Program.h
@@ -11,14 +11,11 @@
 
 namespace camphorcleat::harness {
 
-/// Exit statuses of the test programs.
-enum ExitStatus : int
-{
-  kExitSuccess = 0,
-  kExitFailedExpectation = 1,
-  kExitUsage = 2,
-  kExitFault = 3
-};
+// Exit statuses of the test programs.
+constexpr int kExitSuccess = 0;
+constexpr int kExitFailedExpectation = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitFault = 3;
 
 /// Runs a program body; prints a failure or exception to standard error and turns it into a status.
 int runProgram(const char* aName, const std::function<Result<int>()>& aBody);
--- a/packages/harness/ScenarioCheck.cc
+++ b/packages/harness/ScenarioCheck.cc
@@ -34,7 +34,7 @@
       return "control needs at least one member and, unless apart, a node for each";
     }
     for (const auto& it : aFleet.services) {
-      if (const std::string fault = (*this)(it); !fault.empty()) {
+      if (std::string fault = (*this)(it); !fault.empty()) {
         return fault;
       }
     }
--- a/packages/harness/ScenarioParser.cc
+++ b/packages/harness/ScenarioParser.cc
@@ -205,9 +205,8 @@
     (keyword("via") > (keyword("any") | (keyword("node") > kWholeNumber[set(&Load::via)]))) |
     (keyword("for") > kDuration[set(&Load::duration)]));
 
-const auto kWaitOwned = x3::rule<struct WaitOwnedTag, WaitOwnedStatement>{
-  "wait owned"
-} = keyword("wait") >> keyword("owned") > kName[set(&WaitOwnedStatement::service)];
+const auto kWaitOwned = x3::rule<struct WaitOwnedTag, WaitOwnedStatement>{ "wait owned" } =
+  (keyword("wait") >> keyword("owned")) > kName[set(&WaitOwnedStatement::service)];
 
 const auto kWaitLoads = x3::rule<struct WaitLoadsTag, WaitLoadsStatement>{
   "wait loads"
@@ -256,8 +255,8 @@
 using Target = TargetStatement;
 
 const auto kTargetSlow = x3::rule<struct TargetSlowTag, Target>{ "target N slow" } =
-  keyword("target") >> kWholeNumber[set(&Target::node)] >>
-  keyword("slow")[setTo(&Target::action, Target::Action::Slow)] > kNumber[set(&Target::factor)] >
+  (keyword("target") >> kWholeNumber[set(&Target::node)] >>
+   keyword("slow")[setTo(&Target::action, Target::Action::Slow)]) > kNumber[set(&Target::factor)] >
   keyword("for") > kDuration[set(&Target::duration)];
 
 const auto kTarget = x3::rule<struct TargetTag, Target>{ "target" } =
--- a/packages/harness/testing/LoadDriverTest.cc
+++ b/packages/harness/testing/LoadDriverTest.cc
@@ -76,20 +76,20 @@
   explicit RawServer(std::function<std::string(unsigned, const std::string&)> aAnswer)
     : mAnswer(std::move(aAnswer))
   {
-    thread.run([&] {
-      mAcceptor.emplace(thread.loop(), kAnyPort);
+    mThread.run([&] {
+      mAcceptor.emplace(mThread.loop(), kAnyPort);
       accept();
     });
   }
-  ~RawServer() { thread.stop(); }
+  ~RawServer() { mThread.stop(); }
   Endpoint endpoint() const { return mAcceptor->local_endpoint(); }
   unsigned requests()
   {
-    return thread.run([&] { return mRequests; });
+    return mThread.run([&] { return mRequests; });
   }
   std::string lastRequest()
   {
-    return thread.run([&] { return mLastRequest; });
+    return mThread.run([&] { return mLastRequest; });
   }
 
 private:
@@ -113,7 +113,7 @@
   }
 
   std::function<std::string(unsigned, const std::string&)> mAnswer;
-  LoopThread thread;
+  LoopThread mThread;
   std::optional<tcp::acceptor> mAcceptor;
   unsigned mRequests = 0;
   std::string mLastRequest;
--- a/packages/harness/testing/MeasuresTest.cc
+++ b/packages/harness/testing/MeasuresTest.cc
@@ -322,7 +322,7 @@
 {
   Evidence evidence;
   evidence.rates["acme"] = { { 0, 1, 1 } };
-  for (int i = 0; i <= 9; ++i) { // 10 calls in 9 s: 10 allowed.
+  for (std::int64_t i = 0; i <= 9; ++i) { // 10 calls in 9 s: 10 allowed.
     evidence.calls.push_back(call("", i * 1000, i * 1000 + 1, CallResult::Served));
     evidence.calls.push_back(call("", i * 1000, i * 1000 + 1, CallResult::Refused));
   }
