--- /dev/null
+++ b/packages/daemon/OperatorServer.h
@@ -0,0 +1,63 @@
+// HTTP for operators: commands, status and health, on the thread "operator".
+//
+// Served by HttpFrontend and not by QHttpServer, because commands are answered later by the control
+// thread: QHttpServer 6.4.2 crashed in QFutureInterfaceBase::reportStarted() when a handler that
+// returned a QFuture had been answered and its connection closed.
+
+#ifndef CAMPHORCLEAT_DAEMON_OPERATORSERVER_H_
+#define CAMPHORCLEAT_DAEMON_OPERATORSERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/DutyThread.h"
+#include "daemon/DutyMessages.h"
+#include "daemon/HealthPages.h"
+#include "daemon/Settings.h"
+#include "transport/HttpFrontend.h"
+
+namespace camphorcleat::daemon {
+
+/// start() and stop() are for the thread that made it.
+class OperatorServer : public transport::HttpHandler
+{
+public:
+  /// All references outlive the server.
+  OperatorServer(const Settings& aSettings, Rings& aRings, const SharedView& aView,
+                 const HealthPages& aPages);
+  ~OperatorServer() override;
+
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
+
+  /// Listens and starts the thread. Fails if the address can't be bound.
+  Result<void> start();
+
+  /// Ends the thread. Idempotent.
+  void stop();
+
+  // HttpHandler, on the operator thread.
+  void onRequest(std::shared_ptr<transport::CallerStream> aStream) override;
+
+private:
+  using Stream = std::shared_ptr<transport::CallerStream>;
+
+  void readCommand(const Stream& aStream, std::string aText);
+  void command(const Stream& aStream, const std::string& aText);
+  void status(const Stream& aStream);
+  void page(const Stream& aStream, const Page& aPage);
+  void answerJsonText(const Stream& aStream, const std::string& aJson);
+  std::function<void(const std::string&)> replyTo(const Stream& aStream);
+
+  const Settings& mSettings;
+  Rings& mRings;
+  const SharedView& mView;
+  const HealthPages& mPages;
+  DutyThread mThread;
+  std::unique_ptr<transport::HttpFrontend> mFrontend;
+};
+
+} // namespace camphorcleat::daemon
+
+#endif // CAMPHORCLEAT_DAEMON_OPERATORSERVER_H_
--- /dev/null
+++ b/packages/traffic/AdmissionLimit.cc
@@ -0,0 +1,98 @@
+// Additive increase, multiplicative decrease of the requests in flight.
+
+#include "traffic/AdmissionLimit.h"
+
+#include <algorithm>
+
+namespace camphorcleat::traffic {
+
+namespace {
+
+// The smoothed latency is the mean of the first samples and then gives a new one this weight. With
+// one sample of ten 50 times slower than the others, it stays within a third of its mean.
+constexpr double kLeastWeight = 1.0 / 64;
+constexpr unsigned kLeastSamples = 32; // Fewer samples don't make a trend.
+
+} // namespace
+
+void AdmissionLimit::setSlots(std::uint32_t aSlots)
+{
+  if (mSlots == 0) {
+    mLimit = aSlots;
+  }
+  mSlots = aSlots;
+  mLimit = std::min<double>(mLimit, mSlots);
+}
+
+std::uint32_t AdmissionLimit::limit(TimePoint aNow) const
+{
+  if (mSlots == 0) {
+    return 0;
+  }
+  double limit = std::min<double>(mLimit, mSlots);
+  if (mReportedAt && aNow - *mReportedAt < mConfig.reportLifetime) {
+    limit = std::min<double>(limit, mReportedLimit);
+  }
+  return static_cast<std::uint32_t>(std::max(limit, 1.0));
+}
+
+void AdmissionLimit::answered(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight)
+{
+  const double sample = toSeconds(aLatency);
+  mLeastSeconds.add(aNow, sample);
+  ++mSamples;
+  mSmoothedSeconds += std::max(1.0 / mSamples, kLeastWeight) * (sample - mSmoothedSeconds);
+  if (mSamples >= kLeastSamples) {
+    mFloorSeconds.add(aNow, mSmoothedSeconds);
+  }
+  if (isAboveFloor(mConfig.latencyFactor)) {
+    decrease(aNow);
+  } else if (aInFlight + 1 >= limit(aNow)) {
+    // Only a limit that is in use grows; otherwise nothing shows that the target can take more.
+    mLimit = std::min<double>(mLimit + 1 / std::max(mLimit, 1.0), mSlots);
+  }
+}
+
+void AdmissionLimit::shed(TimePoint aNow)
+{
+  decrease(aNow);
+}
+
+void AdmissionLimit::reported(TimePoint aNow, std::uint32_t aLimit)
+{
+  mReportedLimit = aLimit;
+  mReportedAt = aNow;
+}
+
+bool AdmissionLimit::takeLatencyJump()
+{
+  if (!isAboveFloor(mConfig.jumpFactor)) {
+    return false;
+  }
+  mSamples = 0;
+  return true;
+}
+
+std::optional<Duration> AdmissionLimit::leastLatency() const
+{
+  const auto least = mLeastSeconds.value();
+  return least ? std::make_optional(fromSeconds(*least)) : std::nullopt;
+}
+
+bool AdmissionLimit::isAboveFloor(double aFactor) const
+{
+  const auto floor = mFloorSeconds.value();
+  return mSamples >= kLeastSamples && floor &&
+         mSmoothedSeconds > aFactor * std::max(*floor, toSeconds(mConfig.leastFloor));
+}
+
+void AdmissionLimit::decrease(TimePoint aNow)
+{
+  if (mDecreasedAt && aNow - *mDecreasedAt < mConfig.decreaseInterval) {
+    return;
+  }
+  mDecreasedAt = aNow;
+  mLimit = std::max(mLimit * mConfig.decreaseFactor, 1.0);
+}
+
+} // namespace camphorcleat::traffic
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -184,23 +184,29 @@
   std::string key; ///< Empty for an unkeyed service.
   PartitionId partition = 0;
   std::string account; ///< Empty on an open route.
+  std::string keyName; ///< Name of the account key that the caller brought.
   std::string method;
   std::string path; ///< Path and query, as the caller sent them.
   std::vector<Header> headers;
+  bool hasBody = false; ///< Whether body chunks follow.
+  std::optional<std::uint64_t> contentLength;
   Millis deadline{ 0 }; ///< Time left when sent.
   std::string idempotencyKey;
-  bool isResend = false; ///< An earlier attempt may have run.
+  std::string bodyDigest; ///< SHA-256 of a body of at most 64 KiB; empty if it is larger.
+  bool isResend = false;  ///< An earlier attempt may have run.
   Revision routeRevision = 0;
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("id", &RequestHead::id), field("service", &RequestHead::service),
       field("key", &RequestHead::key), field("partition", &RequestHead::partition),
-      field("account", &RequestHead::account), field("method", &RequestHead::method),
-      field("path", &RequestHead::path), field("headers", &RequestHead::headers),
+      field("account", &RequestHead::account), field("key_name", &RequestHead::keyName),
+      field("method", &RequestHead::method), field("path", &RequestHead::path),
+      field("headers", &RequestHead::headers), field("has_body", &RequestHead::hasBody),
+      field("content_length", &RequestHead::contentLength),
       field("deadline_ms", &RequestHead::deadline),
       field("idempotency_key", &RequestHead::idempotencyKey),
-      field("resend", &RequestHead::isResend),
+      field("body_digest", &RequestHead::bodyDigest), field("resend", &RequestHead::isResend),
       field("route_revision", &RequestHead::routeRevision));
   }
 };
@@ -301,14 +307,21 @@
   Incarnation drawer = 0;
   std::uint64_t sequence = 0;
   std::uint32_t wanted = 0;
-  std::uint32_t spent = 0;    ///< Tokens of earlier draws spent since the last request.
-  std::uint32_t returned = 0; ///< Tokens of earlier draws given back unspent.
+  std::uint32_t waiting = 0; ///< How many of the wanted tokens have a request that waits for them.
+  /// Tokens spent, and given back unspent or expired, since the request that `accepted` answers. A
+  /// request that got no answer is counted again in the next one.
+  std::uint32_t spent = 0;
+  std::uint32_t returned = 0;
+  std::uint64_t bucket = 0;   ///< Bucket that granted these tokens; 0 if none did.
+  std::uint64_t accepted = 0; ///< Sequence of the last answer used; later ones were discarded.
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("account", &TokenRequest::account), field("drawer", &TokenRequest::drawer),
       field("sequence", &TokenRequest::sequence), field("wanted", &TokenRequest::wanted),
-      field("spent", &TokenRequest::spent), field("returned", &TokenRequest::returned));
+      field("waiting", &TokenRequest::waiting), field("spent", &TokenRequest::spent),
+      field("returned", &TokenRequest::returned), field("bucket", &TokenRequest::bucket),
+      field("accepted", &TokenRequest::accepted));
   }
 };
 
@@ -317,17 +330,23 @@
   static constexpr const char* kName = "token_answer";
   std::string account;
   std::uint64_t sequence = 0;
-  ErrorCode code = ErrorCode::None; ///< NotOwner: the account's home is elsewhere.
+  /// NotOwner: the account's home is elsewhere. OverRate: waiting requests beyond granted +
+  /// promised are above the rate.
+  ErrorCode code = ErrorCode::None;
   std::uint32_t granted = 0;
-  Micros lifetime{ 0 };   ///< From the moment the request was sent.
-  Micros retryAfter{ 0 }; ///< When the next token is due, if none was granted.
+  std::uint32_t promised = 0; ///< Waiting requests within the rate; ask again after retryAfter.
+  Micros lifetime{ 0 };       ///< From the moment the request was sent.
+  Micros retryAfter{ 0 };     ///< When the next token is due, if tokens are missing.
+  Micros reportWithin{ 0 };   ///< Longest delay of a report of spent tokens.
+  std::uint64_t bucket = 0;   ///< Random number of the bucket; a new home has a new one.
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("account", &TokenAnswer::account), field("sequence", &TokenAnswer::sequence),
       field("code", &TokenAnswer::code), field("granted", &TokenAnswer::granted),
-      field("lifetime_us", &TokenAnswer::lifetime),
-      field("retry_after_us", &TokenAnswer::retryAfter));
+      field("promised", &TokenAnswer::promised), field("lifetime_us", &TokenAnswer::lifetime),
+      field("retry_after_us", &TokenAnswer::retryAfter),
+      field("report_within_us", &TokenAnswer::reportWithin), field("bucket", &TokenAnswer::bucket));
   }
 };
 
