Start the bucket of an account full when no other home can have granted tokens

Cause: the first requests of a new account waited for the refill of an empty bucket. Change: HomeStart::Full, chosen by how long the home has been held.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -217,10 +217,24 @@
   }
   answer = mRateHome.handle(now, aRequest, account->second.requestsPerSecond,
                             account->second.burstRequests, mView.leaseValidUntil(),
-                            traffic::HomeStart::AfterLoss);
+                            homeStart(aRequest.account, account->second, now));
   mRouter.reply(aFrom.link, answer);
 }
 
+// An empty bucket that had begun with the home would be full again after burst / rate seconds.
+traffic::HomeStart OwnerDuty::homeStart(const std::string& aAccount,
+                                        const wire::Account& aSettings, TimePoint aNow) const
+{
+  const auto it = mHomes.find(aAccount);
+  if (it == mHomes.end() || aSettings.requestsPerSecond <= 0) {
+    return traffic::HomeStart::AfterLoss;
+  }
+  const double heldSeconds = toSeconds(aNow - it->second.since);
+  return heldSeconds * aSettings.requestsPerSecond >= aSettings.burstRequests
+           ? traffic::HomeStart::Full
+           : traffic::HomeStart::AfterLoss;
+}
+
 void OwnerDuty::handleLinkLost(const LinkLost& aLost)
 {
   std::vector<RequestId> lost;
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -70,6 +70,8 @@
   void handlePeer(FromPeer aMessage);
   void handleHead(transport::LinkId aLink, wire::RequestHead aHead);
   void handleTokenRequest(const FromPeer& aFrom, const wire::TokenRequest& aRequest);
+  traffic::HomeStart homeStart(const std::string& aAccount, const wire::Account& aSettings,
+                               TimePoint aNow) const;
   void handleLinkLost(const LinkLost& aLost);
   void handleView();
   void noteHomes();
--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -59,7 +59,9 @@
   , mUpdatedAt(aNow)
   , mLastUse(aNow)
 {
-  if (aStart == HomeStart::AfterPlannedMove) {
+  if (aStart == HomeStart::Full) {
+    mLevel = aRate.burstRequests;
+  } else if (aStart == HomeStart::AfterPlannedMove) {
     mParked = wholeTokens(std::ceil(aRate.burstRequests));
     mExpiries.push_back(Expiry{ aNow + kTokenHold, 0, 0, mParked });
   }
--- a/packages/traffic/RateBucket.h
+++ b/packages/traffic/RateBucket.h
@@ -21,6 +21,7 @@
 enum class HomeStart
 {
   AfterLoss,        ///< The previous home's lease has ended, and with it all of its tokens.
+  Full,             ///< No other home has granted tokens for as long as a refill takes.
   AfterPlannedMove, ///< Tokens of the previous home may be alive; a full burst counts as parked.
 };
 
@@ -58,7 +59,7 @@
   /// Unreported grants of one drawer. A drawer that reports has a handful.
   static constexpr std::size_t kMaxGrants = 64;
 
-  /// A bucket at level 0. aNumber is random and not 0.
+  /// A bucket at level 0, or at the burst for HomeStart::Full. aNumber is random and not 0.
   RateBucket(std::uint64_t aNumber, TimePoint aNow, Rate aRate, HomeStart aStart);
 
   /// The bucket of a previous home.
