Wait for the next owner when the owner's daemon can't be reached

Cause: after a node loss, entries answered 503 peer_unreachable as soon as the retry budget was spent, although the key was served again a second later; the planner ran every 5 ms and costs about 2 ms at 470 nodes; a GET with unknown outcome got status 409. Change: peer_unreachable with outcome not-run is bridged like not_owner; the planner runs when the state changed, its deadline came, or after 500 ms; 409 is kept for requests with an idempotency key, others get 502.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -21,18 +21,15 @@
          aMethod == "OPTIONS";
 }
 
-unsigned statusOf(wire::Outcome aOutcome, ErrorCode aCode)
+unsigned statusOf(wire::Outcome aOutcome, ErrorCode aCode, bool aHasIdempotencyKey)
 {
   if (aOutcome == wire::Outcome::Unknown) {
-    switch (aCode) {
-      case ErrorCode::DeadlineExceeded:
-        return 504;
-      case ErrorCode::IdempotencyConflict:
-      case ErrorCode::OutcomeUnknown:
-        return 409;
-      default:
-        return 502;
+    if (aCode == ErrorCode::DeadlineExceeded) {
+      return 504;
     }
+    // With an idempotency key, the earlier run is not finished or was lost.
+    const bool isConflict = aCode == ErrorCode::OutcomeUnknown && aHasIdempotencyKey;
+    return isConflict || aCode == ErrorCode::IdempotencyConflict ? 409 : 502;
   }
   switch (aCode) {
     case ErrorCode::BadRequest:
@@ -78,7 +75,7 @@
 } // namespace
 
 void sendFailure(transport::CallerStream& aStream, wire::Outcome aOutcome, ErrorCode aCode,
-                 const std::string& aMessage, Millis aRetryAfter)
+                 const std::string& aMessage, Millis aRetryAfter, bool aHasIdempotencyKey)
 {
   std::vector<wire::Header> headers{
     { "Content-Type", "application/json" },
@@ -90,7 +87,7 @@
     headers.push_back({ "Retry-After", std::to_string(seconds) });
     headers.push_back({ "Camphorcleat-Retry-After-Ms", std::to_string(aRetryAfter.count()) });
   }
-  aStream.sendWhole(statusOf(aOutcome, aCode), std::move(headers),
+  aStream.sendWhole(statusOf(aOutcome, aCode, aHasIdempotencyKey), std::move(headers),
                     toJson(FailureBody{ aCode, aMessage }));
 }
 
@@ -428,7 +425,7 @@
   if (mIsFinished) {
     return;
   }
-  sendFailure(*mStream, aOutcome, aCode, aMessage, aRetryAfter);
+  sendFailure(*mStream, aOutcome, aCode, aMessage, aRetryAfter, !mHead.idempotencyKey.empty());
   finish(aCode);
 }
 
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -46,7 +46,7 @@
 
 /// Answers a request with a JSON error body and the header Camphorcleat-Outcome.
 void sendFailure(transport::CallerStream& aStream, wire::Outcome aOutcome, ErrorCode aCode,
-                 const std::string& aMessage, Millis aRetryAfter);
+                 const std::string& aMessage, Millis aRetryAfter, bool aHasIdempotencyKey = false);
 
 /// Entry thread only.
 class EntryExchange : public std::enable_shared_from_this<EntryExchange>
--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -54,6 +54,7 @@
   mIsLeading = true;
   mLeaderHint = kNoNode;
   mPlanOutstanding = 0;
+  mPlannedRevision = 0;
   mLeases.startTerm(mNow, mModel);
   startRoundIfNeeded(aOut);
 }
@@ -219,15 +220,23 @@
 
 void ControlLeader::proposePlan(Actions& aOut)
 {
-  if (mPlanOutstanding > 0 && mNow - mPlanProposedAt < kPlanAgainAfter) {
+  const bool isLate = mNow - mPlanProposedAt >= kPlanAgainAfter;
+  if (mPlanOutstanding > 0 && !isLate) {
     return;
   }
+  // A plan takes about 2 ms at 470 nodes, too much for every tick.
+  const bool isDue = mNextPlanAt && *mNextPlanAt <= mNow;
+  if (mPlannedRevision == mHistory.revision() && !isDue && !isLate) {
+    return;
+  }
+  mPlannedRevision = mHistory.revision();
   std::map<NodeId, NodeLoad> loads;
   for (const auto& [id, session] : mSessions) {
     loads[id].requestsPerSecond = session.loadRequestsPerSecond;
   }
   // One command each: in a common command a body that has become void would refuse the others.
   std::vector<wire::CommandBody> bodies = mPlanner->plan(mNow, mModel, loads);
+  mNextPlanAt = mPlanner->nextDeadline(mNow);
   mPlanOutstanding = bodies.size();
   mPlanProposedAt = mNow;
   for (auto& it : bodies) {
--- a/packages/traffic/RetryPolicy.cc
+++ b/packages/traffic/RetryPolicy.cc
@@ -11,6 +11,9 @@
   switch (aCode) {
     case ErrorCode::NotOwner:
     case ErrorCode::NoOwner:
+    // A key whose owner is lost has its next owner within 2 s. Until then a dial that is refused costs
+    // the dead VM nothing, so the retry budget must not end the wait.
+    case ErrorCode::PeerUnreachable:
       return RetryKind::Bridge;
     case ErrorCode::QueueFull:
     case ErrorCode::Overloaded:
@@ -20,7 +23,6 @@
     case ErrorCode::TargetShed:
     case ErrorCode::TargetFenced:
     case ErrorCode::Draining:
-    case ErrorCode::PeerUnreachable:
       return RetryKind::Paid;
     default:
       return RetryKind::Final;
