Count allocations without exceptions in the relay test, too

Cause: the address sanitizer stopped transport_test, because memory from its own operator new without exceptions reached the test's operator delete.

Change: the test replaces that operator as well.

--- a/packages/transport/testing/RelayTest.cc
+++ b/packages/transport/testing/RelayTest.cc
@@ -32,6 +32,14 @@
   return out;
 }
 
+// Without this one the address sanitizer's own would be used, whose memory free() may not take.
+[[gnu::noinline]] void* operator new(std::size_t aBytes, const std::nothrow_t&) noexcept
+{
+  void* out = std::malloc(aBytes);
+  sHeapBytes += out == nullptr ? 0 : ::malloc_usable_size(out);
+  return out;
+}
+
 [[gnu::noinline]] void operator delete(void* aMemory) noexcept
 {
   sHeapBytes -= aMemory == nullptr ? 0 : ::malloc_usable_size(aMemory);
