--- a/packages/harness/Fleet.cc
+++ b/packages/harness/Fleet.cc
@@ -69,6 +69,13 @@
   return work + "/nodes/" + std::to_string(aNode);
 }
 
+Result<QCborValue> commandValue(const std::string& aOutput)
+{
+  BOOST_LEAF_AUTO(answer, parseJson(aOutput));
+  const QCborValue result = answer.toMap().value(QLatin1String("result"));
+  return result.isUndefined() ? answer : result;
+}
+
 Fleet::Fleet(FleetLayout aLayout, RunFolders aFolders, std::uint64_t aSeed,
              ProcessGroup& aProcesses)
   : mLayout(std::move(aLayout))
@@ -211,7 +218,8 @@
   if (result.exitStatus != 0) {
     return fail(HarnessError{ "show owners failed: " + result.output });
   }
-  BOOST_LEAF_AUTO(answer, fromJson<OwnersAnswer>(result.output));
+  BOOST_LEAF_AUTO(value, commandValue(result.output));
+  BOOST_LEAF_AUTO(answer, fromCborValue<OwnersAnswer>(value));
   Owners out;
   for (const auto& [partition, node] : answer.services[aService]) {
     if (node.value_or(kNoNode) != kNoNode) {
--- a/packages/harness/Fleet.h
+++ b/packages/harness/Fleet.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/Codec.h"
 #include "harness/FleetLayout.h"
 #include "harness/ProcessGroup.h"
 
@@ -31,6 +32,11 @@
   std::string output; ///< JSON of camphorcleatctl.
 };
 
+/// The value of a successful command's answer. camphorcleatctl puts it into the field "result",
+/// beside code, message and revision; an answer without that field is the value itself.
+/// Fails with DecodeError. Thread-safe.
+Result<QCborValue> commandValue(const std::string& aOutput);
+
 /// The owner of each partition; partitions without an owner are missing.
 using Owners = std::map<PartitionId, NodeId>;
 
--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -30,13 +30,34 @@
 constexpr Millis kOwnedTimeout{ 15'000 };
 constexpr Millis kEndGrace{ 3000 };
 
+struct GeneratedKey
+{
+  std::string value;
+
+  static constexpr auto fields() { return std::make_tuple(field("value", &GeneratedKey::value)); }
+};
+
 struct KeyAnswer
 {
-  std::string key;
+  std::vector<GeneratedKey> keys;
 
-  static constexpr auto fields() { return std::make_tuple(field("key", &KeyAnswer::key)); }
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("generated_keys", &KeyAnswer::keys));
+  }
 };
 
+// The account key in the answer to `create key`.
+Result<std::string> newAccountKey(const std::string& aOutput)
+{
+  BOOST_LEAF_AUTO(value, commandValue(aOutput));
+  BOOST_LEAF_AUTO(answer, fromCborValue<KeyAnswer>(value));
+  if (answer.keys.size() != 1 || answer.keys.front().value.empty()) {
+    return fail(HarnessError{ "the answer to 'create key' holds no account key" });
+  }
+  return answer.keys.front().value;
+}
+
 std::vector<std::string> words(const std::string& aText)
 {
   std::istringstream in(aText);
@@ -209,8 +230,7 @@
                                 std::to_string(result.exitStatus) + ": " + result.output });
     }
     if (text != create.str()) {
-      BOOST_LEAF_AUTO(answer, fromJson<KeyAnswer>(result.output));
-      mAccountKeys[aName] = answer.key;
+      BOOST_LEAF_ASSIGN(mAccountKeys[aName], newAccountKey(result.output));
     }
   }
   mEvidence.rates[aName].push_back({ monotonicMicros(), aRate, aBurst });
