--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -30,7 +30,6 @@
 constexpr Millis kOwnedTimeout{ 15'000 };
 constexpr Millis kEndGrace{ 3000 };
 
-// What camphorcleatctl --json prints for a key that it generated.
 struct GeneratedKey
 {
   std::string value;
@@ -38,22 +37,26 @@
   static constexpr auto fields() { return std::make_tuple(field("value", &GeneratedKey::value)); }
 };
 
-struct KeyResult
+struct KeyAnswer
 {
-  std::vector<GeneratedKey> generatedKeys;
+  std::vector<GeneratedKey> keys;
 
   static constexpr auto fields()
   {
-    return std::make_tuple(field("generated_keys", &KeyResult::generatedKeys));
+    return std::make_tuple(field("generated_keys", &KeyAnswer::keys));
   }
 };
 
-struct KeyAnswer
+// The account key in the answer to `create key`.
+Result<std::string> newAccountKey(const std::string& aOutput)
 {
-  KeyResult result;
-
-  static constexpr auto fields() { return std::make_tuple(field("result", &KeyAnswer::result)); }
-};
+  BOOST_LEAF_AUTO(value, commandValue(aOutput));
+  BOOST_LEAF_AUTO(answer, fromCborValue<KeyAnswer>(value));
+  if (answer.keys.size() != 1 || answer.keys.front().value.empty()) {
+    return fail(HarnessError{ "the answer to 'create key' holds no account key" });
+  }
+  return answer.keys.front().value;
+}
 
 std::vector<std::string> words(const std::string& aText)
 {
@@ -227,11 +230,7 @@
                                 std::to_string(result.exitStatus) + ": " + result.output });
     }
     if (text != create.str()) {
-      BOOST_LEAF_AUTO(answer, fromJson<KeyAnswer>(result.output));
-      if (answer.result.generatedKeys.empty()) {
-        return fail(HarnessError{ "no generated key in: " + result.output });
-      }
-      mAccountKeys[aName] = answer.result.generatedKeys.front().value;
+      BOOST_LEAF_ASSIGN(mAccountKeys[aName], newAccountKey(result.output));
     }
   }
   mEvidence.rates[aName].push_back({ monotonicMicros(), aRate, aBurst });
