Steer unkeyed work away from a target that has become slow

Three causes: an entry whose zone holds only the slow target kept preferring its zone; an entry learned of the slowness only from finished answers; the ordinary tail beyond p95 used up the whole hedge budget. Change: the own zone must not be three times slower; a late attempt raises the node's expected latency at once, and old latencies halve every 0.3 s; hedges start after p98, with up to 20 saved, and have a budget for each service.

--- a/packages/daemon/AgentDuty.h
+++ b/packages/daemon/AgentDuty.h
@@ -57,7 +57,6 @@
   std::mt19937_64 mRandom;
   fleet::NodeAgent mAgent;
   std::shared_ptr<const fleet::FleetModel> mPublishedModel;
-  Revision mPublishedRevision = 0;
   Incarnation mPublishedIncarnation = 0;
   std::thread mThread;
 };
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -3,6 +3,7 @@
 #include "daemon/EntryDuty.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -20,6 +21,12 @@
 // Weight of the newest latency in a node's average.
 constexpr double kLatencyWeight = 0.1;
 
+// Time after which a latency counts half.
+constexpr double kLatencyHalfLifeSeconds = 0.3;
+
+// A late attempt counts as so many times its age.
+constexpr double kLateFactor = 2;
+
 std::string headerOf(const std::vector<wire::Header>& aHeaders, const char* aName)
 {
   for (const auto& it : aHeaders) {
@@ -63,6 +70,18 @@
 
 } // namespace
 
+double EntryDuty::NodeStats::latencySeconds(TimePoint aNow) const
+{
+  return averageLatencySeconds * std::exp2(-toSeconds(aNow - updatedAt) / kLatencyHalfLifeSeconds);
+}
+
+void EntryDuty::NodeStats::note(TimePoint aNow, double aLatencySeconds, double aWeight)
+{
+  const double known = latencySeconds(aNow);
+  averageLatencySeconds = known + aWeight * (aLatencySeconds - known);
+  updatedAt = aNow;
+}
+
 EntryDuty::EntryDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
                      const SharedView& aView, Metrics& aMetrics)
   : mSettings(aSettings)
@@ -178,9 +197,10 @@
   head.routeRevision = mState->revision;
   const TimePoint deadline =
     Clock::now() + deadlineOf(aStream->headers(), mSettings.defaultDeadline);
+  traffic::HedgePolicy& hedge = mHedges[head.service];
   std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
                                   isKeyed, deadline,
-                                  traffic::EntryShared{ mBudget, mHedge, mRandom })
+                                  traffic::EntryShared{ mBudget, hedge, mRandom })
     ->start();
 }
 
@@ -248,6 +268,7 @@
 
 NodeId EntryDuty::chooseTarget(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded)
 {
+  const TimePoint now = Clock::now();
   std::vector<traffic::Candidate> candidates;
   for (const auto& [id, node] : mState->model->nodes()) {
     if (!mState->model->mayOwn(node, aExchange.head().service)) {
@@ -259,7 +280,7 @@
     candidate.zone = node.zone;
     candidate.inFlight = stats.inFlight;
     candidate.limit = node.target.slots;
-    candidate.averageLatency = fromSeconds(stats.averageLatencySeconds);
+    candidate.averageLatency = fromSeconds(stats.latencySeconds(now));
     candidate.isUsable = std::find(aExcluded.begin(), aExcluded.end(), id) == aExcluded.end();
     candidates.push_back(std::move(candidate));
   }
@@ -285,6 +306,22 @@
   return mRouter.reply(aLink, std::move(aMessage));
 }
 
+// A late attempt is known to take at least its time so far, and likely much more. Waiting for its
+// end would send the target more work meanwhile.
+void EntryDuty::attemptIsLate(const RequestId& aId)
+{
+  const auto it = mAttempts.find(aId);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  NodeStats& stats = mStats[it->second.node];
+  const double least = kLateFactor * toSeconds(now - it->second.startedAt);
+  if (stats.latencySeconds(now) < least) {
+    stats.note(now, least, 1);
+  }
+}
+
 void EntryDuty::attemptOver(const RequestId& aId, bool aWasAnswered)
 {
   const auto it = mAttempts.find(aId);
@@ -296,8 +333,8 @@
     --stats.inFlight;
   }
   if (aWasAnswered) {
-    const double seconds = toSeconds(Clock::now() - it->second.startedAt);
-    stats.averageLatencySeconds += kLatencyWeight * (seconds - stats.averageLatencySeconds);
+    const TimePoint now = Clock::now();
+    stats.note(now, toSeconds(now - it->second.startedAt), kLatencyWeight);
   }
   mAttempts.erase(it);
 }
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -56,6 +56,7 @@
   RequestId newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode) override;
   transport::SendResult sendTo(NodeId aNode, wire::PeerMessage aMessage) override;
   transport::SendStatus replyTo(transport::LinkId aLink, wire::PeerMessage aMessage) override;
+  void attemptIsLate(const RequestId& aId) override;
   void attemptOver(const RequestId& aId, bool aWasAnswered) override;
   void finished(EntryExchange& aExchange, ErrorCode aCode) override;
 
@@ -71,6 +72,12 @@
   {
     std::uint32_t inFlight = 0;
     double averageLatencySeconds = 0;
+    TimePoint updatedAt;
+
+    /// The average as of now. What an old answer says of a target counts less and less, so that one
+    /// that was slow is tried again.
+    double latencySeconds(TimePoint aNow) const;
+    void note(TimePoint aNow, double aLatencySeconds, double aWeight);
   };
 
   void handle(EntryMessage aMessage);
@@ -92,7 +99,7 @@
   std::uint64_t mCounter = 0;
   std::unique_ptr<transport::HttpFrontend> mFrontend;
   traffic::RetryBudget mBudget;
-  traffic::HedgePolicy mHedge;
+  std::map<std::string, traffic::HedgePolicy> mHedges; // By service.
   std::unique_ptr<traffic::TargetChooser> mChooser;
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, Running> mAttempts;
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -208,6 +208,9 @@
          "the owner was lost while the body was on its way; send the request again", Millis(0));
     return;
   }
+  for (const auto& [running, attempt] : mAttempts) {
+    mHost.attemptIsLate(running);
+  }
   const RequestId id = mHost.newAttempt(shared_from_this(), aStart.node);
   Attempt attempt;
   attempt.number = aStart.attempt;
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -38,6 +38,8 @@
   virtual RequestId newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode) = 0;
   virtual transport::SendResult sendTo(NodeId aNode, wire::PeerMessage aMessage) = 0;
   virtual transport::SendStatus replyTo(transport::LinkId aLink, wire::PeerMessage aMessage) = 0;
+  /// An attempt has taken so long that a second one is made beside it.
+  virtual void attemptIsLate(const RequestId& aId) = 0;
   /// Messages with this id are ignored from now on.
   virtual void attemptOver(const RequestId& aId, bool aWasAnswered) = 0;
   /// The exchange is over; None: answered.
--- a/packages/daemon/StorageDuty.cc
+++ b/packages/daemon/StorageDuty.cc
@@ -70,6 +70,7 @@
     });
   // The result must not be lost: the log waits for it. Only a closed ring ends the wait.
   ControlMessage result(StorageDone{ aJob.batch, isGood });
+  // NOLINTNEXTLINE(bugprone-use-after-move): a refused push leaves the message unchanged.
   while (!mResults.tryPush(std::move(result)) && !mResults.isClosed()) {
     std::this_thread::sleep_for(kResultRetry);
   }
--- a/packages/daemon/TargetWatch.cc
+++ b/packages/daemon/TargetWatch.cc
@@ -59,7 +59,7 @@
   if (mIsStopped) {
     return;
   }
-  mClient.fetch("GET", "/health", "", kFetchTimeout, [this](transport::FetchResult aResult) {
+  mClient.fetch("GET", "/health", "", kFetchTimeout, [this](const transport::FetchResult& aResult) {
     handleHealth(aResult);
     if (mIsStopped) {
       return;
--- a/packages/traffic/HedgePolicy.h
+++ b/packages/traffic/HedgePolicy.h
@@ -19,7 +19,10 @@
 {
 public:
   static constexpr double kHedgesPerRequest = 0.05;
-  static constexpr double kMaxSaved = 5; ///< Hedges that can be saved up; the start is 0.
+  static constexpr double kMaxSaved = 20; ///< Hedges that can be saved up; the start is 0.
+  /// A hedge after this quantile. At 0.95 the ordinary tail alone took the whole budget of 5 %, and
+  /// none was left when a target was slow.
+  static constexpr double kDelayQuantile = 0.98;
 
   /// Whether a request of this kind may be hedged.
   static bool mayHedge(bool aIsKeyed, bool aIsIdempotent) { return !aIsKeyed && aIsIdempotent; }
@@ -44,7 +47,7 @@
   }
 
 private:
-  LatencyTracker mLatencies;
+  LatencyTracker mLatencies{ kDelayQuantile };
   double mHedges = 0;
 };
 
--- a/packages/traffic/PowerOfTwoChooser.cc
+++ b/packages/traffic/PowerOfTwoChooser.cc
@@ -29,6 +29,29 @@
   return (aCandidate.inFlight + 1) * latency / std::max<std::uint32_t>(aCandidate.limit, 1);
 }
 
+double leastExpectedTime(const std::vector<Candidate>& aCandidates,
+                         const std::vector<std::size_t>& aFrom)
+{
+  double least = expectedTime(aCandidates[aFrom.front()]);
+  for (const std::size_t it : aFrom) {
+    least = std::min(least, expectedTime(aCandidates[it]));
+  }
+  return least;
+}
+
+// The own zone is nearer, but must be neither fuller nor much slower: with one target in it, a
+// straggler would otherwise get all of the entry's requests.
+bool isOwnPreferred(const std::vector<Candidate>& aCandidates, const std::vector<std::size_t>& aOwn,
+                    const std::vector<std::size_t>& aOthers)
+{
+  const bool isFuller = fullness(aCandidates, aOwn) >
+                        fullness(aCandidates, aOthers) + PowerOfTwoChooser::kFullnessMargin;
+  const bool isSlower =
+    leastExpectedTime(aCandidates, aOwn) >
+    PowerOfTwoChooser::kSlownessFactor * leastExpectedTime(aCandidates, aOthers);
+  return !isFuller && !isSlower;
+}
+
 } // namespace
 
 PowerOfTwoChooser::PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom)
@@ -49,9 +72,7 @@
   if (own.empty() && others.empty()) {
     return std::nullopt;
   }
-  const bool useOwn =
-    !own.empty() && (others.empty() ||
-                     fullness(aCandidates, own) <= fullness(aCandidates, others) + kFullnessMargin);
+  const bool useOwn = !own.empty() && (others.empty() || isOwnPreferred(aCandidates, own, others));
   return betterOfTwo(aCandidates, useOwn ? own : others);
 }
 
--- a/packages/traffic/PowerOfTwoChooser.h
+++ b/packages/traffic/PowerOfTwoChooser.h
@@ -20,6 +20,8 @@
   /// The own zone counts as fuller only above this difference of in-flight per slot, since single
   /// requests would otherwise decide between idle zones.
   static constexpr double kFullnessMargin = 0.1;
+  /// The own zone's best target may be expected to take so many times as long as the others' best.
+  static constexpr double kSlownessFactor = 3;
 
   /// aRandom must outlive this object.
   PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom);
