--- a/cmake/CamphorcleatPackage.cmake
+++ b/cmake/CamphorcleatPackage.cmake
@@ -71,6 +71,11 @@
   install(TARGETS ${CAMPHORCLEAT_TARGETS} EXPORT camphorcleat)
   install(EXPORT camphorcleat NAMESPACE camphorcleat:: DESTINATION lib/cmake/camphorcleat
     FILE camphorcleat-targets.cmake)
+  include(CMakePackageConfigHelpers)
+  # Before 1.0, a new minor version may change interfaces.
+  write_basic_package_version_file(${PROJECT_BINARY_DIR}/camphorcleat-config-version.cmake
+    COMPATIBILITY SameMinorVersion)
   install(FILES ${PROJECT_SOURCE_DIR}/cmake/camphorcleat-config.cmake
+    ${PROJECT_BINARY_DIR}/camphorcleat-config-version.cmake
     DESTINATION lib/cmake/camphorcleat)
 endfunction()
--- /dev/null
+++ b/examples/embed/Embed.cc
@@ -0,0 +1,48 @@
+// Embeds FairQueue in a program of its own: one account floods the queue, another still gets its
+// share. Exits with 1 if the order of service shows otherwise.
+
+#include <iostream>
+#include <string>
+
+#include "traffic/FairQueue.h"
+
+namespace {
+
+using namespace camphorcleat;
+
+constexpr std::size_t kMaxQueued = 8;
+constexpr std::uint64_t kFloodRequests = 20;
+constexpr std::uint64_t kQuietRequests = 2;
+constexpr std::size_t kFairPrefix = 4; // Two rounds of two accounts.
+
+// Pushes requests of one account and returns how many had to leave the full queue.
+std::size_t pushMany(traffic::FairQueue& aQueue, const std::string& aAccount,
+                     Incarnation aIncarnation, std::uint64_t aCount, TimePoint aDeadline)
+{
+  std::size_t dropped = 0;
+  for (std::uint64_t i = 0; i < aCount; ++i) {
+    if (aQueue.push({ RequestId{ aIncarnation, i }, aAccount, 1, aDeadline })) {
+      ++dropped;
+    }
+  }
+  return dropped;
+}
+
+} // namespace
+
+int main()
+{
+  traffic::FairQueue queue(kMaxQueued);
+  const TimePoint deadline = Clock::now() + Millis(1000);
+  std::size_t dropped = pushMany(queue, "flood", 1, kFloodRequests, deadline);
+  dropped += pushMany(queue, "quiet", 2, kQuietRequests, deadline);
+  std::cout << "refused: " << dropped << "\nserved:";
+  std::size_t quietEarly = 0;
+  for (std::size_t i = 0; queue.front() != nullptr; ++i) {
+    const traffic::QueuedRequest request = queue.popFront();
+    std::cout << ' ' << request.account;
+    quietEarly += i < kFairPrefix && request.account == "quiet" ? 1 : 0;
+  }
+  std::cout << '\n';
+  return quietEarly == kQuietRequests ? 0 : 1;
+}
