--- a/packages/daemon/ControlOperators.cc
+++ b/packages/daemon/ControlOperators.cc
@@ -204,6 +204,9 @@
     return rows;
   }
   for (const auto& [id, node] : mState.model().nodes()) {
+    if (node.status == wire::NodeStatus::Lost) {
+      continue;
+    }
     QCborMap row;
     row.insert(QLatin1String("node"), static_cast<qint64>(id));
     row.insert(QLatin1String("status"), toCborValue(node.status));
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -58,6 +58,7 @@
   std::unique_ptr<OperatorServer> operators;
   std::unique_ptr<MetricsServer> metricsServer;
   bool isStopping = false;
+  bool hasTimedOut = false;
   std::atomic<bool> isDrained{ false };
   TimePoint stopLimit;
   TimePoint lingerUntil;
@@ -198,6 +199,7 @@
   }
   if (now >= impl.stopLimit) {
     logEvent(LogLevel::Warning, "planned_stop_timed_out");
+    impl.hasTimedOut = true;
     return true;
   }
   if (!impl.isDrained) {
@@ -215,6 +217,11 @@
          impl.owner->openRequests() == 0;
 }
 
+bool Daemon::hasTimedOut() const
+{
+  return mImpl->hasTimedOut;
+}
+
 void Daemon::stop()
 {
   Impl& impl = *mImpl;
--- a/packages/daemon/Daemon.h
+++ b/packages/daemon/Daemon.h
@@ -29,6 +29,9 @@
   /// Whether the planned stop is complete, or has taken longer than its limit.
   bool isStopped();
 
+  /// Whether the planned stop ended by its limit, so that partitions or requests were left.
+  bool hasTimedOut() const;
+
   /// Ends all threads. Idempotent.
   void stop();
 
--- a/packages/daemon/DaemonMain.cc
+++ b/packages/daemon/DaemonMain.cc
@@ -81,7 +81,7 @@
   QCoreApplication::exec();
   server.stop();
   logEvent(LogLevel::Info, "daemon_stopped");
-  return kExitDone;
+  return server.hasTimedOut() ? kExitFailed : kExitDone;
 }
 
 int run(int aArgCount, char** aArgs)
--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -22,6 +22,7 @@
 // Commands are idempotent, so one without an answer is sent again.
 constexpr Millis kResendCommand{ 400 };
 constexpr Millis kRetryCommand{ 50 };
+constexpr Millis kMaxCommandBackoff{ 400 };
 
 } // namespace
 
@@ -258,6 +259,7 @@
   mNextCommandAt = mNow;
   switch (aEvent.reply.result.code) {
     case ErrorCode::None:
+      mCommandBackoff = kRetryCommand;
       break;
     case ErrorCode::IncarnationRefused: {
       // Either the old incarnation's lease still runs, or this one was declared lost.
@@ -266,15 +268,22 @@
           self->status == wire::NodeStatus::Lost) {
         startNewIncarnation(aOut);
       }
-      mNextCommandAt = mNow + kRetryCommand;
+      delayNextCommand();
       break;
     }
     default:
-      mNextCommandAt = mNow + kRetryCommand;
+      delayNextCommand();
       break;
   }
 }
 
+// Each refusal is an entry of the log and of the audit trail.
+void NodeAgent::delayNextCommand()
+{
+  mNextCommandAt = mNow + mCommandBackoff;
+  mCommandBackoff = std::min(2 * mCommandBackoff, kMaxCommandBackoff);
+}
+
 wire::Node NodeAgent::selfAsNode() const
 {
   wire::Node node;
@@ -318,8 +327,9 @@
 {
   const wire::Node* self = mModel->node(mConfig.id);
   const wire::Node wanted = selfAsNode();
-  if (mRevision == 0) {
-    return std::nullopt;
+  const bool isAnnounced = !mConfig.hasTarget || !mAnnouncement.service.empty();
+  if (mRevision == 0 || !isAnnounced) {
+    return std::nullopt; // An entry needs no registration; an owner has nothing to offer yet.
   }
   if (self == nullptr || !isRegistrationCurrent(*self)) {
     return wire::RegisterNode{ wanted };
--- a/packages/fleet/NodeAgent.h
+++ b/packages/fleet/NodeAgent.h
@@ -156,6 +156,7 @@
   wire::Node selfAsNode() const;
   bool isRegistrationCurrent(const wire::Node& aNode) const;
   void submitWanted(Actions& aOut);
+  void delayNextCommand();
 
   NodeAgentConfig mConfig;
   std::mt19937_64& mRandom;
@@ -190,6 +191,7 @@
   std::optional<RequestId> mCommandInFlight;
   TimePoint mCommandSentAt;
   TimePoint mNextCommandAt;
+  Millis mCommandBackoff{ 50 };
 };
 
 } // namespace camphorcleat::fleet
--- a/packages/traffic/RetryPolicy.cc
+++ b/packages/traffic/RetryPolicy.cc
@@ -11,8 +11,8 @@
   switch (aCode) {
     case ErrorCode::NotOwner:
     case ErrorCode::NoOwner:
-    // A key whose owner is lost has its next owner within 2 s. Until then a dial that is refused costs
-    // the dead VM nothing, so the retry budget must not end the wait.
+    // A key whose owner is lost has its next owner within 2 s. Until then a dial that is refused
+    // costs the dead VM nothing, so the retry budget must not end the wait.
     case ErrorCode::PeerUnreachable:
       return RetryKind::Bridge;
     case ErrorCode::QueueFull:
