--- a/packages/harness/CallJudge.cc
+++ b/packages/harness/CallJudge.cc
@@ -107,7 +107,7 @@
   aRecord.whole = false;
   if (!aAnswer.isComplete) {
     aRecord.result = CallResult::Unknown;
-    aRecord.fault = aAnswer.status == 0 ? "no answer" : "truncated";
+    aRecord.fault = (aAnswer.status == 0 ? "no answer: " : "truncated: ") + aAnswer.transportError;
     return;
   }
   if (aAnswer.status < 200 || aAnswer.status >= 300) {
--- a/packages/harness/CallJudge.h
+++ b/packages/harness/CallJudge.h
@@ -23,7 +23,8 @@
   unsigned status = 0;
   std::string outcome; ///< Header Camphorcleat-Outcome.
   std::string body;
-  bool isComplete = false; ///< The framing of HTTP says that nothing is missing.
+  bool isComplete = false;    ///< The framing of HTTP says that nothing is missing.
+  std::string transportError; ///< Why it isn't complete.
 };
 
 /// Sets status, outcome, code, whole, result and fault from the answer. The record holds id,
--- a/packages/harness/LoadConnection.cc
+++ b/packages/harness/LoadConnection.cc
@@ -56,7 +56,7 @@
                       // A refusal may arrive before the whole body is sent, so the answer is read
                       // even if the peer has closed its side.
                       if (aError == boost::beast::error::timeout) {
-                        self->finish(false);
+                        self->finish(aError);
                       } else {
                         self->readAnswer();
                       }
@@ -72,21 +72,22 @@
   }
   http::async_read(mStream, mBuffer, *mParser,
                    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
-                     self->finish(!aError);
+                     self->finish(aError);
                    });
 }
 
-void LoadConnection::finish(bool aIsComplete)
+void LoadConnection::finish(boost::system::error_code aError)
 {
   CallAnswer answer;
-  answer.isComplete = aIsComplete;
+  answer.isComplete = !aError;
+  answer.transportError = aError ? aError.message() : "";
   bool keepsAlive = false;
   if (mParser && mParser->is_header_done()) {
     const auto& response = mParser->get();
     answer.status = response.result_int();
     answer.outcome = std::string(response["Camphorcleat-Outcome"]);
     answer.body = response.body();
-    keepsAlive = aIsComplete && response.keep_alive();
+    keepsAlive = !aError && response.keep_alive();
   }
   judgeAnswer(mCall.expected, answer, mCall.record);
   mParser.reset();
--- a/packages/harness/LoadConnection.h
+++ b/packages/harness/LoadConnection.h
@@ -55,7 +55,7 @@
 private:
   void write();
   void readAnswer();
-  void finish(bool aIsComplete);
+  void finish(boost::system::error_code aError);
   void finishUnreachable(const std::string& aReason);
   void report();
 
--- a/packages/harness/testing/LoadDriverTest.cc
+++ b/packages/harness/testing/LoadDriverTest.cc
@@ -126,14 +126,14 @@
   const std::string body = patternBytes("c1", 0, 20);
   const CallExpectation expected{ 20, 0 };
   const auto result = [&](const std::string& aBody) {
-    return judged(expected, { 200, "", aBody, true }).result;
+    return judged(expected, { 200, "", aBody, true, "" }).result;
   };
   REQUIRE(result(echo("c1", "k1", body)) == CallResult::Served);
   REQUIRE(result(echo("c2", "k1", body)) == CallResult::Wrong);
   REQUIRE(result(echo("c1", "k2", body)) == CallResult::Wrong);
   REQUIRE(result(echo("c1", "k1", "another body")) == CallResult::Wrong);
   REQUIRE(result("no echo") == CallResult::Wrong);
-  REQUIRE(judged(expected, { 200, "", echo("c1", "k1", body), false }).result ==
+  REQUIRE(judged(expected, { 200, "", echo("c1", "k1", body), false, "" }).result ==
           CallResult::Unknown);
 }
 
@@ -142,26 +142,26 @@
   const CallExpectation expected{ 0, 5000 };
   const std::string right = patternBytes("c1", 0, 5000);
   const auto result = [&](const std::string& aBody) {
-    return judged(expected, { 200, "", aBody, true }).result;
+    return judged(expected, { 200, "", aBody, true, "" }).result;
   };
   REQUIRE(result(right) == CallResult::Served);
   REQUIRE(result(right.substr(0, 4999)) == CallResult::Wrong);
   REQUIRE(result(patternBytes("c2", 0, 5000)) == CallResult::Wrong);
   REQUIRE(result(right + "x") == CallResult::Wrong);
-  REQUIRE(judged(expected, { 200, "", right.substr(0, 900), false }).fault ==
-          std::string("truncated"));
+  REQUIRE(judged(expected, { 200, "", right.substr(0, 900), false, "reset" }).fault ==
+          std::string("truncated: reset"));
 }
 
 TEST_CASE("failures are told apart by their outcome header")
 {
   const std::string body = R"({"code":"queue_full","message":"m"})";
-  const CallRecord refused = judged({}, { 503, "not-run", body, true });
+  const CallRecord refused = judged({}, { 503, "not-run", body, true, "" });
   REQUIRE(refused.result == CallResult::Refused);
   REQUIRE(refused.code == "queue_full");
   REQUIRE(refused.message == std::string("m"));
-  REQUIRE(judged({}, { 504, "unknown", body, true }).result == CallResult::Unknown);
-  REQUIRE(judged({}, { 500, "", "", true }).result == CallResult::Other);
-  REQUIRE(judged({}, { 0, "", "", false }).result == CallResult::Unknown);
+  REQUIRE(judged({}, { 504, "unknown", body, true, "" }).result == CallResult::Unknown);
+  REQUIRE(judged({}, { 500, "", "", true, "" }).result == CallResult::Other);
+  REQUIRE(judged({}, { 0, "", "", false, "" }).result == CallResult::Unknown);
 }
 
 TEST_CASE("the driver sends the planned rate and checks streamed answers")
