--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -59,7 +59,9 @@
   , mUpdatedAt(aNow)
   , mLastUse(aNow)
 {
-  if (aStart == HomeStart::AfterPlannedMove) {
+  if (aStart == HomeStart::Full) {
+    mLevel = aRate.burstRequests;
+  } else if (aStart == HomeStart::AfterPlannedMove) {
     mParked = wholeTokens(std::ceil(aRate.burstRequests));
     mExpiries.push_back(Expiry{ aNow + kTokenHold, 0, 0, mParked });
   }
@@ -162,8 +164,13 @@
 void RateBucket::takeReports(Drawer& aDrawer, const wire::TokenRequest& aRequest)
 {
   if (aRequest.bucket != mNumber) {
-    // The counts belong to tokens of another bucket.
-    for (auto& it : aDrawer.grants) {
+    // The counts belong to tokens of another bucket. Those granted here will never be reported and
+    // leave when they expire.
+    auto& grants = aDrawer.grants;
+    grants.erase(std::remove_if(grants.begin(), grants.end(),
+                                [](const Grant& aGrant) { return aGrant.isExpired; }),
+                 grants.end());
+    for (auto& it : grants) {
       it.isUnreported = true;
     }
     return;
@@ -296,6 +303,7 @@
   for (auto& [id, drawer] : mDrawers) {
     if (drawer.promised > 0 && aNow - drawer.lastSeen >= kSilence) {
       mPromised -= drawer.promised;
+      creditIdeal(drawer.promised);
       drawer.promised = 0;
     }
   }
