Show the state charts of lease, target and zones in /status

Cause: operators could not see how far a cold start, a zone's exit or a registration has come. Change: ChartBoard runs the charts on the main thread.

--- a/packages/daemon/AgentDuty.cc
+++ b/packages/daemon/AgentDuty.cc
@@ -104,6 +104,7 @@
   for (auto& it : mAgent.step(Clock::now(), aEvent)) {
     perform(std::move(it));
   }
+  feedCharts();
 }
 
 void AgentDuty::perform(fleet::agent::Action aAction)
@@ -144,6 +145,14 @@
   mRings.entry.tryPush(std::move(forEntry));
 }
 
+void AgentDuty::feedCharts()
+{
+  if (mLeaseFeed) {
+    mLeaseFeed->observe(Clock::now(), mAgent);
+    mZoneFeed->observe(mAgent.model());
+  }
+}
+
 void AgentDuty::followAddresses(const fleet::FleetModel& aModel)
 {
   for (const auto& [id, node] : aModel.nodes()) {
--- a/packages/daemon/AgentDuty.h
+++ b/packages/daemon/AgentDuty.h
@@ -5,12 +5,15 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <random>
 #include <thread>
 
+#include "daemon/LeaseFeed.h"
 #include "daemon/PeerRouter.h"
 #include "daemon/Settings.h"
 #include "daemon/SharedView.h"
+#include "daemon/ZoneFeed.h"
 #include "fleet/NodeAgent.h"
 
 namespace camphorcleat::daemon {
@@ -39,6 +42,13 @@
     mSetAddress = std::move(aSink);
   }
 
+  /// Sets the board that shows lease and zones. It outlives the duty. Call before start().
+  void setCharts(ChartBoard& aBoard)
+  {
+    mLeaseFeed.emplace(aBoard, mSettings.id);
+    mZoneFeed.emplace(aBoard);
+  }
+
 private:
   void run();
   void handle(AgentMessage aMessage);
@@ -46,6 +56,7 @@
   void step(const fleet::agent::Event& aEvent);
   void perform(fleet::agent::Action aAction);
   void publish();
+  void feedCharts();
   void followAddresses(const fleet::FleetModel& aModel);
 
   const Settings& mSettings;
@@ -57,8 +68,9 @@
   std::mt19937_64 mRandom;
   fleet::NodeAgent mAgent;
   std::shared_ptr<const fleet::FleetModel> mPublishedModel;
-  Revision mPublishedRevision = 0;
   Incarnation mPublishedIncarnation = 0;
+  std::optional<LeaseFeed> mLeaseFeed; // Both feeds are set, or none.
+  std::optional<ZoneFeed> mZoneFeed;
   std::thread mThread;
 };
 
--- /dev/null
+++ b/packages/daemon/ChartBoard.cc
@@ -0,0 +1,128 @@
+// Passes events on to the charts and publishes their states.
+
+#include "daemon/ChartBoard.h"
+
+#include "base/Log.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+// Operators look at states, not at single events, and an idle daemon should cost little: 20 wakes
+// a second.
+constexpr int kDrainMillis = 50;
+
+} // namespace
+
+ChartBoard::ChartBoard(bool aHasTarget)
+  : mHasTarget(aHasTarget)
+{
+}
+
+Result<void> ChartBoard::start()
+{
+  BOOST_LEAF_ASSIGN(mLease, StateChart::load("lease-holder.scxml", "lease"));
+  if (mHasTarget) {
+    BOOST_LEAF_ASSIGN(mTarget, StateChart::load("target.scxml", "target"));
+  }
+  publish();
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { drain(); });
+  mTimer.start(kDrainMillis);
+  return {};
+}
+
+bool ChartBoard::post(ChartEvent aEvent)
+{
+  const bool isTaken = mRing.tryPush(std::move(aEvent));
+  mDropped += isTaken ? 0 : 1;
+  return isTaken;
+}
+
+void ChartBoard::drain()
+{
+  const auto events = mRing.popMany(kChartRingSize);
+  if (events.empty()) {
+    return;
+  }
+  for (const auto& it : events) {
+    std::visit([this](const auto& aEvent) { handle(aEvent); }, it);
+  }
+  publish();
+}
+
+void ChartBoard::handle(LeaseEvent aEvent)
+{
+  submit(mLease.get(), enumName(aEvent));
+}
+
+void ChartBoard::handle(TargetEvent aEvent)
+{
+  submit(mTarget.get(), enumName(aEvent));
+}
+
+void ChartBoard::handle(const ZoneReport& aReport)
+{
+  if (aReport.event == ZoneEvent::Forgotten) {
+    mZones.erase(aReport.zone);
+    return;
+  }
+  const bool isKnown =
+    mZones.count(aReport.zone) > 0 ||
+    orElse(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(addZone(aReport.zone));
+        return mZones.count(aReport.zone) > 0;
+      },
+      [](const ErrorInfo& aInfo) {
+        logEvent(LogLevel::Error, "chart_failed", { { "reason", aInfo.message } });
+        return false;
+      });
+  if (!isKnown) {
+    ++mRefused;
+  } else if (aReport.event != ZoneEvent::Seen) {
+    submit(mZones[aReport.zone].get(), enumName(aReport.event));
+  }
+}
+
+Result<void> ChartBoard::addZone(const std::string& aZone)
+{
+  if (mZones.size() >= kMaxChartZones) {
+    logEvent(LogLevel::Warning, "chart_zone_refused", { { "zone", aZone } });
+    return {};
+  }
+  BOOST_LEAF_AUTO(chart, StateChart::load("zone.scxml", "zone " + aZone));
+  mZones.emplace(aZone, std::move(chart));
+  return {};
+}
+
+void ChartBoard::submit(StateChart* aChart, std::string_view aEvent)
+{
+  const bool isAllowed =
+    aChart != nullptr && orElse(
+                           [&]() -> Result<bool> {
+                             BOOST_LEAF_CHECK(aChart->submit(std::string(aEvent)));
+                             return true;
+                           },
+                           [](const ErrorInfo&) { return false; }); // submit() has logged it.
+  mRefused += isAllowed ? 0 : 1;
+}
+
+void ChartBoard::publish()
+{
+  ChartStates states;
+  states.lease = mLease->state();
+  states.target = mTarget ? mTarget->state() : "none";
+  for (const auto& [zone, chart] : mZones) {
+    states.zones.emplace(zone, chart->state());
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mStates = std::move(states);
+}
+
+ChartStates ChartBoard::states() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mStates;
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/ChartEvents.h
@@ -0,0 +1,116 @@
+// The events that the daemon's threads report to the state charts, and the states they lead to.
+//
+// The names in the tables are the events of charts/*.scxml.
+
+#ifndef CAMPHORCLEAT_DAEMON_CHARTEVENTS_H_
+#define CAMPHORCLEAT_DAEMON_CHARTEVENTS_H_
+
+#include <map>
+#include <string>
+#include <variant>
+
+#include "base/Codec.h"
+#include "base/EnumNames.h"
+
+namespace camphorcleat::daemon {
+
+/// Events of lease-holder.scxml, from the agent thread.
+enum class LeaseEvent
+{
+  Registering,
+  Granted,
+  Expired,
+  Refused,
+};
+
+/// Events of target.scxml, from the owner thread.
+enum class TargetEvent
+{
+  Announced,
+  Cold,
+  Warming,
+  Warm,
+  Draining,
+  Unreachable,
+  Back,
+};
+
+/// Seen and Forgotten create and remove a zone's chart; the others are events of zone.scxml. From
+/// the agent thread.
+enum class ZoneEvent
+{
+  Seen,
+  Out,
+  In,
+  Empty,
+  Occupied,
+  Forgotten,
+};
+
+struct ZoneReport
+{
+  std::string zone;
+  ZoneEvent event = ZoneEvent::Seen;
+};
+
+using ChartEvent = std::variant<LeaseEvent, TargetEvent, ZoneReport>;
+
+/// Names of the present states, as /status shows them.
+struct ChartStates
+{
+  std::string lease;
+  std::string target; ///< "none" on a daemon without a target.
+  std::map<std::string, std::string> zones;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("lease", &ChartStates::lease),
+                           field("target", &ChartStates::target),
+                           field("zones", &ChartStates::zones));
+  }
+};
+
+} // namespace camphorcleat::daemon
+
+namespace camphorcleat {
+
+template<>
+struct EnumNames<daemon::LeaseEvent>
+{
+  static constexpr EnumName<daemon::LeaseEvent> kTable[] = {
+    { daemon::LeaseEvent::Registering, "lease.registering" },
+    { daemon::LeaseEvent::Granted, "lease.granted" },
+    { daemon::LeaseEvent::Expired, "lease.expired" },
+    { daemon::LeaseEvent::Refused, "lease.refused" },
+  };
+};
+
+template<>
+struct EnumNames<daemon::TargetEvent>
+{
+  static constexpr EnumName<daemon::TargetEvent> kTable[] = {
+    { daemon::TargetEvent::Announced, "target.announced" },
+    { daemon::TargetEvent::Cold, "target.cold" },
+    { daemon::TargetEvent::Warming, "target.warming" },
+    { daemon::TargetEvent::Warm, "target.warm" },
+    { daemon::TargetEvent::Draining, "target.draining" },
+    { daemon::TargetEvent::Unreachable, "target.unreachable" },
+    { daemon::TargetEvent::Back, "target.back" },
+  };
+};
+
+template<>
+struct EnumNames<daemon::ZoneEvent>
+{
+  static constexpr EnumName<daemon::ZoneEvent> kTable[] = {
+    { daemon::ZoneEvent::Seen, "zone.seen" },
+    { daemon::ZoneEvent::Out, "zone.out" },
+    { daemon::ZoneEvent::In, "zone.in" },
+    { daemon::ZoneEvent::Empty, "zone.empty" },
+    { daemon::ZoneEvent::Occupied, "zone.occupied" },
+    { daemon::ZoneEvent::Forgotten, "zone.forgotten" },
+  };
+};
+
+} // namespace camphorcleat
+
+#endif // CAMPHORCLEAT_DAEMON_CHARTEVENTS_H_
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -10,6 +10,7 @@
 #include "agreement/FileLogStore.h"
 #include "base/Log.h"
 #include "daemon/AgentDuty.h"
+#include "daemon/ChartBoard.h"
 #include "daemon/ControlDuty.h"
 #include "daemon/EntryDuty.h"
 #include "daemon/MetricsServer.h"
@@ -47,6 +48,7 @@
   Rings rings;
   SharedView view;
   Metrics metrics;
+  ChartBoard charts; // Outlives the threads that report to it.
   PeerRouter router;
   std::unique_ptr<transport::PeerHub> hub;
   std::unique_ptr<StorageDuty> storage;
@@ -66,6 +68,7 @@
 Daemon::Impl::Impl(Settings aSettings)
   : settings(std::move(aSettings))
   , random(seededRandom())
+  , charts(settings.hasTarget())
   , router(settings.id, rings)
   , pages(settings, view, metrics)
 {
@@ -125,6 +128,9 @@
                    [this] { return static_cast<double>(owner->openRequests()); });
   metrics.addGauge("camphorcleat_entry_open_requests", "Callers' requests without an answer.",
                    [this] { return static_cast<double>(entry->openRequests()); });
+  metrics.addGauge("camphorcleat_chart_events_dropped",
+                   "State chart events dropped because their ring was full.",
+                   [this] { return static_cast<double>(charts.droppedEvents()); });
   metrics.addGauge("camphorcleat_partitions_owned", "Partitions of services owned here.",
                    [this] { return static_cast<double>(countOwned(*view.state(), settings.id)); });
 }
@@ -156,7 +162,11 @@
   });
   impl.operators =
     std::make_unique<OperatorServer>(impl.settings, impl.rings, impl.view, impl.pages);
+  impl.owner->setCharts(impl.charts);
+  impl.agent->setCharts(impl.charts);
+  impl.operators->setCharts(impl.charts);
   impl.addGauges();
+  BOOST_LEAF_CHECK(impl.charts.start());
   BOOST_LEAF_CHECK(impl.hub->start());
   if (impl.settings.isControlMember()) {
     BOOST_LEAF_CHECK(impl.startControl());
--- /dev/null
+++ b/packages/daemon/LeaseFeed.cc
@@ -0,0 +1,36 @@
+// Edges of the lease.
+
+#include "daemon/LeaseFeed.h"
+
+namespace camphorcleat::daemon {
+
+void LeaseFeed::observe(TimePoint aNow, const fleet::NodeAgent& aAgent)
+{
+  const bool isHeld = aNow < aAgent.leaseValidUntil();
+  if (aAgent.incarnation() != mIncarnation && mPhase != Phase::Unregistered) {
+    report(LeaseEvent::Refused, Phase::Unregistered);
+    if (mPhase != Phase::Unregistered) {
+      return;
+    }
+  }
+  mIncarnation = aAgent.incarnation();
+  if (isHeld && mPhase != Phase::Held) {
+    report(LeaseEvent::Granted, Phase::Held);
+  } else if (!isHeld && mPhase == Phase::Held) {
+    report(LeaseEvent::Expired, Phase::Expired);
+  } else if (mPhase == Phase::Unregistered && aAgent.revision() > 0) {
+    const wire::Node* self = aAgent.model()->node(mSelf);
+    if (self == nullptr || self->incarnation != mIncarnation) {
+      report(LeaseEvent::Registering, Phase::Registering);
+    }
+  }
+}
+
+void LeaseFeed::report(LeaseEvent aEvent, Phase aNext)
+{
+  if (mBoard.post(aEvent)) {
+    mPhase = aNext;
+  }
+}
+
+} // namespace camphorcleat::daemon
--- a/packages/daemon/OperatorAnswers.h
+++ b/packages/daemon/OperatorAnswers.h
@@ -10,6 +10,7 @@
 #include <QCborValue>
 
 #include "base/Codec.h"
+#include "daemon/ChartEvents.h"
 #include "daemon/SharedView.h"
 #include "wire/FleetMessages.h"
 
@@ -48,6 +49,7 @@
   std::int64_t leaseLeftMillis = 0;
   bool isConfigFresh = false;
   std::uint64_t partitionsOwned = 0;
+  ChartStates charts;
   static constexpr auto fields()
   {
     return std::make_tuple(field("node", &NodeStatusView::node),
@@ -56,7 +58,8 @@
                            field("lease_valid", &NodeStatusView::isLeaseValid),
                            field("lease_left_ms", &NodeStatusView::leaseLeftMillis),
                            field("config_fresh", &NodeStatusView::isConfigFresh),
-                           field("partitions_owned", &NodeStatusView::partitionsOwned));
+                           field("partitions_owned", &NodeStatusView::partitionsOwned),
+                           field("charts", &NodeStatusView::charts));
   }
 };
 
--- a/packages/daemon/OperatorServer.cc
+++ b/packages/daemon/OperatorServer.cc
@@ -148,6 +148,9 @@
   local.isConfigFresh = now - mView.confirmedAt() <= mSettings.lease.confirmLimit;
   local.incarnation = state->incarnation;
   local.partitionsOwned = countOwned(*state, mSettings.id);
+  if (mCharts != nullptr) {
+    local.charts = mCharts->states();
+  }
   const auto reply = replyTo(aStream);
   StatusRequest request;
   request.reply = [reply, local](const ControlStatus& aStatus) {
--- a/packages/daemon/OperatorServer.h
+++ b/packages/daemon/OperatorServer.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "base/DutyThread.h"
+#include "daemon/ChartBoard.h"
 #include "daemon/DutyMessages.h"
 #include "daemon/HealthPages.h"
 #include "daemon/Settings.h"
@@ -31,6 +32,9 @@
   OperatorServer(const OperatorServer&) = delete;
   OperatorServer& operator=(const OperatorServer&) = delete;
 
+  /// Sets the board whose states /status shows. It outlives the server. Call before start().
+  void setCharts(const ChartBoard& aBoard) { mCharts = &aBoard; }
+
   /// Listens and starts the thread. Fails if the address can't be bound.
   Result<void> start();
 
@@ -54,6 +58,7 @@
   Rings& mRings;
   const SharedView& mView;
   const HealthPages& mPages;
+  const ChartBoard* mCharts = nullptr;
   DutyThread mThread;
   std::unique_ptr<transport::HttpFrontend> mFrontend;
 };
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -77,6 +77,9 @@
     TargetWatch::Callbacks callbacks;
     callbacks.onReport = [this](const traffic::TargetReport& aReport) {
       step(aReport);
+      if (mTargetFeed) {
+        mTargetFeed->observe(Clock::now(), aReport);
+      }
       if (!aReport.isReachable) {
         cancelAllAtTarget();
       }
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -24,6 +25,7 @@
 #include "daemon/PeerRouter.h"
 #include "daemon/RingPump.h"
 #include "daemon/Settings.h"
+#include "daemon/TargetFeed.h"
 #include "daemon/TargetWatch.h"
 #include "traffic/OwnerLogic.h"
 #include "traffic/RateHome.h"
@@ -42,6 +44,9 @@
   OwnerDuty(const OwnerDuty&) = delete;
   OwnerDuty& operator=(const OwnerDuty&) = delete;
 
+  /// Sets the board that shows the target. It outlives the duty. Call before start().
+  void setCharts(ChartBoard& aBoard) { mTargetFeed.emplace(aBoard); }
+
   void start();
 
   /// Ends the thread; running exchanges are cut. Idempotent.
@@ -113,6 +118,7 @@
   std::map<fleet::ServicePartition, FencingToken> mHeldGrants;
   std::unique_ptr<transport::TargetClient> mClient;
   std::unique_ptr<TargetWatch> mWatch;
+  std::optional<TargetFeed> mTargetFeed;
   boost::asio::steady_timer mTimer;
   std::unordered_map<RequestId, std::shared_ptr<OwnerExchange>> mExchanges;
   std::map<TokenDraw, TimePoint> mTokenDraws; // When each draw that waits was sent.
--- /dev/null
+++ b/packages/daemon/ZoneFeed.cc
@@ -0,0 +1,122 @@
+// Edges of the zones.
+
+#include "daemon/ZoneFeed.h"
+
+#include <algorithm>
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+std::set<std::string> zonesOf(const fleet::FleetModel& aModel)
+{
+  std::set<std::string> out;
+  for (const auto& [name, zone] : aModel.zones()) {
+    out.insert(name);
+  }
+  for (const auto& [id, node] : aModel.nodes()) {
+    out.insert(node.zone);
+  }
+  return out;
+}
+
+// Zones in which a node owns a partition of a keyed service.
+std::set<std::string> zonesWithGrants(const fleet::FleetModel& aModel)
+{
+  std::set<NodeId> owners;
+  for (const auto& service : aModel.grantedServices()) {
+    if (service == fleet::kAccountService) {
+      continue;
+    }
+    for (const auto& grant : aModel.grants(service)) {
+      owners.insert(grant.owner);
+    }
+  }
+  std::set<std::string> out;
+  for (const auto& [id, node] : aModel.nodes()) {
+    if (owners.count(id) > 0) {
+      out.insert(node.zone);
+    }
+  }
+  return out;
+}
+
+bool mayOwnInZone(const fleet::FleetModel& aModel, const std::string& aZone)
+{
+  return std::any_of(aModel.nodes().begin(), aModel.nodes().end(), [&](const auto& aItem) {
+    const wire::Node& node = aItem.second;
+    return node.zone == aZone && aModel.mayTakeWork(node) &&
+           !aModel.grants(node.target.service).empty();
+  });
+}
+
+} // namespace
+
+void ZoneFeed::observe(const std::shared_ptr<const fleet::FleetModel>& aModel)
+{
+  if (aModel == mModel && mIsComplete) {
+    return;
+  }
+  mModel = aModel;
+  mIsComplete = true;
+  followZones(*aModel);
+  followOrders(*aModel);
+  if (isAnyMoving()) {
+    followGrants(*aModel);
+  }
+}
+
+void ZoneFeed::followZones(const fleet::FleetModel& aModel)
+{
+  const auto zones = zonesOf(aModel);
+  for (auto it = mZones.begin(); it != mZones.end();) {
+    const bool isGone = zones.count(it->first) == 0 && report(it->first, ZoneEvent::Forgotten);
+    it = isGone ? mZones.erase(it) : std::next(it);
+  }
+  for (const auto& it : zones) {
+    if (mZones.count(it) == 0 && mZones.size() < kMaxChartZones && report(it, ZoneEvent::Seen)) {
+      mZones.emplace(it, Phase::In);
+    }
+  }
+}
+
+void ZoneFeed::followOrders(const fleet::FleetModel& aModel)
+{
+  for (auto& [zone, phase] : mZones) {
+    const bool wasOut = phase == Phase::Leaving || phase == Phase::Out;
+    const bool isOut = aModel.isZoneOut(zone);
+    if (isOut != wasOut && report(zone, isOut ? ZoneEvent::Out : ZoneEvent::In)) {
+      phase = isOut ? Phase::Leaving : Phase::Returning;
+    }
+  }
+}
+
+void ZoneFeed::followGrants(const fleet::FleetModel& aModel)
+{
+  const auto owning = zonesWithGrants(aModel);
+  for (auto& [zone, phase] : mZones) {
+    const bool isOwning = owning.count(zone) > 0;
+    if (phase == Phase::Leaving && !isOwning && report(zone, ZoneEvent::Empty)) {
+      phase = Phase::Out;
+    } else if (phase == Phase::Returning && (isOwning || !mayOwnInZone(aModel, zone)) &&
+               report(zone, ZoneEvent::Occupied)) {
+      phase = Phase::In;
+    }
+  }
+}
+
+bool ZoneFeed::isAnyMoving() const
+{
+  return std::any_of(mZones.begin(), mZones.end(), [](const auto& aItem) {
+    return aItem.second == Phase::Leaving || aItem.second == Phase::Returning;
+  });
+}
+
+bool ZoneFeed::report(const std::string& aZone, ZoneEvent aEvent)
+{
+  const bool isTaken = mBoard.post(ZoneReport{ aZone, aEvent });
+  mIsComplete = mIsComplete && isTaken;
+  return isTaken;
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/testing/ChartBoardTest.cc
@@ -0,0 +1,419 @@
+// Guards against charts that show a wrong state, reporters that send events a chart does not allow,
+// and a full ring that blocks a reporter or loses an event without a count.
+
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "daemon/LeaseFeed.h"
+#include "daemon/OperatorAnswers.h"
+#include "daemon/TargetFeed.h"
+#include "daemon/ZoneFeed.h"
+#include "daemon/testing/ChartFixtures.h"
+
+namespace camphorcleat::daemon {
+
+namespace {
+
+using Zones = std::map<std::string, std::string>;
+
+// A started board with the application it needs.
+struct Fixture
+{
+  QtScope qt;
+  ChartBoard board;
+
+  explicit Fixture(bool aHasTarget = true)
+    : board(aHasTarget)
+  {
+    const std::string fault = orElse(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(board.start());
+        return std::string();
+      },
+      [](const ErrorInfo& aInfo) { return aInfo.message; });
+    REQUIRE(fault.empty());
+  }
+
+  ChartStates drained()
+  {
+    board.drain();
+    return board.states();
+  }
+};
+
+// A real agent on a clock of its own, registered as node 7.
+struct AgentFixture : Fixture
+{
+  std::mt19937_64 random{ 1 };
+  fleet::NodeAgent agent{ config(), random };
+  LeaseFeed feed{ board, 7 };
+  TimePoint now{ Millis(1000) };
+
+  static fleet::NodeAgentConfig config()
+  {
+    fleet::NodeAgentConfig out;
+    out.id = 7;
+    out.zone = "a";
+    out.members = { 1 };
+    return out;
+  }
+
+  std::string lease()
+  {
+    feed.observe(now, agent);
+    return drained().lease;
+  }
+
+  void showView(Revision aRevision, std::vector<wire::Change> aChanges)
+  {
+    wire::ViewSnapshot part;
+    part.revision = aRevision;
+    part.changes = std::move(aChanges);
+    agent.step(now, fleet::agent::SnapshotArrived{ part });
+  }
+
+  void answer(wire::LeaseStatus aStatus)
+  {
+    now += config().lease.renewInterval;
+    for (const auto& it : agent.step(now, fleet::agent::Tick{})) {
+      const auto* send = std::get_if<fleet::agent::Send>(&it);
+      const auto* renew = send != nullptr ? std::get_if<wire::LeaseRenew>(&send->message) : nullptr;
+      if (renew != nullptr) {
+        wire::LeaseAnswer answer;
+        answer.sequence = renew->sequence;
+        answer.status = aStatus;
+        answer.length = Millis(1000);
+        agent.step(now, fleet::agent::AnswerArrived{ 1, answer });
+        return;
+      }
+    }
+    FAIL("the agent sent no renewal");
+  }
+};
+
+wire::NodeSet nodeIn(NodeId aId, const std::string& aZone)
+{
+  wire::NodeSet out;
+  out.node.id = aId;
+  out.node.zone = aZone;
+  out.node.target.service = "storefront";
+  return out;
+}
+
+// Zones a (node 1) and b (node 2), and four partitions of one service.
+struct ZoneFixture : Fixture
+{
+  ZoneFeed feed{ board };
+  std::shared_ptr<const fleet::FleetModel> model = std::make_shared<fleet::FleetModel>();
+
+  ZoneFixture()
+  {
+    wire::ServiceSet service;
+    service.service.name = "storefront";
+    apply({ wire::FleetBorn{ 4 }, service, nodeIn(1, "a"), nodeIn(2, "b"), owns(1, { 0, 1 }),
+            owns(2, { 2, 3 }) });
+  }
+
+  static wire::PartitionsSet owns(NodeId aNode, std::vector<PartitionId> aPartitions)
+  {
+    wire::PartitionsSet out;
+    out.service = "storefront";
+    out.grant.owner = aNode;
+    out.partitions = std::move(aPartitions);
+    return out;
+  }
+
+  static wire::ZoneSet zone(const std::string& aName, bool aIsOut)
+  {
+    return wire::ZoneSet{ { aName, aIsOut } };
+  }
+
+  void apply(const std::vector<wire::Change>& aChanges)
+  {
+    auto next = std::make_shared<fleet::FleetModel>(*model);
+    for (const auto& it : aChanges) {
+      next->apply(it);
+    }
+    model = std::move(next);
+  }
+
+  Zones after(const std::vector<wire::Change>& aChanges)
+  {
+    apply(aChanges);
+    feed.observe(model);
+    return drained().zones;
+  }
+};
+
+traffic::TargetReport health(Incarnation aIncarnation)
+{
+  traffic::TargetReport out;
+  out.isReachable = true;
+  out.incarnation = aIncarnation;
+  out.warmUp = Millis(400);
+  return out;
+}
+
+struct TargetFixture : Fixture
+{
+  TargetFeed feed{ board };
+  TimePoint now{ Millis(1000) };
+
+  std::string after(const traffic::TargetReport& aReport)
+  {
+    feed.observe(now, aReport);
+    return drained().target;
+  }
+
+  std::string afterCold(Incarnation aIncarnation)
+  {
+    auto report = health(aIncarnation);
+    report.isCold = true;
+    return after(report);
+  }
+
+  std::string afterDraining(Incarnation aIncarnation)
+  {
+    auto report = health(aIncarnation);
+    report.isDraining = true;
+    return after(report);
+  }
+};
+
+void fill(ChartBoard& aBoard)
+{
+  for (std::size_t i = 0; i < kChartRingSize; ++i) {
+    REQUIRE(aBoard.post(ZoneReport{ "filler", ZoneEvent::Seen }));
+  }
+}
+
+} // namespace
+
+TEST_CASE("a new board shows the initial states")
+{
+  Fixture with(true);
+  CHECK(with.board.states().lease == "unregistered");
+  CHECK(with.board.states().target == "gone");
+  CHECK(with.board.states().zones.empty());
+  Fixture without(false);
+  CHECK(without.board.states().target == "none");
+}
+
+TEST_CASE("the event loop drains the board without further calls")
+{
+  Fixture f;
+  REQUIRE(f.board.post(LeaseEvent::Granted));
+  const TimePoint limit = Clock::now() + Millis(5000);
+  while (f.board.states().lease != "held" && Clock::now() < limit) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+  }
+  CHECK(f.board.states().lease == "held");
+}
+
+TEST_CASE("an event that a chart does not allow is counted and changes nothing")
+{
+  Fixture f;
+  REQUIRE(f.board.post(LeaseEvent::Expired));
+  REQUIRE(f.board.post(ZoneReport{ "a", ZoneEvent::Empty }));
+  const ChartStates states = f.drained();
+  CHECK(states.lease == "unregistered");
+  CHECK(states.zones == Zones{ { "a", "in" } });
+  CHECK(f.board.refusedEvents() == 2);
+}
+
+TEST_CASE("a full ring drops events with a count and does not block")
+{
+  Fixture f;
+  fill(f.board);
+  // Nobody drains meanwhile, so a blocking post would never return.
+  std::thread reporter([&] {
+    for (int i = 0; i < 100; ++i) {
+      f.board.post(LeaseEvent::Granted);
+    }
+  });
+  reporter.join();
+  CHECK(f.board.droppedEvents() == 100);
+  CHECK(f.drained().lease == "unregistered");
+  CHECK(f.board.post(LeaseEvent::Granted));
+  CHECK(f.drained().lease == "held");
+}
+
+TEST_CASE("the number of zone charts is bounded")
+{
+  Fixture f;
+  for (std::size_t i = 0; i < kMaxChartZones + 3; ++i) {
+    REQUIRE(f.board.post(ZoneReport{ "zone" + std::to_string(i), ZoneEvent::Seen }));
+  }
+  CHECK(f.drained().zones.size() == kMaxChartZones);
+  CHECK(f.board.refusedEvents() == 3);
+  REQUIRE(f.board.post(ZoneReport{ "zone0", ZoneEvent::Forgotten }));
+  REQUIRE(f.board.post(ZoneReport{ "late", ZoneEvent::Seen }));
+  CHECK(f.drained().zones.count("late") == 1);
+}
+
+TEST_CASE("reports of two threads and readers of the states don't disturb each other")
+{
+  Fixture f;
+  constexpr int kRounds = 200;
+  std::thread agent([&] {
+    for (int i = 0; i < kRounds; ++i) {
+      f.board.post(i % 2 == 0 ? LeaseEvent::Granted : LeaseEvent::Expired);
+    }
+  });
+  std::thread owner([&] {
+    f.board.post(TargetEvent::Announced);
+    for (int i = 0; i < kRounds; ++i) {
+      f.board.post(i % 2 == 0 ? TargetEvent::Warm : TargetEvent::Cold);
+      f.board.states();
+    }
+  });
+  for (int i = 0; i < 20; ++i) {
+    f.drained();
+  }
+  agent.join();
+  owner.join();
+  const ChartStates states = f.drained();
+  CHECK(states.lease == "expired");
+  CHECK(states.target == "cold");
+  CHECK(f.board.droppedEvents() == 0);
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("the lease chart follows an agent from registration to a refused incarnation")
+{
+  AgentFixture f;
+  CHECK(f.lease() == "unregistered");
+  f.showView(1, { wire::FleetBorn{ 4 } });
+  CHECK(f.lease() == "registering");
+  f.answer(wire::LeaseStatus::Granted);
+  CHECK(f.lease() == "held");
+  f.answer(wire::LeaseStatus::Granted);
+  CHECK(f.lease() == "held");
+  f.now += Millis(1000);
+  CHECK(f.lease() == "expired");
+  f.answer(wire::LeaseStatus::Granted);
+  CHECK(f.lease() == "held");
+  f.answer(wire::LeaseStatus::Refused);
+  // The chart has no way from held to registering but through unregistered.
+  CHECK(f.lease() == "registering");
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("a dropped lease event is reported again")
+{
+  AgentFixture f;
+  f.showView(1, { wire::FleetBorn{ 4 } });
+  f.answer(wire::LeaseStatus::Granted);
+  fill(f.board);
+  f.feed.observe(f.now, f.agent);
+  CHECK(f.board.droppedEvents() == 1);
+  CHECK(f.drained().lease == "unregistered");
+  CHECK(f.lease() == "held");
+}
+
+TEST_CASE("the zone chart follows a zone out and back in")
+{
+  ZoneFixture f;
+  CHECK(f.after({}) == Zones{ { "a", "in" }, { "b", "in" } });
+  CHECK(f.after({ ZoneFixture::zone("a", true) })["a"] == "leaving");
+  CHECK(f.after({ ZoneFixture::owns(2, { 0 }) })["a"] == "leaving");
+  CHECK(f.after({ ZoneFixture::owns(2, { 1 }) })["a"] == "out");
+  CHECK(f.after({ ZoneFixture::zone("a", false) })["a"] == "returning");
+  CHECK(f.after({ ZoneFixture::owns(1, { 0 }) }) == Zones{ { "a", "in" }, { "b", "in" } });
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("a zone that is taken back in before it is empty returns")
+{
+  ZoneFixture f;
+  f.after({});
+  CHECK(f.after({ ZoneFixture::zone("a", true) })["a"] == "leaving");
+  // Partitions that never left occupy it at once.
+  CHECK(f.after({ ZoneFixture::zone("a", false) })["a"] == "in");
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("a returning zone whose nodes may own nothing is in")
+{
+  ZoneFixture f;
+  f.after({});
+  CHECK(f.after({ ZoneFixture::zone("c", true) })["c"] == "out");
+  CHECK(f.after({ ZoneFixture::zone("c", false) })["c"] == "in");
+}
+
+TEST_CASE("a zone that leaves the view has no chart any more")
+{
+  ZoneFixture f;
+  f.after({});
+  CHECK(f.after({ wire::NodeRemoved{ 2 } }) == Zones{ { "a", "in" } });
+}
+
+TEST_CASE("a dropped zone event is reported again although the view stays")
+{
+  ZoneFixture f;
+  f.after({});
+  f.apply({ ZoneFixture::zone("a", true) });
+  fill(f.board);
+  f.feed.observe(f.model);
+  CHECK(f.board.droppedEvents() > 0);
+  CHECK(f.drained().zones["a"] == "in");
+  CHECK(f.after({})["a"] == "leaving");
+}
+
+TEST_CASE("the target chart follows a cold start")
+{
+  TargetFixture f;
+  CHECK(f.afterCold(1) == "cold");
+  f.now += Millis(100);
+  CHECK(f.after(health(1)) == "warming");
+  f.now += Millis(399);
+  CHECK(f.after(health(1)) == "serving");
+  CHECK(f.after(health(1)) == "serving");
+  CHECK(f.afterCold(1) == "cold");
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("the target chart tells a resumed target from a restarted one and a drained one")
+{
+  TargetFixture f;
+  auto warm = health(1);
+  warm.warmUp = Millis(0);
+  CHECK(f.after(warm) == "serving");
+  CHECK(f.after(traffic::TargetReport{}) == "frozen");
+  CHECK(f.after(warm) == "serving");
+  CHECK(f.after(health(2)) == "warming");
+  CHECK(f.afterDraining(2) == "draining");
+  CHECK(f.after(traffic::TargetReport{}) == "gone");
+  CHECK(f.after(traffic::TargetReport{}) == "gone");
+  CHECK(f.afterDraining(2) == "draining");
+  CHECK(f.after(health(2)) == "warming");
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("a dropped target event is reported again")
+{
+  TargetFixture f;
+  fill(f.board);
+  f.feed.observe(f.now, health(1));
+  CHECK(f.drained().target == "gone");
+  CHECK(f.after(health(1)) == "warming");
+  CHECK(f.board.refusedEvents() == 0);
+}
+
+TEST_CASE("the status object holds the charts")
+{
+  NodeStatusView view;
+  view.charts = { "held", "serving", { { "a", "in" } } };
+  const auto json = statusJson(view, std::nullopt);
+  CHECK_THAT(json, Catch::Contains("\"lease\":\"held\"") || Catch::Contains("\"lease\": \"held\""));
+  const auto found = orElse([&] { return fromJson<NodeStatusView>(json); },
+                            [](const ErrorInfo& aInfo) {
+                              FAIL(aInfo.message);
+                              return NodeStatusView{};
+                            });
+  CHECK(found.charts.zones == Zones{ { "a", "in" } });
+  CHECK(found.charts.target == "serving");
+}
+
+} // namespace camphorcleat::daemon
--- a/packages/daemon/testing/StateChartTest.cc
+++ b/packages/daemon/testing/StateChartTest.cc
@@ -24,7 +24,9 @@
     { "target.scxml",
       {
         { { "gone", "target.announced" }, "announced" },
+        { { "gone", "target.back" }, "announced" },
         { { "announced", "target.cold" }, "cold" },
+        { { "announced", "target.warming" }, "warming" },
         { { "announced", "target.warm" }, "serving" },
         { { "announced", "target.draining" }, "draining" },
         { { "announced", "target.unreachable" }, "frozen" },
@@ -44,6 +46,7 @@
         { { "serving", "target.unreachable" }, "frozen" },
         { { "draining", "target.announced" }, "announced" },
         { { "draining", "target.cold" }, "cold" },
+        { { "draining", "target.warming" }, "warming" },
         { { "draining", "target.warm" }, "serving" },
         { { "draining", "target.unreachable" }, "gone" },
         { { "frozen", "target.announced" }, "announced" },
