Keep a drained daemon's lease ended when an answer arrives late

Cause: NodeAgent dropped its lease when it sent its farewell (NodeLost), but an answer to a renewal that was still on its way gave it a new one. The leader reassigns partitions as soon as the farewell is applied, so a registration that was applied in between could have left two nodes serving.

Change: answers after the farewell are ignored. New tests of LeaseBook, ControlLeader, ViewHistory and NodeAgent; each names the failure it guards against.

Measured: the drain test failed before the change and passes after it; all tests of the package pass.

--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -78,6 +78,9 @@
 
 void NodeAgent::handle(const agent::AnswerArrived& aEvent, Actions& aOut)
 {
+  if (mIsDrained) {
+    return; // The farewell ends the lease at the leader; a late answer must not revive it here.
+  }
   const wire::LeaseAnswer& answer = aEvent.answer;
   const auto it =
     std::find_if(mSentRenewals.begin(), mSentRenewals.end(),
--- /dev/null
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -0,0 +1,213 @@
+// Guards against leases that are granted without a quorum, and against daemons left without view.
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+#include "fleet/ControlLeader.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+constexpr LeaseSettings kSettings;
+constexpr LinkNumber kLink = 5;
+
+struct Leader
+{
+  Member member = smallFleet();
+  ControlLeader control{ kSettings, member.state.model(), std::make_unique<Planner>() };
+  TimePoint now{ std::chrono::hours(1) };
+
+  Leader() { control.step(now, control::Restored{ member.state.revision() }); }
+
+  std::vector<control::Action> step(const control::Event& aEvent)
+  {
+    return control.step(now, aEvent);
+  }
+  std::vector<control::Action> renew(NodeId aNode, Incarnation aIncarnation,
+                                     std::uint64_t aSequence, LinkNumber aLink = kLink,
+                                     Revision aApplied = 0)
+  {
+    wire::LeaseRenew message;
+    message.node = aNode;
+    message.incarnation = aIncarnation;
+    message.sequence = aSequence;
+    message.appliedRevision = aApplied;
+    return step(control::RenewArrived{ aLink, message });
+  }
+  std::vector<control::Action> apply(wire::CommandBody aBody)
+  {
+    auto applied = member.system(std::move(aBody));
+    return step(control::Applied{ member.state.revision(), std::move(applied.changes), false });
+  }
+};
+
+template<class T>
+std::vector<T> actionsOf(const std::vector<control::Action>& aActions)
+{
+  std::vector<T> out;
+  for (const auto& it : aActions) {
+    if (const auto* action = std::get_if<T>(&it)) {
+      out.push_back(*action);
+    }
+  }
+  return out;
+}
+
+template<class T>
+std::vector<T> messagesOf(const std::vector<control::Action>& aActions)
+{
+  std::vector<T> out;
+  for (const auto& it : actionsOf<control::Reply>(aActions)) {
+    if (const auto* message = std::get_if<T>(&it.message)) {
+      out.push_back(*message);
+    }
+  }
+  return out;
+}
+
+std::vector<wire::NodeLost> lossesOf(const std::vector<control::Action>& aActions)
+{
+  std::vector<wire::NodeLost> out;
+  for (const auto& it : actionsOf<control::Propose>(aActions)) {
+    if (const auto* lost = std::get_if<wire::NodeLost>(&it.command.bodies.at(0))) {
+      out.push_back(*lost);
+    }
+  }
+  return out;
+}
+
+TEST_CASE("a member that doesn't lead grants nothing and names the leader")
+{
+  Leader leader;
+  leader.step(control::LostLeadership{ 3 });
+  const auto answers = messagesOf<wire::LeaseAnswer>(leader.renew(1, 11, 1));
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == wire::LeaseStatus::NotLeader);
+  CHECK(answers[0].leaderHint == 3);
+}
+
+TEST_CASE("a renewal is answered only after a round that started later")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  const auto first = leader.renew(1, 11, 1);
+  CHECK(messagesOf<wire::LeaseAnswer>(first).empty());
+  REQUIRE(actionsOf<control::StartRound>(first).size() == 1);
+  const auto round = actionsOf<control::StartRound>(first)[0].round;
+
+  // This one arrives while the first round runs, so that round proves nothing about it.
+  CHECK(actionsOf<control::StartRound>(leader.renew(2, 22, 7)).empty());
+  const auto done = leader.step(control::RoundDone{ round, 5 });
+  const auto answers = messagesOf<wire::LeaseAnswer>(done);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].sequence == 1);
+  CHECK(answers[0].status == wire::LeaseStatus::Granted);
+  CHECK(answers[0].length == kSettings.length);
+  CHECK(answers[0].committedRevision == 5);
+  REQUIRE(actionsOf<control::StartRound>(done).size() == 1);
+  const auto second = actionsOf<control::StartRound>(done)[0].round;
+  const auto later = messagesOf<wire::LeaseAnswer>(leader.step(control::RoundDone{ second, 6 }));
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].sequence == 7);
+}
+
+TEST_CASE("a round of an earlier term or one that failed grants nothing")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  const auto round = actionsOf<control::StartRound>(leader.renew(1, 11, 1)).at(0).round;
+  const auto lost = messagesOf<wire::LeaseAnswer>(leader.step(control::LostLeadership{ 2 }));
+  REQUIRE(lost.size() == 1);
+  CHECK(lost[0].status == wire::LeaseStatus::NotLeader);
+
+  leader.step(control::BecameLeader{});
+  const auto next = actionsOf<control::StartRound>(leader.renew(1, 11, 2)).at(0).round;
+  CHECK(next != round);
+  CHECK(leader.step(control::RoundDone{ round, 5 }).empty());
+  const auto failed = messagesOf<wire::LeaseAnswer>(leader.step(control::RoundFailed{ next }));
+  REQUIRE(failed.size() == 1);
+  CHECK(failed[0].status == wire::LeaseStatus::NotLeader);
+}
+
+TEST_CASE("a node that was given up while its round ran is refused")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  const auto round = actionsOf<control::StartRound>(leader.renew(1, 11, 1)).at(0).round;
+  leader.now += Millis(1100);
+  const auto losses = lossesOf(leader.step(control::Tick{}));
+  REQUIRE(losses.size() == 2);
+  CHECK(losses[0].incarnation == 11);
+  const auto answers = messagesOf<wire::LeaseAnswer>(leader.step(control::RoundDone{ round, 5 }));
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == wire::LeaseStatus::Refused);
+}
+
+TEST_CASE("a leader proposes no loss before its leases have run out, and none without leadership")
+{
+  Leader leader;
+  leader.now += Millis(10000);
+  CHECK(leader.step(control::Tick{}).empty());
+  leader.step(control::BecameLeader{});
+  leader.now += kSettings.length;
+  CHECK(lossesOf(leader.step(control::Tick{})).empty());
+  leader.now += Millis(31);
+  CHECK(lossesOf(leader.step(control::Tick{})).size() == 2);
+}
+
+TEST_CASE("a daemon without a view gets the whole state, later ones the changes")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  const auto parts = messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 1));
+  REQUIRE(parts.size() == 1);
+  CHECK(parts[0].revision == leader.member.state.revision());
+
+  const Revision before = leader.member.state.revision();
+  const auto updates = messagesOf<wire::ViewUpdate>(
+    leader.apply(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::Draining }));
+  REQUIRE(updates.size() == 1);
+  CHECK(updates[0].from == before);
+  CHECK(updates[0].to == before + 1);
+  CHECK(updates[0].changes.size() == 1);
+}
+
+TEST_CASE("a view message that was lost is sent again after 500 ms, on a new link at once")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  REQUIRE(messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 1)).size() == 1);
+  leader.now += Millis(200);
+  CHECK(messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 2)).empty());
+  CHECK(messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 3, kLink + 1)).size() == 1);
+  leader.now += Millis(501);
+  CHECK(messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 4, kLink + 1)).size() == 1);
+}
+
+TEST_CASE("nothing is sent on a closed link")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  leader.renew(1, 11, 1, kLink, leader.member.state.revision());
+  CHECK(leader.control.appliedRevision(1) == leader.member.state.revision());
+  leader.step(control::LinkClosed{ kLink });
+  CHECK(leader.control.appliedRevision(1) == 0);
+  CHECK(messagesOf<wire::ViewUpdate>(
+          leader.apply(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::Draining }))
+          .empty());
+}
+
+TEST_CASE("renewals beyond the bound are turned away instead of kept")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  for (std::uint64_t i = 0; i <= 8192; ++i) {
+    REQUIRE(messagesOf<wire::LeaseAnswer>(leader.renew(1, 11, i)).empty());
+  }
+  const auto answers = messagesOf<wire::LeaseAnswer>(leader.renew(1, 11, 9000));
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == wire::LeaseStatus::NotLeader);
+}
+
+} // namespace
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/testing/LeaseBookTest.cc
@@ -0,0 +1,150 @@
+// Guards against a leader that gives keys away while their owner may still serve them.
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+#include "fleet/LeaseBook.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr LeaseSettings kSettings;
+
+wire::LeaseRenew renewalOf(NodeId aNode, Incarnation aIncarnation)
+{
+  wire::LeaseRenew out;
+  out.node = aNode;
+  out.incarnation = aIncarnation;
+  return out;
+}
+
+std::vector<NodeId> expiredAt(LeaseBook& aBook, const Member& aMember, TimePoint aNow)
+{
+  std::vector<NodeId> out;
+  for (const auto& it : aBook.takeExpired(aNow, aMember.state.model())) {
+    out.push_back(it.node);
+  }
+  return out;
+}
+
+TEST_CASE("a new leader waits out leases that its predecessor may have granted")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint end = kStart + kSettings.length + kSettings.drift();
+  CHECK(book.expiry(1) == end);
+  CHECK(expiredAt(book, member, end - Micros(1)).empty());
+  CHECK(expiredAt(book, member, end) == std::vector<NodeId>{ 1, 2 });
+}
+
+TEST_CASE("a new term forgets ends and refusals of an earlier one")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  expiredAt(book, member, kStart + Millis(5000));
+  book.startTerm(kStart + Millis(6000), member.state.model());
+  CHECK(book.status(member.state.model(), 1, 11) == wire::LeaseStatus::Granted);
+  CHECK(expiredAt(book, member, kStart + Millis(7000)).empty());
+}
+
+TEST_CASE("a renewal extends the lease from its arrival, with drift added")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint later = kStart + Millis(700);
+  CHECK(book.renewalArrived(later, member.state.model(), renewalOf(1, 11)) ==
+        wire::LeaseStatus::Granted);
+  CHECK(book.expiry(1) == later + kSettings.length + kSettings.drift());
+  CHECK(book.expiry(2) == kStart + kSettings.length + kSettings.drift());
+}
+
+TEST_CASE("a renewal of another incarnation doesn't extend the lease")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint end = book.expiry(1);
+  CHECK(book.renewalArrived(kStart + Millis(700), member.state.model(), renewalOf(1, 99)) ==
+        wire::LeaseStatus::Unregistered);
+  CHECK(book.renewalArrived(kStart + Millis(700), member.state.model(), renewalOf(7, 11)) ==
+        wire::LeaseStatus::Unregistered);
+  CHECK(book.expiry(1) == end);
+  CHECK(book.expiry(7) == TimePoint());
+}
+
+TEST_CASE("a renewal after the proposed loss is refused although the loss isn't applied yet")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint end = book.expiry(1);
+  REQUIRE(expiredAt(book, member, end) == std::vector<NodeId>{ 1, 2 });
+  CHECK(book.renewalArrived(end, member.state.model(), renewalOf(1, 11)) ==
+        wire::LeaseStatus::Refused);
+  CHECK(book.expiry(1) == end);
+}
+
+TEST_CASE("a loss whose proposal went missing is proposed again after 200 ms, not before")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint end = book.expiry(1);
+  REQUIRE(expiredAt(book, member, end).size() == 2);
+  CHECK(expiredAt(book, member, end + Millis(199)).empty());
+  CHECK(expiredAt(book, member, end + Millis(200)).size() == 2);
+}
+
+TEST_CASE("an applied loss ends the proposals and the new incarnation starts with a full lease")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint later = kStart + Millis(2000);
+  expiredAt(book, member, later);
+  member.system(wire::NodeLost{ 1, 11 });
+  book.nodeChanged(later, *member.state.model().node(1));
+  CHECK(book.status(member.state.model(), 1, 11) == wire::LeaseStatus::Refused);
+  CHECK(expiredAt(book, member, later + Millis(200)) == std::vector<NodeId>{ 2 });
+
+  member.system(wire::RegisterNode{ nodeOf(1, 12, "a") });
+  book.nodeChanged(later, *member.state.model().node(1));
+  CHECK(book.status(member.state.model(), 1, 11) == wire::LeaseStatus::Unregistered);
+  CHECK(book.status(member.state.model(), 1, 12) == wire::LeaseStatus::Granted);
+  CHECK(book.expiry(1) == later + kSettings.length + kSettings.drift());
+}
+
+TEST_CASE("a changed status of the same incarnation neither extends nor lifts a refusal")
+{
+  Member member = smallFleet();
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  const TimePoint end = book.expiry(1);
+  expiredAt(book, member, end);
+  book.nodeChanged(end + Millis(100), *member.state.model().node(1));
+  CHECK(book.expiry(1) == end);
+  CHECK(book.status(member.state.model(), 1, 11) == wire::LeaseStatus::Refused);
+}
+
+TEST_CASE("a node whose target doesn't check grants is given up 300 ms later")
+{
+  Member member = smallFleet();
+  wire::Node node = nodeOf(3, 33, "c");
+  node.target.checksGrants = false;
+  member.system(wire::RegisterNode{ node });
+  node.id = 4;
+  node.incarnation = 44;
+  node.hasTarget = false;
+  member.system(wire::RegisterNode{ node });
+  LeaseBook book(kSettings);
+  book.startTerm(kStart, member.state.model());
+  CHECK(book.expiry(3) == kStart + kSettings.length + kSettings.drift() + kSettings.uncheckedGrace);
+  CHECK(book.expiry(4) == kStart + kSettings.length + kSettings.drift());
+}
+
+} // namespace
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/testing/NodeAgentTest.cc
@@ -0,0 +1,379 @@
+// Guards against a daemon that serves without a lease, reverts its view or never gets back in.
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+#include "fleet/NodeAgent.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+using agent::Action;
+
+// A moment that is not the clock's epoch, since the epoch stands for "no lease".
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+template<class T>
+std::vector<T> actionsOf(const std::vector<Action>& aActions)
+{
+  std::vector<T> out;
+  for (const auto& it : aActions) {
+    if (const auto* action = std::get_if<T>(&it)) {
+      out.push_back(*action);
+    }
+  }
+  return out;
+}
+
+template<class T>
+std::vector<T> sentOf(const std::vector<Action>& aActions)
+{
+  std::vector<T> out;
+  for (const auto& it : actionsOf<agent::Send>(aActions)) {
+    if (const auto* message = std::get_if<T>(&it.message)) {
+      out.push_back(*message);
+    }
+  }
+  return out;
+}
+
+template<class Body>
+std::optional<Body> commandOf(const std::vector<Action>& aActions)
+{
+  for (const auto& it : sentOf<wire::CommandSubmit>(aActions)) {
+    if (const auto* body = std::get_if<Body>(&it.command.bodies.at(0))) {
+      return *body;
+    }
+  }
+  return std::nullopt;
+}
+
+// Node 3 beside the nodes of smallFleet().
+struct Daemon
+{
+  std::mt19937_64 random{ 42 };
+  TimePoint now = kStart;
+  NodeAgent agent{ config(), random };
+  Member member = smallFleet();
+  Revision known = 0; // What the daemon was told.
+
+  static NodeAgentConfig config()
+  {
+    NodeAgentConfig out;
+    out.id = 3;
+    out.zone = "c";
+    out.peerAddress = "127.0.0.1:3";
+    out.members = { 1, 2 };
+    return out;
+  }
+
+  std::vector<Action> step(const agent::Event& aEvent) { return agent.step(now, aEvent); }
+
+  wire::LeaseRenew renew()
+  {
+    now += config().lease.renewInterval;
+    const auto sent = sentOf<wire::LeaseRenew>(step(agent::Tick{}));
+    REQUIRE(sent.size() == 1);
+    return sent[0];
+  }
+
+  std::vector<Action> answer(std::uint64_t aSequence, wire::LeaseStatus aStatus,
+                             Revision aCommitted = 0, NodeId aFrom = 1, NodeId aHint = kNoNode)
+  {
+    return step(agent::AnswerArrived{
+      aFrom, wire::LeaseAnswer{ aSequence, aStatus, aHint, Millis(1000), aCommitted } });
+  }
+
+  std::vector<Action> snapshot()
+  {
+    known = member.state.revision();
+    return step(agent::SnapshotArrived{
+      wire::ViewSnapshot{ known, 0, 1, member.state.model().toChanges() } });
+  }
+
+  std::vector<Action> apply(wire::CommandBody aBody)
+  {
+    const Revision from = known;
+    auto applied = member.system(std::move(aBody));
+    known = member.state.revision();
+    return step(
+      agent::UpdateArrived{ wire::ViewUpdate{ from, known, std::move(applied.changes) } });
+  }
+
+  // Registered and owner of account partitions 0 to 3.
+  void join()
+  {
+    const auto actions = snapshot();
+    const auto registration = commandOf<wire::RegisterNode>(actions);
+    REQUIRE(registration);
+    apply(*registration);
+    wire::CommandReply reply;
+    reply.id = sentOf<wire::CommandSubmit>(actions).at(0).id;
+    step(agent::ReplyArrived{ reply });
+    now += Millis(50); // Until then the agent waits for the view instead of sending a command.
+    apply(wire::Assign{ kAccountService, 3, agent.incarnation(), { 0, 1, 2, 3 } });
+  }
+};
+
+TEST_CASE("a lease counts from the moment its renewal was sent, not from the answer")
+{
+  Daemon daemon;
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  const auto renewal = daemon.renew();
+  const TimePoint sentAt = daemon.now;
+  daemon.now += Millis(150);
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Granted);
+  CHECK(daemon.agent.leaseValidUntil() == sentAt + Millis(1000));
+}
+
+TEST_CASE("only a granted answer to a renewal that was sent gives a lease, and only once")
+{
+  Daemon daemon;
+  const auto renewal = daemon.renew();
+  daemon.answer(renewal.sequence + 1, wire::LeaseStatus::Granted);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Unregistered);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Granted);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+}
+
+TEST_CASE("an answer that was overtaken neither shortens nor extends the lease")
+{
+  Daemon daemon;
+  const auto first = daemon.renew();
+  const auto second = daemon.renew();
+  daemon.answer(second.sequence, wire::LeaseStatus::Granted);
+  const TimePoint end = daemon.now + Millis(1000);
+  daemon.answer(first.sequence, wire::LeaseStatus::Granted);
+  CHECK(daemon.agent.leaseValidUntil() == end);
+}
+
+TEST_CASE("a refused incarnation ends at once and answers to it give no lease")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto first = daemon.renew();
+  const auto second = daemon.renew();
+  const auto third = daemon.renew();
+  const Incarnation before = daemon.agent.incarnation();
+  daemon.answer(first.sequence, wire::LeaseStatus::Granted);
+  daemon.answer(second.sequence, wire::LeaseStatus::Refused);
+  CHECK(daemon.agent.incarnation() != before);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  daemon.answer(third.sequence, wire::LeaseStatus::Granted);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+}
+
+TEST_CASE("a declared loss that only the registration learns of starts a new incarnation")
+{
+  Daemon daemon;
+  daemon.join();
+  const Incarnation before = daemon.agent.incarnation();
+  const auto sent =
+    sentOf<wire::CommandSubmit>(daemon.apply(wire::NodeLost{ 3, daemon.agent.incarnation() }));
+  std::vector<wire::CommandSubmit> submits = sent;
+  for (int i = 0; submits.empty() && i < 10; ++i) {
+    daemon.now += Millis(100);
+    submits = sentOf<wire::CommandSubmit>(daemon.step(agent::Tick{}));
+  }
+  REQUIRE(submits.size() == 1);
+  wire::CommandReply reply;
+  reply.id = submits[0].id;
+  reply.result.code = ErrorCode::IncarnationRefused;
+  daemon.step(agent::ReplyArrived{ reply });
+  CHECK(daemon.agent.incarnation() != before);
+}
+
+TEST_CASE("a silent member is given up for the next one, a hint is followed")
+{
+  Daemon daemon;
+  daemon.renew();
+  std::set<NodeId> asked;
+  for (int i = 0; i < 8; ++i) {
+    daemon.now += Millis(200);
+    for (const auto& it : actionsOf<agent::Send>(daemon.step(agent::Tick{}))) {
+      asked.insert(it.to);
+    }
+  }
+  CHECK(asked == std::set<NodeId>{ 1, 2 });
+
+  const auto renewal = daemon.renew();
+  daemon.answer(renewal.sequence, wire::LeaseStatus::NotLeader, 0, 1, 2);
+  daemon.now += Millis(25);
+  const auto sent = actionsOf<agent::Send>(daemon.step(agent::Tick{}));
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].to == 2);
+}
+
+TEST_CASE("a view never goes back and skips no change")
+{
+  Daemon daemon;
+  daemon.join();
+  const Revision before = daemon.agent.revision();
+  const std::string bytes = bytesOf(*daemon.agent.model());
+  const std::vector<wire::Change> out{ wire::ZoneSet{ wire::Zone{ "a", true } } };
+  daemon.step(agent::UpdateArrived{ { before + 1, before + 2, out } });
+  daemon.step(agent::UpdateArrived{ { before - 2, before, out } });
+  daemon.step(agent::UpdateArrived{ { before - 3, before - 1, out } });
+  daemon.step(agent::SnapshotArrived{ { before, 0, 1, out } });
+  CHECK(daemon.agent.revision() == before);
+  CHECK(bytesOf(*daemon.agent.model()) == bytes);
+  // One that starts earlier and ends later states whole values.
+  daemon.step(agent::UpdateArrived{ { before - 1, before + 1, out } });
+  CHECK(daemon.agent.revision() == before + 1);
+  CHECK(daemon.agent.model()->isZoneOut("a"));
+}
+
+TEST_CASE("a view that was handed out doesn't change under its reader")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto model = daemon.agent.model();
+  const std::string bytes = bytesOf(*model);
+  daemon.apply(wire::SetNodeStatus{ 1, 11, wire::NodeStatus::Draining });
+  CHECK(bytesOf(*model) == bytes);
+  CHECK(bytesOf(*daemon.agent.model()) != bytes);
+}
+
+TEST_CASE("no update builds on nothing")
+{
+  Daemon daemon;
+  daemon.step(agent::UpdateArrived{ { 0, 5, { wire::ZoneSet{ wire::Zone{ "a", true } } } } });
+  CHECK(daemon.agent.revision() == 0);
+}
+
+TEST_CASE("parts of two snapshots are not mixed and one part alone shows nothing")
+{
+  Daemon daemon;
+  const auto part = [](Revision aRevision, std::uint32_t aPart, const std::string& aZone) {
+    return agent::SnapshotArrived{ { aRevision, aPart, 2, { wire::ZoneSet{ { aZone, false } } } } };
+  };
+  daemon.step(part(5, 0, "old"));
+  CHECK(daemon.agent.revision() == 0);
+  daemon.step(part(6, 1, "new-1"));
+  CHECK(daemon.agent.revision() == 0);
+  daemon.step(part(6, 1, "new-1")); // A duplicate completes nothing.
+  CHECK(daemon.agent.revision() == 0);
+  daemon.step(part(6, 0, "new-0"));
+  CHECK(daemon.agent.revision() == 6);
+  CHECK(daemon.agent.model()->zones().size() == 2);
+  CHECK(daemon.agent.model()->zones().count("old") == 0);
+}
+
+TEST_CASE("a snapshot part outside its own count is dropped")
+{
+  Daemon daemon;
+  daemon.step(agent::SnapshotArrived{ { 5, 1, 1, {} } });
+  daemon.step(agent::SnapshotArrived{ { 5, 0, 1U << 30U, {} } });
+  daemon.step(agent::SnapshotArrived{ { 5, 0, 0, {} } });
+  CHECK(daemon.agent.revision() == 0);
+}
+
+TEST_CASE("a view counts as confirmed from the sending, once the committed revision is applied")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto renewal = daemon.renew();
+  const TimePoint sentAt = daemon.now;
+  daemon.now += Millis(50);
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Granted, daemon.known + 1);
+  CHECK(daemon.agent.confirmedAt() < sentAt);
+  daemon.now += Millis(50);
+  daemon.apply(wire::SetNodeStatus{ 1, 11, wire::NodeStatus::Draining });
+  CHECK(daemon.agent.confirmedAt() == sentAt);
+}
+
+TEST_CASE("a daemon without a view is never confirmed")
+{
+  Daemon daemon;
+  const auto renewal = daemon.renew();
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Granted, 0);
+  CHECK(daemon.agent.confirmedAt() == TimePoint());
+}
+
+TEST_CASE("a moving partition is stopped once and released only when it is idle")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto actions = daemon.apply(wire::BeginMove{ kAccountService, 1, { 2 } });
+  const auto stops = actionsOf<agent::StopPartition>(actions);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].partition == ServicePartition{ kAccountService, 2 });
+  CHECK(actionsOf<agent::StopPartition>(daemon.apply(wire::BeginMove{ kAccountService, 2, { 2 } }))
+          .empty());
+  for (int i = 0; i < 20; ++i) {
+    daemon.now += Millis(100);
+    CHECK_FALSE(commandOf<wire::Release>(daemon.step(agent::Tick{})));
+  }
+  const auto release = commandOf<wire::Release>(
+    daemon.step(agent::PartitionIdle{ stops[0].partition, stops[0].token }));
+  REQUIRE(release);
+  CHECK(release->incarnation == daemon.agent.incarnation());
+  REQUIRE(release->grants.size() == 1);
+  CHECK(release->grants[0].partition == 2);
+  CHECK(release->grants[0].token == stops[0].token);
+  daemon.apply(*release);
+  CHECK(daemon.agent.model()->grant(kAccountService, 2)->owner == 2);
+}
+
+TEST_CASE("a partition that wasn't asked to stop is not released")
+{
+  Daemon daemon;
+  daemon.join();
+  const FencingToken token = daemon.agent.model()->grant(kAccountService, 2)->token;
+  CHECK_FALSE(
+    commandOf<wire::Release>(daemon.step(agent::PartitionIdle{ { kAccountService, 2 }, token })));
+  CHECK_FALSE(commandOf<wire::Release>(
+    daemon.step(agent::PartitionIdle{ { kAccountService, 2 }, token + 1 })));
+}
+
+TEST_CASE("a release that got no answer is sent again with the same token")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto stop =
+    actionsOf<agent::StopPartition>(daemon.apply(wire::BeginMove{ kAccountService, 1, { 2 } }))
+      .at(0);
+  daemon.now += Millis(100);
+  REQUIRE(
+    commandOf<wire::Release>(daemon.step(agent::PartitionIdle{ stop.partition, stop.token })));
+  daemon.now += Millis(399);
+  CHECK_FALSE(commandOf<wire::Release>(daemon.step(agent::Tick{})));
+  daemon.now += Millis(1);
+  const auto again = commandOf<wire::Release>(daemon.step(agent::Tick{}));
+  REQUIRE(again);
+  CHECK(again->grants.at(0).token == stop.token);
+}
+
+TEST_CASE("a drain says so, hands over and then leaves without a lease")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto renewal = daemon.renew();
+  daemon.answer(renewal.sequence, wire::LeaseStatus::Granted, daemon.known);
+  daemon.now += Millis(100);
+  const auto status = commandOf<wire::SetNodeStatus>(daemon.step(agent::DrainRequested{}));
+  REQUIRE(status);
+  CHECK(status->status == wire::NodeStatus::Draining);
+  daemon.apply(*status);
+  daemon.apply(wire::BeginMove{ kAccountService, 1, { 0, 1, 2, 3 } });
+  const auto late = daemon.renew();
+  std::vector<wire::ReleasedGrant> grants;
+  for (PartitionId i = 0; i < 4; ++i) {
+    grants.push_back({ i, daemon.agent.model()->grant(kAccountService, i)->token });
+  }
+  const auto actions =
+    daemon.apply(wire::Release{ kAccountService, 3, daemon.agent.incarnation(), grants });
+  CHECK(actionsOf<agent::Drained>(actions).size() == 1);
+  CHECK(commandOf<wire::NodeLost>(actions));
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  // Its farewell ends the lease at the leader, so an answer on its way must not revive it here.
+  daemon.answer(late.sequence, wire::LeaseStatus::Granted, daemon.known);
+  CHECK(daemon.agent.leaseValidUntil() == TimePoint());
+  daemon.now += Millis(1000);
+  CHECK(daemon.step(agent::Tick{}).empty());
+}
+
+} // namespace
+} // namespace camphorcleat::fleet
--- /dev/null
+++ b/packages/fleet/testing/ViewHistoryTest.cc
@@ -0,0 +1,125 @@
+// Guards against daemons that miss changes and against messages that grow without bound.
+
+#include <catch2/catch.hpp>
+
+#include "FleetFixtures.h"
+#include "fleet/ViewHistory.h"
+
+namespace camphorcleat::fleet {
+namespace {
+
+wire::Change zoneChange(const std::string& aName)
+{
+  return wire::ZoneSet{ wire::Zone{ aName, false } };
+}
+
+TEST_CASE("an update holds exactly the changes after its start, in order")
+{
+  ViewHistory history;
+  history.add(3, { zoneChange("a") });
+  history.add(4, {});
+  history.add(5, { zoneChange("b"), zoneChange("c") });
+  const auto update = history.updateSince(3);
+  REQUIRE(update);
+  CHECK(update->from == 3);
+  CHECK(update->to == 5);
+  REQUIRE(update->changes.size() == 2);
+  CHECK(std::get<wire::ZoneSet>(update->changes[0]).zone.name == "b");
+  CHECK(std::get<wire::ZoneSet>(update->changes[1]).zone.name == "c");
+}
+
+TEST_CASE("an entry without changes advances the revision, so that daemons can be confirmed")
+{
+  ViewHistory history;
+  history.add(3, { zoneChange("a") });
+  history.add(4, {});
+  const auto update = history.updateSince(3);
+  REQUIRE(update);
+  CHECK(update->to == 4);
+  CHECK(update->changes.empty());
+}
+
+TEST_CASE("a daemon without a view, or with one from the future, gets no update")
+{
+  ViewHistory history;
+  history.add(3, { zoneChange("a") });
+  CHECK_FALSE(history.updateSince(0));
+  CHECK_FALSE(history.updateSince(4));
+  CHECK(history.updateSince(3));
+}
+
+TEST_CASE("a snapshot ends what the history knows")
+{
+  ViewHistory history;
+  history.add(3, { zoneChange("a") });
+  history.reset(10);
+  CHECK(history.revision() == 10);
+  CHECK_FALSE(history.updateSince(9));
+  history.add(11, { zoneChange("b") });
+  REQUIRE(history.updateSince(10));
+  CHECK(history.updateSince(10)->changes.size() == 1);
+}
+
+TEST_CASE("the history drops its oldest revisions at the bound and says so")
+{
+  ViewHistory history;
+  for (Revision i = 1; i <= 5000; ++i) {
+    history.add(i, { zoneChange("a") });
+  }
+  CHECK_FALSE(history.updateSince(5000 - 4097));
+  REQUIRE(history.updateSince(5000 - 4096));
+  CHECK(history.updateSince(5000 - 4096)->changes.size() == 4096);
+}
+
+TEST_CASE("large revisions are dropped by their number of changes")
+{
+  ViewHistory history;
+  const std::vector<wire::Change> many(30000, zoneChange("a"));
+  for (Revision i = 1; i <= 3; ++i) {
+    history.add(i, many);
+  }
+  // Revision 1 was dropped, so an update may start at it but not before it.
+  REQUIRE(history.updateSince(1));
+  CHECK(history.updateSince(1)->changes.size() == 60000);
+  history.add(4, many);
+  CHECK_FALSE(history.updateSince(1));
+  CHECK(history.updateSince(2));
+}
+
+TEST_CASE("snapshot parts are bounded and build the same model")
+{
+  Member member;
+  member.system(wire::BearFleet{ 40000 });
+  member.apply(operatorCommand("set-up", { wire::CreateService{ { "lookup", true, {} } } }));
+  for (NodeId id = 1; id <= 40; ++id) {
+    member.system(wire::RegisterNode{ nodeOf(id, 100 + id) });
+  }
+  for (NodeId id = 1; id <= 2; ++id) {
+    std::vector<PartitionId> half;
+    for (PartitionId i = id - 1; i < 40000; i += 2) {
+      half.push_back(i);
+    }
+    member.system(wire::Assign{ "lookup", id, 100 + id, half });
+  }
+  const auto parts = snapshotParts(member.state.model(), member.state.revision());
+  REQUIRE(parts.size() > 1);
+  FleetModel rebuilt;
+  for (std::uint32_t i = 0; i < parts.size(); ++i) {
+    CHECK(parts[i].part == i);
+    CHECK(parts[i].partCount == parts.size());
+    CHECK(parts[i].revision == member.state.revision());
+    CHECK(wire::encodeChanges(parts[i].changes).size() <= (256U << 10U));
+    for (const auto& it : parts[i].changes) {
+      rebuilt.apply(it);
+    }
+  }
+  CHECK(bytesOf(rebuilt) == bytesOf(member.state.model()));
+}
+
+TEST_CASE("an empty model is one part, so that a daemon can tell it from no view")
+{
+  CHECK(snapshotParts(FleetModel(), 1).size() == 1);
+}
+
+} // namespace
+} // namespace camphorcleat::fleet
