--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -222,8 +222,8 @@
 }
 
 // An empty bucket that had begun with the home would be full again after burst / rate seconds.
-traffic::HomeStart OwnerDuty::homeStart(const std::string& aAccount, const wire::Account& aSettings,
-                                        TimePoint aNow) const
+traffic::HomeStart OwnerDuty::homeStart(const std::string& aAccount,
+                                        const wire::Account& aSettings, TimePoint aNow) const
 {
   const auto it = mHomes.find(aAccount);
   if (it == mHomes.end() || aSettings.requestsPerSecond <= 0) {
--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -10,7 +10,8 @@
 
 constexpr std::size_t kMaxWaitingRenewals = 8192;
 
-// A view message may be lost with its connection; it is sent again after this time.
+// A view message may be lost with its connection or a full queue. Changes are sent again to a
+// daemon that has not advanced for this time.
 constexpr Millis kSendAgainAfter{ 500 };
 
 // A plan may be lost with a full queue; planning again is harmless because each body is checked
@@ -78,6 +79,9 @@
   const bool isOtherLink = session.link != aEvent.link;
   const bool isOverdue =
     aEvent.renew.appliedRevision < session.sent && mNow - session.sentAt > kSendAgainAfter;
+  if (aEvent.renew.appliedRevision > session.applied) {
+    session.sentAt = mNow;
+  }
   session.link = aEvent.link;
   session.applied = aEvent.renew.appliedRevision;
   session.loadRequestsPerSecond = aEvent.renew.loadRequestsPerSecond;
@@ -195,7 +199,11 @@
   if (aSession.sent >= mHistory.revision()) {
     return;
   }
-  aSession.sentAt = mNow;
+  // The wait counts from the first change that the daemon lacks: counted from the last one, a
+  // daemon that lost a message would get nothing that it can apply while changes go on.
+  if (aSession.sent <= aSession.applied) {
+    aSession.sentAt = mNow;
+  }
   if (auto update = mHistory.updateSince(aSession.sent)) {
     aSession.sent = update->to;
     aOut.emplace_back(control::Reply{ aSession.link, std::move(*update) });
--- a/packages/fleet/testing/ControlLeaderTest.cc
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -184,6 +184,26 @@
   CHECK(messagesOf<wire::ViewSnapshot>(leader.renew(1, 11, 4, kLink + 1)).size() == 1);
 }
 
+TEST_CASE("a lost view message is sent again although changes go on")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  const Revision applied = leader.member.state.revision();
+  leader.renew(1, 11, 1, kLink, applied);
+  // The daemon never gets the first update, so it can apply none of the later ones.
+  bool isRepaired = false;
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    leader.now += Millis(200);
+    leader.apply(wire::SetNodeStatus{
+      2, 22, i % 2 == 0 ? wire::NodeStatus::Draining : wire::NodeStatus::Serving });
+    for (const auto& it :
+         messagesOf<wire::ViewUpdate>(leader.renew(1, 11, 2 + i, kLink, applied))) {
+      isRepaired = isRepaired || it.from == applied;
+    }
+  }
+  CHECK(isRepaired);
+}
+
 TEST_CASE("nothing is sent on a closed link")
 {
   Leader leader;
