Never send more of a request's body than the owner gave credit for

Cause: the entry sent each part that it read from the caller whole, whatever credit was left, and the kept part whole, although it may reach 128 KiB when parts come in uneven sizes. The owner refuses a chunk beyond its credit, so an upload of more than 64 KiB could fail for no reason of the caller's. Metrics were printed with 6 digits, so sums and gauges of bytes stood still once large.

Change: what credit doesn't cover waits (at most two parts) and is sent when credit arrives. Metrics print 15 digits.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -235,21 +235,21 @@
   }
 }
 
+// Parts come in any size, so the kept part may exceed the first credit; what lies beyond waits.
 void EntryExchange::sendKeptBody(const RequestId& aId, Attempt& aAttempt)
 {
-  mBodyBytes = 0;
-  for (std::size_t i = 0; i < mKept.size() || i == 0; i += kFirstCreditBytes) {
-    wire::BodyChunk chunk;
-    chunk.id = aId;
-    chunk.direction = wire::Direction::ToTarget;
-    chunk.sequence = aAttempt.nextBodyChunk++;
-    chunk.data.data = mKept.substr(i, kFirstCreditBytes);
-    mBodyBytes += chunk.data.size();
-    chunk.isLast = mIsKeptWhole && mBodyBytes == mKept.size();
-    chunk.totalBytes = mBodyBytes;
-    mIsBodyOver = chunk.isLast;
-    mHost.replyTo(aAttempt.link, std::move(chunk));
-  }
+  mBodyBytes = std::min<std::uint64_t>(mKept.size(), kFirstCreditBytes);
+  mRest = mKept.substr(mBodyBytes);
+  mIsRestLast = mIsKeptWhole;
+  wire::BodyChunk chunk;
+  chunk.id = aId;
+  chunk.direction = wire::Direction::ToTarget;
+  chunk.sequence = aAttempt.nextBodyChunk++;
+  chunk.data.data = mKept.substr(0, mBodyBytes);
+  chunk.isLast = mIsKeptWhole && mRest.empty();
+  chunk.totalBytes = mBodyBytes;
+  mIsBodyOver = chunk.isLast;
+  mHost.replyTo(aAttempt.link, std::move(chunk));
 }
 
 void EntryExchange::handle(const RequestId& aId, const wire::Credit& aCredit)
@@ -264,11 +264,16 @@
 
 void EntryExchange::pumpBody()
 {
-  if (!mBodyAttempt || mIsBodyOver || mIsKeptWhole || mIsReadingBody || mIsFinished) {
+  if (!mBodyAttempt || mIsBodyOver || mIsFinished) {
     return;
   }
   const auto it = mAttempts.find(*mBodyAttempt);
-  if (it == mAttempts.end() || it->second.bodyCredit == 0) {
+  if (it == mAttempts.end()) {
+    return;
+  }
+  sendRest();
+  if (mIsBodyOver || mIsRestLast || mIsReadingBody || !mRest.empty() ||
+      it->second.bodyCredit == 0) {
     return;
   }
   mIsReadingBody = true;
@@ -293,10 +298,24 @@
     fail(wire::Outcome::Unknown, *aPart.error, "the request's body ended early", Millis(0));
     return;
   }
-  sendBodyChunk(std::move(aPart.data), aPart.isLast);
+  mRest += aPart.data;
+  mIsRestLast = aPart.isLast;
   pumpBody();
 }
 
+// The owner refuses what goes beyond its credit, and a part of the caller's may do so.
+void EntryExchange::sendRest()
+{
+  const std::uint64_t n =
+    std::min<std::uint64_t>(mRest.size(), mAttempts.find(*mBodyAttempt)->second.bodyCredit);
+  const bool isLast = mIsRestLast && n == mRest.size();
+  if (n > 0 || isLast) {
+    std::string data = mRest.substr(0, n);
+    mRest.erase(0, n);
+    sendBodyChunk(std::move(data), isLast);
+  }
+}
+
 void EntryExchange::sendBodyChunk(std::string aData, bool aIsLast)
 {
   const auto it = mAttempts.find(*mBodyAttempt);
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -103,6 +103,7 @@
   void sendKeptBody(const RequestId& aId, Attempt& aAttempt);
   void pumpBody();
   void restOfBodyRead(transport::BodyPart aPart);
+  void sendRest();
   void sendBodyChunk(std::string aData, bool aIsLast);
 
   void fail(wire::Outcome aOutcome, ErrorCode aCode, const std::string& aMessage,
@@ -132,6 +133,8 @@
   bool mIsReadingBody = false;
   bool mIsBodyOver = false; // The last part was sent with the current attempt.
   std::uint64_t mBodyBytes = 0;
+  std::string mRest; // Read from the caller and not yet covered by credit; at most two parts.
+  bool mIsRestLast = false;              // The body ends with mRest.
   std::optional<RequestId> mBodyAttempt; // The attempt that gets what lies beyond the kept part.
 };
 
--- a/packages/daemon/Metrics.cc
+++ b/packages/daemon/Metrics.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/Metrics.h"
 
+#include <limits>
 #include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
@@ -102,6 +103,8 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   std::ostringstream out;
+  // The default of 6 digits would freeze sums and gauges of bytes as soon as they are large.
+  out.precision(std::numeric_limits<double>::digits10);
   out << "# TYPE camphorcleat_target_answers_total counter\n"
       << "camphorcleat_target_answers_total " << mAnswered << "\n"
       << "# TYPE camphorcleat_owner_refusals_total counter\n";
--- /dev/null
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -0,0 +1,447 @@
+// Guards against truncated answers that look complete, wrong outcomes after a lost link, and bodies
+// that are held without bound.
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include "daemon/EntryExchange.h"
+#include "daemon/OwnerExchange.h"
+
+namespace camphorcleat::daemon {
+namespace {
+
+class FakeCaller : public transport::CallerStream
+{
+public:
+  const std::string& method() const override { return mMethod; }
+  const std::string& path() const override { return mPath; }
+  const std::vector<wire::Header>& headers() const override { return mHeaders; }
+  std::optional<std::uint64_t> contentLength() const override { return length; }
+  std::string callerAddress() const override { return "127.0.0.1:1"; }
+  void readBody(std::function<void(transport::BodyPart)> aCallback) override
+  {
+    REQUIRE_FALSE(reader); // One read at a time.
+    reader = std::move(aCallback);
+  }
+  void sendHead(unsigned aStatus, std::vector<wire::Header> /*aHeaders*/,
+                std::optional<std::uint64_t> /*aContentLength*/) override
+  {
+    REQUIRE(status == 0);
+    status = aStatus;
+  }
+  void sendBody(std::string aData, bool aIsLast, std::function<void(bool)> aDone) override
+  {
+    body += aData;
+    isComplete = isComplete || aIsLast;
+    done.push_back(std::move(aDone));
+  }
+  void sendWhole(unsigned aStatus, std::vector<wire::Header> aHeaders, std::string aBody) override
+  {
+    REQUIRE(status == 0);
+    status = aStatus;
+    body = std::move(aBody);
+    isComplete = true;
+    for (const auto& it : aHeaders) {
+      if (it.name == "Camphorcleat-Outcome") {
+        outcome = it.value;
+      }
+    }
+  }
+  void abort() override { isAborted = true; }
+  void onGone(std::function<void()> aCallback) override { gone = std::move(aCallback); }
+
+  void give(std::size_t aBytes, bool aIsLast)
+  {
+    REQUIRE(reader);
+    std::exchange(reader, nullptr)({ std::string(aBytes, 'x'), aIsLast, std::nullopt });
+  }
+
+  std::optional<std::uint64_t> length = 0;
+  std::function<void(transport::BodyPart)> reader;
+  std::function<void()> gone;
+  std::vector<std::function<void(bool)>> done;
+  unsigned status = 0;
+  std::string outcome;
+  std::string body;
+  bool isComplete = false;
+  bool isAborted = false;
+
+private:
+  std::string mMethod;
+  std::string mPath;
+  std::vector<wire::Header> mHeaders;
+};
+
+class FakeHost : public EntryExchangeHost
+{
+public:
+  NodeId route(const EntryExchange& /*aExchange*/, const std::vector<NodeId>& /*aExcluded*/,
+               bool /*aIsNewerNeeded*/) override
+  {
+    return owner;
+  }
+  RequestId newAttempt(const std::shared_ptr<EntryExchange>& /*aExchange*/,
+                       NodeId /*aNode*/) override
+  {
+    ids.push_back({ 77, ids.size() + 1 });
+    return ids.back();
+  }
+  transport::SendResult sendTo(NodeId /*aNode*/, wire::PeerMessage aMessage) override
+  {
+    if (status != transport::SendStatus::Accepted) {
+      return { status, 0 };
+    }
+    heads.push_back(std::get<wire::RequestHead>(aMessage));
+    return { status, 10 + heads.size() };
+  }
+  transport::SendStatus replyTo(transport::LinkId /*aLink*/, wire::PeerMessage aMessage) override
+  {
+    if (const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage)) {
+      chunks.push_back(*chunk);
+    } else if (const auto* credit = std::get_if<wire::Credit>(&aMessage)) {
+      credits.push_back(*credit);
+    } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage)) {
+      cancelled.push_back(cancel->id);
+    }
+    return transport::SendStatus::Accepted;
+  }
+  void attemptOver(const RequestId& /*aId*/, bool /*aWasAnswered*/) override {}
+  void finished(EntryExchange& /*aExchange*/, ErrorCode aCode) override
+  {
+    REQUIRE_FALSE(end);
+    end = aCode;
+  }
+
+  std::uint64_t sentBytes() const
+  {
+    std::uint64_t out = 0;
+    for (const auto& it : chunks) {
+      out += it.data.size();
+    }
+    return out;
+  }
+
+  NodeId owner = 2;
+  transport::SendStatus status = transport::SendStatus::Accepted;
+  std::vector<RequestId> ids;
+  std::vector<wire::RequestHead> heads;
+  std::vector<wire::BodyChunk> chunks;
+  std::vector<wire::Credit> credits;
+  std::vector<RequestId> cancelled;
+  std::optional<ErrorCode> end;
+};
+
+struct Run
+{
+  boost::asio::io_context io;
+  std::mt19937_64 random{ 5 };
+  traffic::RetryBudget budget;
+  traffic::HedgePolicy hedge;
+  FakeHost host;
+  std::shared_ptr<FakeCaller> caller = std::make_shared<FakeCaller>();
+  std::shared_ptr<EntryExchange> exchange;
+
+  explicit Run(const std::string& aMethod, std::optional<std::uint64_t> aLength = 0,
+               Millis aDeadline = Millis(10000))
+  {
+    caller->length = aLength;
+    wire::RequestHead head;
+    head.service = "lookup";
+    head.key = "k";
+    head.method = aMethod;
+    head.path = "/lookup/k";
+    exchange =
+      std::make_shared<EntryExchange>(host, io, caller, head, true, Clock::now() + aDeadline,
+                                      traffic::EntryShared{ budget, hedge, random });
+    exchange->start();
+  }
+
+  // Lets timers run until the request has ended; false after two seconds.
+  bool runToEnd()
+  {
+    const TimePoint limit = Clock::now() + Millis(2000);
+    while (!host.end && Clock::now() < limit) {
+      io.restart();
+      io.run_for(Millis(5));
+    }
+    return host.end.has_value();
+  }
+  bool runUntilAttempts(std::size_t aCount)
+  {
+    const TimePoint limit = Clock::now() + Millis(2000);
+    while (host.heads.size() < aCount && Clock::now() < limit) {
+      io.restart();
+      io.run_for(Millis(5));
+    }
+    return host.heads.size() >= aCount;
+  }
+  void answerHead()
+  {
+    exchange->handle(host.ids.back(), wire::ResponseHead{ host.ids.back(), 200, {} });
+  }
+  void answerBody(std::uint64_t aSequence, const std::string& aData, bool aIsLast,
+                  std::uint64_t aTotal)
+  {
+    wire::BodyChunk chunk;
+    chunk.id = host.ids.back();
+    chunk.direction = wire::Direction::ToCaller;
+    chunk.sequence = aSequence;
+    chunk.isLast = aIsLast;
+    chunk.totalBytes = aTotal;
+    chunk.data = Bytes(aData);
+    exchange->handle(chunk.id, chunk);
+  }
+  void refuse(wire::Outcome aOutcome, ErrorCode aCode)
+  {
+    wire::RequestFailed failed;
+    failed.id = host.ids.back();
+    failed.outcome = aOutcome;
+    failed.code = aCode;
+    failed.message = "test";
+    exchange->handle(failed.id, failed);
+  }
+  void checkCut() const
+  {
+    CHECK(caller->isAborted);
+    CHECK_FALSE(caller->isComplete);
+    CHECK(host.end == ErrorCode::AnswerTruncated);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a whole answer reaches the caller, and credit follows what the socket took")
+{
+  Run run("GET");
+  run.answerHead();
+  run.answerBody(0, "hello ", false, 0);
+  CHECK(run.host.credits.empty());
+  run.caller->done.at(0)(true);
+  REQUIRE(run.host.credits.size() == 1);
+  CHECK(run.host.credits[0].bytes == 6);
+  run.answerBody(1, "world", true, 11);
+  CHECK(run.caller->body == "hello world");
+  CHECK(run.caller->isComplete);
+  CHECK_FALSE(run.caller->isAborted);
+  CHECK(run.host.end == ErrorCode::None);
+  CHECK(run.host.cancelled.empty());
+}
+
+TEST_CASE("a chunk out of order cuts the answer and cancels the attempt")
+{
+  Run run("GET");
+  run.answerHead();
+  run.answerBody(0, "a", false, 0);
+  run.answerBody(2, "c", true, 3);
+  run.checkCut();
+  CHECK(run.host.cancelled == run.host.ids);
+}
+
+TEST_CASE("a chunk that comes twice cuts the answer")
+{
+  Run run("GET");
+  run.answerHead();
+  run.answerBody(0, "a", false, 0);
+  run.answerBody(0, "a", false, 0);
+  run.checkCut();
+}
+
+TEST_CASE("an end whose total differs from what arrived cuts the answer")
+{
+  Run run("GET");
+  run.answerHead();
+  run.answerBody(0, "abc", true, 4);
+  run.checkCut();
+}
+
+TEST_CASE("an answer without its end is cut, not retried")
+{
+  Run run("GET");
+  run.answerHead();
+  run.answerBody(0, "a", false, 0);
+  SECTION("the owner says so")
+  {
+    run.refuse(wire::Outcome::Unknown, ErrorCode::AnswerTruncated);
+  }
+  SECTION("the link is lost")
+  {
+    run.exchange->linkLost(run.host.ids.back(), false);
+  }
+  run.checkCut();
+  CHECK(run.host.heads.size() == 1);
+}
+
+TEST_CASE("messages of another request change nothing")
+{
+  Run run("GET");
+  const RequestId other{ 78, 1 };
+  run.exchange->handle(other, wire::ResponseHead{ other, 500, {} });
+  wire::BodyChunk chunk;
+  chunk.id = other;
+  chunk.isLast = true;
+  run.exchange->handle(other, chunk);
+  run.exchange->linkLost(other, false);
+  CHECK(run.caller->status == 0);
+  CHECK_FALSE(run.host.end);
+}
+
+TEST_CASE("a lost link leaves the outcome of a POST unknown")
+{
+  Run run("POST");
+  run.exchange->linkLost(run.host.ids.back(), false);
+  CHECK(run.caller->status == 502);
+  CHECK(run.caller->outcome == "unknown");
+  CHECK(run.host.heads.size() == 1);
+}
+
+TEST_CASE("a link that never opened leaves a POST not run, and another attempt is made")
+{
+  Run run("POST", 0, Millis(400));
+  run.exchange->linkLost(run.host.ids.back(), true);
+  REQUIRE(run.runUntilAttempts(2));
+  CHECK_FALSE(run.host.heads[1].isResend);
+  CHECK(run.host.heads[0].id != run.host.heads[1].id);
+  run.host.status = transport::SendStatus::Unreachable;
+  run.exchange->linkLost(run.host.ids.back(), true);
+  REQUIRE(run.runToEnd());
+  CHECK(run.caller->outcome == "not-run");
+}
+
+TEST_CASE("an idempotent request is sent again after a lost link, marked as a resend")
+{
+  Run run("GET");
+  run.exchange->linkLost(run.host.ids.back(), false);
+  REQUIRE(run.runUntilAttempts(2));
+  CHECK(run.host.heads[1].isResend);
+  run.answerHead();
+  run.answerBody(0, "ok", true, 2);
+  CHECK(run.caller->body == "ok");
+  CHECK(run.host.end == ErrorCode::None);
+}
+
+TEST_CASE("a request that may have run never ends as not run")
+{
+  Run run("GET", 0, Millis(300));
+  run.exchange->linkLost(run.host.ids.back(), false);
+  run.host.status = transport::SendStatus::Full;
+  REQUIRE(run.runToEnd());
+  CHECK(run.caller->outcome == "unknown");
+}
+
+TEST_CASE("a full link is a refusal that is true")
+{
+  Run run("POST", 0, Millis(200));
+  CHECK(run.host.heads.size() == 1);
+  run.host.status = transport::SendStatus::Full;
+  run.refuse(wire::Outcome::NotRun, ErrorCode::NotOwner);
+  REQUIRE(run.runToEnd());
+  CHECK(run.caller->outcome == "not-run");
+  CHECK(run.caller->status == 503);
+}
+
+TEST_CASE("beyond the kept part, the body is read only against the owner's credit")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes, false);
+  REQUIRE(run.host.heads.size() == 1);
+  CHECK(run.host.sentBytes() == kFirstCreditBytes);
+  CHECK_FALSE(run.caller->reader);
+  run.exchange->handle(run.host.ids[0],
+                       wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 1000 });
+  REQUIRE(run.caller->reader);
+  run.caller->give(1000, false);
+  CHECK(run.host.sentBytes() == kFirstCreditBytes + 1000);
+  CHECK_FALSE(run.caller->reader);
+  run.exchange->handle(run.host.ids[0],
+                       wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 1000 });
+  run.caller->give(10, true);
+  REQUIRE(run.host.chunks.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(run.host.chunks[i].sequence == i);
+    CHECK(run.host.chunks[i].isLast == (i == 2));
+  }
+  CHECK(run.host.chunks.back().totalBytes == kFirstCreditBytes + 1010);
+}
+
+TEST_CASE("the parts of a body never exceed the credit")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes, false);
+  run.exchange->handle(run.host.ids[0],
+                       wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 1000 });
+  // The stream hands out parts of its own size, whatever credit is left.
+  run.caller->give(kFirstCreditBytes, false);
+  CHECK(run.host.sentBytes() <= kFirstCreditBytes + 1000);
+}
+
+TEST_CASE("a kept part that exceeds the first credit waits for more, and is sent whole")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes - 1, false);
+  run.caller->give(5000, true);
+  CHECK(run.host.sentBytes() == kFirstCreditBytes);
+  CHECK_FALSE(run.host.chunks.back().isLast);
+  const RequestId id = run.host.ids[0];
+  run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 4000 });
+  CHECK(run.host.sentBytes() == kFirstCreditBytes + 4000);
+  run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 4000 });
+  CHECK(run.host.sentBytes() == kFirstCreditBytes + 4999);
+  REQUIRE(run.host.chunks.size() == 3);
+  CHECK(run.host.chunks[2].sequence == 2);
+  CHECK(run.host.chunks[2].isLast);
+  CHECK(run.host.chunks[2].totalBytes == kFirstCreditBytes + 4999);
+}
+
+TEST_CASE("an empty end of a body needs no credit")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes, false);
+  const RequestId id = run.host.ids[0];
+  run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 10 });
+  run.caller->give(10, false);
+  run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 10 });
+  run.caller->give(0, true);
+  CHECK(run.host.chunks.back().isLast);
+  CHECK(run.host.chunks.back().totalBytes == kFirstCreditBytes + 10);
+}
+
+TEST_CASE("a body that is partly gone isn't sent again as if it were whole")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes, false);
+  run.exchange->handle(run.host.ids[0],
+                       wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 5000 });
+  run.caller->give(5000, false);
+  run.exchange->linkLost(run.host.ids[0], false);
+  REQUIRE(run.runToEnd());
+  CHECK(run.host.heads.size() == 1);
+  CHECK(run.caller->outcome == "unknown");
+}
+
+TEST_CASE("a kept body is sent again whole, with its own chunk numbers")
+{
+  Run run("PUT", 100);
+  run.caller->give(100, true);
+  run.exchange->linkLost(run.host.ids.back(), false);
+  REQUIRE(run.runUntilAttempts(2));
+  REQUIRE(run.host.chunks.size() == 2);
+  for (std::size_t i = 0; i < 2; ++i) {
+    CHECK(run.host.chunks[i].id == run.host.ids[i]);
+    CHECK(run.host.chunks[i].sequence == 0);
+    CHECK(run.host.chunks[i].isLast);
+    CHECK(run.host.chunks[i].totalBytes == 100);
+  }
+}
+
+TEST_CASE("a caller that leaves cancels its attempt")
+{
+  Run run("GET");
+  run.caller->gone();
+  CHECK(run.host.cancelled == run.host.ids);
+  CHECK(run.host.end == ErrorCode::Cancelled);
+  run.answerHead();
+  CHECK(run.caller->status == 0);
+}
+
+} // namespace camphorcleat::daemon
--- /dev/null
+++ b/packages/daemon/testing/MetricsTest.cc
@@ -0,0 +1,114 @@
+// Guards against metrics that grow with what callers send, and against text that no scraper reads.
+
+#include <regex>
+#include <set>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "daemon/Metrics.h"
+
+namespace camphorcleat::daemon {
+namespace {
+
+std::size_t linesWith(const std::string& aText, const std::string& aPart)
+{
+  std::size_t out = 0;
+  std::istringstream in(aText);
+  for (std::string line; std::getline(in, line);) {
+    out += line.find(aPart) != std::string::npos ? 1 : 0;
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("the number of series is bounded and the rest counts as other")
+{
+  Metrics metrics;
+  for (int i = 0; i < 5000; ++i) {
+    metrics.countEntry("lookup", "account-" + std::to_string(i), ErrorCode::None, Millis(1));
+  }
+  const std::string text = metrics.render();
+  CHECK(linesWith(text, "camphorcleat_entry_latency_seconds_count{") == 2049);
+  CHECK(text.find("camphorcleat_entry_latency_seconds_count{service=\"other\",account=\"other\"} "
+                  "2952\n") != std::string::npos);
+  CHECK(text.find("camphorcleat_entry_requests_total{code=\"none\"} 5000\n") != std::string::npos);
+}
+
+TEST_CASE("refused requests open no series")
+{
+  Metrics metrics;
+  for (int i = 0; i < 100; ++i) {
+    metrics.countEntry("s" + std::to_string(i), "a", ErrorCode::UnknownService, Millis(1));
+  }
+  const std::string text = metrics.render();
+  CHECK(linesWith(text, "latency_seconds_count") == 0);
+  CHECK(linesWith(text, "s99") == 0);
+  CHECK(text.find("camphorcleat_entry_requests_total{code=\"unknown_service\"} 100\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("counters and gauges show what was counted")
+{
+  Metrics metrics;
+  metrics.countAnswered();
+  metrics.countAnswered();
+  metrics.countRefusal(ErrorCode::QueueFull);
+  metrics.countEntry("lookup", "acme", ErrorCode::None, Millis(250));
+  metrics.addGauge("camphorcleat_queue", "Requests that wait.", [] { return 3.5; });
+  const std::string text = metrics.render();
+  for (const char* it :
+       { "camphorcleat_target_answers_total 2\n",
+         "camphorcleat_owner_refusals_total{code=\"queue_full\"} 1\n",
+         "camphorcleat_entry_latency_seconds_sum{service=\"lookup\",account=\"acme\"} 0.25\n",
+         "# HELP camphorcleat_queue Requests that wait.\n# TYPE camphorcleat_queue gauge\n"
+         "camphorcleat_queue 3.5\n" }) {
+    INFO(it);
+    CHECK(text.find(it) != std::string::npos);
+  }
+}
+
+TEST_CASE("each line is a sample or a comment of the text format, and each type stands once")
+{
+  Metrics metrics;
+  metrics.countAnswered();
+  metrics.countRefusal(ErrorCode::OverRate);
+  for (int i = 0; i < 20; ++i) {
+    metrics.countEntry("lookup", "acme", ErrorCode::None, Micros(100 * i));
+    metrics.countEntry("", "", ErrorCode::None, Micros(i));
+  }
+  metrics.addGauge("camphorcleat_queue", "Requests that wait.", [] { return 1e9; });
+  const std::string text = metrics.render();
+  const std::regex sample(
+    R"(^[a-z_]+(\{[a-z_]+="[^"\\]*"(,[a-z_]+="[^"\\]*")*\})? (-?[0-9][0-9.e+-]*|NaN|[+-]Inf)$)");
+  const std::regex comment(R"(^# (TYPE [a-z_]+ (counter|gauge|summary)|HELP [a-z_]+ .+)$)");
+  std::set<std::string> seen;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) {
+    INFO(line);
+    const bool isComment = line.front() == '#';
+    CHECK(std::regex_match(line, isComment ? comment : sample));
+    CHECK(seen.insert(isComment ? line : line.substr(0, line.rfind(' '))).second);
+  }
+  CHECK(text.back() == '\n');
+}
+
+TEST_CASE("large counts keep all their digits")
+{
+  Metrics metrics;
+  metrics.addGauge("camphorcleat_bytes", "Bytes.", [] { return 123456789.0; });
+  CHECK(metrics.render().find("camphorcleat_bytes 123456789\n") != std::string::npos);
+}
+
+TEST_CASE("the rate of answers is that of the last whole second")
+{
+  Metrics metrics;
+  metrics.answeredPerSecond(); // Marks the start.
+  for (int i = 0; i < 100; ++i) {
+    metrics.countAnswered();
+  }
+  CHECK(metrics.answeredPerSecond() == 0); // That second isn't over.
+}
+
+} // namespace camphorcleat::daemon
