--- a/packages/harness/Evidence.h
+++ b/packages/harness/Evidence.h
@@ -44,6 +44,22 @@
   std::int64_t atUs = 0;
 };
 
+/// How long an accepted configuration took to reach every running daemon.
+struct ConfigSpread
+{
+  std::string command;
+  std::int64_t acceptedUs = 0;
+  std::int64_t everywhereUs = 0;
+};
+
+/// A setting that an operator was told is accepted, and what the fleet says of it at the end.
+struct AcknowledgedSetting
+{
+  std::string object; ///< For example "rate of account acme".
+  std::string expected;
+  std::optional<std::string> found; ///< Absent if the object doesn't exist.
+};
+
 struct Evidence
 {
   std::vector<TargetEvent> events; ///< Of all targets, ordered by time; see sortEvents().
@@ -52,7 +68,10 @@
   std::vector<Loss> losses;
   std::vector<ZoneOut> zonesOut;
   std::vector<Withdrawal> withdrawals;
+  std::vector<ConfigSpread> spreads;
+  std::vector<AcknowledgedSetting> acknowledged; ///< The latest setting of each object.
   std::map<NodeId, std::string> zoneOfTarget;
+  std::map<NodeId, std::string> serviceOfTarget;
   std::uint64_t secretsInFiles = 0; ///< Lines of logs and data files that contain an account key.
 };
 
--- a/packages/harness/Fleet.cc
+++ b/packages/harness/Fleet.cc
@@ -24,8 +24,13 @@
 struct StatusAnswer
 {
   std::string role;
+  std::optional<Revision> revision; ///< Applied by the daemon's own view.
 
-  static constexpr auto fields() { return std::make_tuple(field("role", &StatusAnswer::role)); }
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("role", &StatusAnswer::role),
+                           field("revision", &StatusAnswer::revision));
+  }
 };
 
 struct OwnersAnswer
@@ -57,15 +62,20 @@
   return out.str();
 }
 
-bool isLeader(const NodeLayout& aNode)
+// What a daemon says of itself; empty if it doesn't answer.
+StatusAnswer statusOf(const NodeLayout& aNode)
 {
   return orElse(
-    [&]() -> Result<bool> {
+    [&]() -> Result<StatusAnswer> {
       BOOST_LEAF_AUTO(reply, httpCall(aNode.operators, "GET", "/status", "", Millis(300)));
-      BOOST_LEAF_AUTO(status, fromJson<StatusAnswer>(reply.body));
-      return status.role == "leader";
+      return fromJson<StatusAnswer>(reply.body);
     },
-    [](const ErrorInfo&) { return false; });
+    [](const ErrorInfo&) { return StatusAnswer(); });
+}
+
+bool isLeader(const NodeLayout& aNode)
+{
+  return statusOf(aNode).role == "leader";
 }
 
 } // namespace
@@ -203,6 +213,19 @@
   return {};
 }
 
+Result<void> Fleet::waitRevision(Revision aRevision)
+{
+  const std::string text = std::to_string(aRevision);
+  for (const auto& it : mLayout.nodes()) {
+    const std::string what = "node " + std::to_string(it.id) + " to apply revision " + text;
+    BOOST_LEAF_CHECK(pauseUntil(what, kReadyTimeout, [&] {
+      return !mProcesses.isRunning(mDaemons[it.id]) ||
+             statusOf(it).revision.value_or(0) >= aRevision;
+    }));
+  }
+  return {};
+}
+
 Result<CommandResult> Fleet::command(const std::string& aText)
 {
   const std::string output = mFolders.work + "/ctl/" + std::to_string(++mCommands) + ".txt";
--- a/packages/harness/Fleet.h
+++ b/packages/harness/Fleet.h
@@ -48,6 +48,9 @@
   /// Waits until every running daemon says that it is ready.
   Result<void> waitReady();
 
+  /// Waits until every running daemon says that it has applied a revision.
+  Result<void> waitRevision(Revision aRevision);
+
   /// Runs one operators' statement with camphorcleatctl.
   Result<CommandResult> command(const std::string& aText);
 
--- a/packages/harness/Measures.cc
+++ b/packages/harness/Measures.cc
@@ -48,6 +48,18 @@
   return countOf(aEvidence, aLoads, R);
 }
 
+// Calls that were cut off: no whole answer, and no statement that they did not run.
+Figure cutCount(const Evidence& aEvidence, const Arguments& aLoads)
+{
+  Figure out = countOf(aEvidence, aLoads, CallResult::Unknown);
+  for (const CallResult it : { CallResult::Other, CallResult::Unreachable, CallResult::Wrong }) {
+    if (out.value) {
+      *out.value += *countOf(aEvidence, aLoads, it).value;
+    }
+  }
+  return out;
+}
+
 Figure refusedShare(const Evidence& aEvidence, const Arguments& aLoads)
 {
   Figure out = countOf(aEvidence, aLoads, CallResult::Refused);
@@ -115,10 +127,14 @@
   using Unit = MeasureUnit;
   using Result = CallResult;
   static const std::vector<Measure> sMeasures = {
+    { "config_everywhere_ms", Unit::Millis, "", withoutArguments<configEverywhereMs> },
+    { "cut_count", Unit::Count, "[LOAD...]", cutCount },
     { "double_owner_count", Unit::Count, "", withoutArguments<doubleOwnerCount> },
     { "duplicate_run_count", Unit::Count, "", withoutArguments<duplicateRunCount> },
     { "excess_count", Unit::Count, "", withoutArguments<excessCount> },
     { "false_not_run_count", Unit::Count, "", withoutArguments<falseNotRunCount> },
+    { "imbalance", Unit::Ratio, "[LOAD...]", imbalance },
+    { "lost_ack_count", Unit::Count, "", withoutArguments<lostAckCount> },
     { "other", Unit::Count, "[LOAD...]", count<Result::Other> },
     { "over_rate_count", Unit::Count, "", withoutArguments<overRateCount> },
     { "overlap_run_count", Unit::Count, "", withoutArguments<overlapRunCount> },
--- a/packages/harness/Measures.h
+++ b/packages/harness/Measures.h
@@ -59,6 +59,8 @@
 Figure overRateCount(const Evidence& aEvidence);
 /// Arrivals at targets that could bear no more at that moment.
 Figure excessCount(const Evidence& aEvidence);
+/// Accepted settings that the fleet no longer has at the end (R2).
+Figure lostAckCount(const Evidence& aEvidence);
 /// Account keys seen by targets, in files and in failure messages.
 Figure secretSeenCount(const Evidence& aEvidence);
 
@@ -73,6 +75,13 @@
 /// The worst account's served calls divided by its max-min fair share of all served calls.
 Figure worstAccountRatio(const Evidence& aEvidence, const std::vector<std::string>& aLoads);
 
+/// Longest time from the acceptance of a setting until every running daemon had applied it. Only
+/// settings that a `wait config` followed count.
+Figure configEverywhereMs(const Evidence& aEvidence);
+/// Starts of the loads' requests at the most loaded target, divided by the mean over all targets of
+/// their service, so a target without any start counts.
+Figure imbalance(const Evidence& aEvidence, const std::vector<std::string>& aLoads);
+
 } // namespace camphorcleat::harness
 
 #endif // CAMPHORCLEAT_HARNESS_MEASURES_H_
--- a/packages/harness/SafetyMeasures.cc
+++ b/packages/harness/SafetyMeasures.cc
@@ -271,6 +271,17 @@
   return out.figure(starts(aEvidence).size(), "starts");
 }
 
+Figure lostAckCount(const Evidence& aEvidence)
+{
+  Violations out;
+  for (const auto& it : aEvidence.acknowledged) {
+    if (it.found != it.expected) {
+      out.add(it.object + ": accepted " + it.expected + ", found " + it.found.value_or("nothing"));
+    }
+  }
+  return out.figure(aEvidence.acknowledged.size(), "accepted settings");
+}
+
 Figure secretSeenCount(const Evidence& aEvidence)
 {
   Violations out;
--- a/packages/harness/Scenario.h
+++ b/packages/harness/Scenario.h
@@ -99,6 +99,10 @@
 struct WaitReadyStatement
 {};
 
+/// `wait config`: until every running daemon has applied the last accepted operators' command.
+struct WaitConfigStatement
+{};
+
 /// Which VMs a statement means.
 struct NodeReference
 {
@@ -204,7 +208,7 @@
 using StatementBody =
   std::variant<FleetStatement, ServiceStatement, StartStatement, OperatorStatement,
                AccountStatement, LoadStatement, WaitStatement, WaitOwnedStatement,
-               WaitLoadsStatement, WaitReadyStatement, ProcessStatement, CutStatement,
+               WaitLoadsStatement, WaitReadyStatement, WaitConfigStatement, ProcessStatement, CutStatement,
                HealStatement, SilenceStatement, ResetStatement, DelayStatement, TargetStatement,
                ExpectStatement>;
 
--- a/packages/harness/ScenarioParser.cc
+++ b/packages/harness/ScenarioParser.cc
@@ -216,6 +216,10 @@
   "wait ready"
 } = keyword("wait") >> keyword("ready") >> x3::attr(WaitReadyStatement());
 
+const auto kWaitConfig = x3::rule<struct WaitConfigTag, WaitConfigStatement>{
+  "wait config"
+} = keyword("wait") >> keyword("config") >> x3::attr(WaitConfigStatement());
+
 const auto kWait = x3::rule<struct WaitTag, WaitStatement>{ "wait" } =
   keyword("wait") > kDuration[set(&WaitStatement::duration)];
 
@@ -332,7 +336,7 @@
 // In two groups: one alternative of all statements takes the compiler much longer.
 const auto kSetUp = x3::rule<struct SetUpTag, StatementBody>{ "statement" } =
   kFleet[kStore] | kService[kStore] | kStart[kStore] | kOperator[kStore] | kAccount[kStore] |
-  kLoad[kStore] | kWaitOwned[kStore] | kWaitLoads[kStore] | kWaitReady[kStore] | kWait[kStore];
+  kLoad[kStore] | kWaitOwned[kStore] | kWaitLoads[kStore] | kWaitReady[kStore] | kWaitConfig[kStore] | kWait[kStore];
 
 const auto kFault = x3::rule<struct FaultTag, StatementBody>{ "statement" } =
   kProcess[kStore] | kCut[kStore] | kHeal[kStore] | kSilence[kStore] | kReset[kStore] |
--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -55,6 +55,84 @@
   static constexpr auto fields() { return std::make_tuple(field("result", &KeyAnswer::result)); }
 };
 
+struct CommandAnswer
+{
+  std::optional<Revision> revision;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("revision", &CommandAnswer::revision));
+  }
+};
+
+// Answers of the queries that show settings.
+
+struct AccountShown
+{
+  std::string name;
+  double requestsPerSecond = 0;
+  double burstRequests = 0;
+  std::vector<std::string> keys;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("name", &AccountShown::name),
+                           field("requests_per_second", &AccountShown::requestsPerSecond),
+                           field("burst_requests", &AccountShown::burstRequests),
+                           field("keys", &AccountShown::keys));
+  }
+};
+
+struct ZoneShown
+{
+  std::string name;
+  bool isOut = false;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("name", &ZoneShown::name), field("out", &ZoneShown::isOut));
+  }
+};
+
+struct ServiceShown
+{
+  std::string name;
+
+  static constexpr auto fields() { return std::make_tuple(field("name", &ServiceShown::name)); }
+};
+
+struct SettingsShown
+{
+  // Each query answers with one of them.
+  std::optional<std::vector<AccountShown>> accounts;
+  std::optional<std::vector<ZoneShown>> zones;
+  std::optional<std::vector<ServiceShown>> services;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("accounts", &SettingsShown::accounts),
+                           field("zones", &SettingsShown::zones),
+                           field("services", &SettingsShown::services));
+  }
+};
+
+struct SettingsEnvelope
+{
+  SettingsShown result;
+
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("result", &SettingsEnvelope::result));
+  }
+};
+
+std::string rateText(double aRate, double aBurst)
+{
+  std::ostringstream out;
+  out << aRate << "/s burst " << aBurst;
+  return out.str();
+}
+
 std::vector<std::string> words(const std::string& aText)
 {
   std::istringstream in(aText);
@@ -164,6 +242,9 @@
   BOOST_LEAF_AUTO(layout, FleetLayout::make(mFleetPlan, mPorts));
   for (const auto& it : layout.nodes()) {
     mEvidence.zoneOfTarget[it.id] = it.zone;
+    if (it.service) {
+      mEvidence.serviceOfTarget[it.id] = it.service->name;
+    }
   }
   mFleet.emplace(std::move(layout), mFolders, mSeed, mProcesses);
   return mFleet->start();
@@ -185,6 +266,9 @@
     return fail(HarnessError{ "camphorcleatctl exited with status " +
                               std::to_string(result.exitStatus) + ": " + result.output });
   }
+  const std::int64_t acceptedUs = monotonicMicros();
+  BOOST_LEAF_AUTO(answer, fromJson<CommandAnswer>(result.output));
+  mLastAccepted = AcceptedCommand{ aOperator.text, acceptedUs, answer.revision.value_or(0) };
   return noteCommand(aOperator.text, atUs);
 }
 
@@ -197,7 +281,9 @@
   };
   if (is("zone", "out", 3)) {
     mEvidence.zonesOut.push_back({ parts[2], aAtUs, std::nullopt });
+    acknowledge("zone " + parts[2], "out");
   } else if (is("zone", "in", 3)) {
+    acknowledge("zone " + parts[2], "in");
     for (auto& it : mEvidence.zonesOut) {
       if (it.zone == parts[2] && !it.untilUs) {
         it.untilUs = aAtUs;
@@ -205,8 +291,55 @@
     }
   } else if (is("withdraw", "key", 3)) {
     mEvidence.withdrawals.push_back({ parts[2], aAtUs });
+    if (parts.size() > 3) {
+      acknowledge("key " + parts[2] + " " + parts[3], "withdrawn");
+    }
   } else if (is("set", "rate", 6) && parts[4] == "burst") {
     mEvidence.rates[parts[2]].push_back({ aAtUs, std::stod(parts[3]), std::stod(parts[5]) });
+    acknowledge("rate " + parts[2], rateText(std::stod(parts[3]), std::stod(parts[5])));
+  } else if (is("create", "service", 3)) {
+    acknowledge("service " + parts[2], "there");
+  }
+  return {};
+}
+
+void ScenarioRunner::acknowledge(const std::string& aObject, const std::string& aExpected)
+{
+  mAcknowledged[aObject] = aExpected;
+}
+
+// Asks the fleet for the settings that were accepted.
+Result<void> ScenarioRunner::collectAcknowledged()
+{
+  std::map<std::string, std::string> found;
+  for (const char* query : { "show accounts", "show zones", "show services" }) {
+    BOOST_LEAF_AUTO(result, mFleet->command(query));
+    if (result.exitStatus != 0) {
+      return fail(HarnessError{ std::string(query) + " failed: " + result.output });
+    }
+    BOOST_LEAF_AUTO(envelope, fromJson<SettingsEnvelope>(result.output));
+    for (const auto& it : envelope.result.accounts.value_or(std::vector<AccountShown>())) {
+      found["rate " + it.name] = rateText(it.requestsPerSecond, it.burstRequests);
+      for (const auto& key : it.keys) {
+        found["key " + it.name + " " + key] = "there";
+      }
+    }
+    for (const auto& it : envelope.result.zones.value_or(std::vector<ZoneShown>())) {
+      found["zone " + it.name] = it.isOut ? "out" : "in";
+    }
+    for (const auto& it : envelope.result.services.value_or(std::vector<ServiceShown>())) {
+      found["service " + it.name] = "there";
+    }
+  }
+  mEvidence.acknowledged.clear();
+  for (const auto& [object, expected] : mAcknowledged) {
+    AcknowledgedSetting setting{ object, expected, std::nullopt };
+    if (const auto it = found.find(object); it != found.end()) {
+      setting.found = it->second;
+    } else if (expected == "withdrawn") {
+      setting.found = expected;
+    }
+    mEvidence.acknowledged.push_back(std::move(setting));
   }
   return {};
 }
@@ -234,6 +367,8 @@
       mAccountKeys[aName] = answer.result.generatedKeys.front().value;
     }
   }
+  acknowledge("rate " + aName, rateText(aRate, aBurst));
+  acknowledge("key " + aName + " main", "there");
   mEvidence.rates[aName].push_back({ monotonicMicros(), aRate, aBurst });
   return mFleet->watchSecret(mAccountKeys[aName]);
 }
@@ -313,6 +448,17 @@
   return mFleet->waitReady();
 }
 
+Result<void> ScenarioRunner::execute(const WaitConfigStatement&)
+{
+  if (!mLastAccepted) {
+    return fail(HarnessError{ "no operators' command was accepted yet" });
+  }
+  BOOST_LEAF_CHECK(mFleet->waitRevision(mLastAccepted->revision));
+  mEvidence.spreads.push_back(
+    { mLastAccepted->text, mLastAccepted->acceptedUs, monotonicMicros() });
+  return {};
+}
+
 const ServiceStatement* ScenarioRunner::keyedService() const
 {
   const auto it = std::find_if(mFleetPlan.services.begin(), mFleetPlan.services.end(),
@@ -586,6 +732,9 @@
 Result<void> ScenarioRunner::execute(const ExpectStatement& aExpect)
 {
   BOOST_LEAF_CHECK(collectEvidence());
+  if (aExpect.measure == "lost_ack_count") {
+    BOOST_LEAF_CHECK(collectAcknowledged());
+  }
   const Figure figure = findMeasure(aExpect.measure)->compute(mEvidence, aExpect.arguments);
   Verdict verdict;
   verdict.line = mStatement->line;
--- a/packages/harness/ScenarioRunner.h
+++ b/packages/harness/ScenarioRunner.h
@@ -26,6 +26,14 @@
   Millis probeDuration{ 6000 };
 };
 
+/// The last change that an operator was told is accepted.
+struct AcceptedCommand
+{
+  std::string text;
+  std::int64_t acceptedUs = 0;
+  Revision revision = 0;
+};
+
 /// Not thread-safe. All processes that it starts are ended when it is destroyed.
 class ScenarioRunner
 {
@@ -48,6 +56,7 @@
   Result<void> execute(const WaitOwnedStatement& aWait);
   Result<void> execute(const WaitLoadsStatement& aWait);
   Result<void> execute(const WaitReadyStatement& aWait);
+  Result<void> execute(const WaitConfigStatement& aWait);
   Result<void> execute(const ProcessStatement& aProcess);
   Result<void> execute(const CutStatement& aCut);
   Result<void> execute(const HealStatement& aHeal);
@@ -68,6 +77,8 @@
   Result<std::vector<std::string>> keysOf(const std::string& aService, NodeId aNode);
   std::vector<std::string> entries(NodeId aVia, NodeId aExcept) const;
   const ServiceStatement* keyedService() const;
+  void acknowledge(const std::string& aObject, const std::string& aExpected);
+  Result<void> collectAcknowledged();
   Result<void> collectEvidence();
   void checkProcesses();
 
@@ -82,6 +93,8 @@
   std::optional<Fleet> mFleet;
   std::map<std::string, std::string> mAccountKeys;
   Evidence mEvidence;
+  std::map<std::string, std::string> mAcknowledged; ///< Latest accepted value by object.
+  std::optional<AcceptedCommand> mLastAccepted;
   bool mIsEvidenceFresh = false;
   const Statement* mStatement = nullptr; ///< The one that is executed now.
 };
--- a/packages/harness/ServiceMeasures.cc
+++ b/packages/harness/ServiceMeasures.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "harness/Measures.h"
+#include "harness/UrlQuery.h"
 
 namespace camphorcleat::harness {
 
@@ -172,6 +173,54 @@
   return out;
 }
 
+Figure configEverywhereMs(const Evidence& aEvidence)
+{
+  Figure out{ std::nullopt, "no 'wait config' followed an accepted setting" };
+  for (const auto& it : aEvidence.spreads) {
+    const double took = toMs(it.everywhereUs - it.acceptedUs);
+    if (!out.value || took > *out.value) {
+      out = { took, it.command };
+    }
+  }
+  return out;
+}
+
+Figure imbalance(const Evidence& aEvidence, const std::vector<std::string>& aLoads)
+{
+  std::set<std::string> wanted;
+  std::string service;
+  for (const auto& it : aEvidence.calls) {
+    if (std::count(aLoads.begin(), aLoads.end(), it.load) > 0) {
+      wanted.insert(it.id);
+      service = it.service;
+    }
+  }
+  std::map<NodeId, double> starts;
+  for (const auto& [target, name] : aEvidence.serviceOfTarget) {
+    if (name == service) {
+      starts[target] = 0;
+    }
+  }
+  double total = 0;
+  for (const auto& it : aEvidence.events) {
+    if (it.kind == TargetEventKind::Start &&
+        wanted.count(UrlQuery(it.path).text("id").value_or("")) > 0) {
+      ++starts[it.target];
+      ++total;
+    }
+  }
+  if (total == 0) {
+    return { std::nullopt, "no starts of these loads" };
+  }
+  const auto most =
+    std::max_element(starts.begin(), starts.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  const double mean = total / static_cast<double>(starts.size());
+  return { most->second / mean, "target " + std::to_string(most->first) + " of " +
+                                  std::to_string(starts.size()) + " targets" };
+}
+
 Figure worstAccountRatio(const Evidence& aEvidence, const std::vector<std::string>& aLoads)
 {
   std::set<std::string> probes;
--- a/packages/harness/testing/MeasuresTest.cc
+++ b/packages/harness/testing/MeasuresTest.cc
@@ -367,4 +367,45 @@
   REQUIRE(events[2].timeUs == 6 * kMs);
 }
 
+TEST_CASE("an accepted setting that is gone or changed at the end is counted (R2)")
+{
+  Evidence evidence;
+  evidence.acknowledged = { { "rate acme", "20/s burst 10", "20/s burst 10" } };
+  REQUIRE(valueOf("lost_ack_count", evidence) == 0);
+  evidence.acknowledged.push_back({ "zone b", "out", "in" });
+  evidence.acknowledged.push_back({ "service storefront", "there", std::nullopt });
+  REQUIRE(valueOf("lost_ack_count", evidence) == 2);
+}
+
+TEST_CASE("the slowest spread of a setting counts (R12)")
+{
+  Evidence evidence;
+  evidence.spreads = { { "set rate a 1 burst 1", 100 * kMs, 140 * kMs } };
+  REQUIRE(valueOf("config_everywhere_ms", evidence) == 40);
+  evidence.spreads.push_back({ "zone out b", 200 * kMs, 6200 * kMs });
+  REQUIRE(valueOf("config_everywhere_ms", evidence) == 6000);
+}
+
+TEST_CASE("calls without a whole answer or a statement that they did not run are cut (R11)")
+{
+  Evidence evidence;
+  evidence.calls = { call("c1", 0, 5, CallResult::Served), call("c2", 0, 5, CallResult::Refused) };
+  REQUIRE(valueOf("cut_count", evidence) == 0);
+  evidence.calls.push_back(call("c3", 0, 5, CallResult::Unknown));
+  evidence.calls.push_back(call("c4", 0, 5, CallResult::Unreachable));
+  evidence.calls.push_back(call("c5", 0, 5, CallResult::Other));
+  REQUIRE(valueOf("cut_count", evidence) == 3);
+}
+
+TEST_CASE("a target that gets more than its share shows as imbalance, and an idle one too (R18)")
+{
+  Evidence evidence;
+  evidence.serviceOfTarget = { { 1, "storefront" }, { 2, "storefront" }, { 3, "artroom" } };
+  evidence.calls = { call("c1", 1, 5, CallResult::Served), call("c2", 2, 5, CallResult::Served) };
+  evidence.events = { start(1, 1, "k1", 1), start(2, 2, "k2", 2) };
+  REQUIRE(valueOf("imbalance", evidence, { "shoppers" }) == 1);
+  evidence.events[1].target = 1;
+  REQUIRE(valueOf("imbalance", evidence, { "shoppers" }) == 2);
+}
+
 } // namespace camphorcleat::harness
