--- a/packages/harness/KeyChooser.cc
+++ b/packages/harness/KeyChooser.cc
@@ -10,6 +10,7 @@
 KeyChooser::KeyChooser(const LoadStreamPlan& aPlan)
   : mIsKeyed(aPlan.keyed.value_or(true))
   , mList(aPlan.keyList.value_or(std::vector<std::string>()))
+  , mFirst(aPlan.firstKey.value_or(0))
   , mCount(mList.empty() ? aPlan.keys.value_or(1000) : mList.size())
 {
   if (!aPlan.zipf || !mIsKeyed) {
@@ -39,7 +40,7 @@
     return {};
   }
   const std::size_t n = index(aRandom);
-  return mList.empty() ? "k" + std::to_string(n) : mList[n];
+  return mList.empty() ? "k" + std::to_string(mFirst + n) : mList[n];
 }
 
 } // namespace camphorcleat::harness
--- a/packages/harness/KeyChooser.h
+++ b/packages/harness/KeyChooser.h
@@ -26,6 +26,7 @@
 
   bool mIsKeyed;
   std::vector<std::string> mList;
+  std::size_t mFirst;
   std::size_t mCount;
   std::vector<double> mCumulative; ///< Weights of Zipf's law summed up; empty for uniform.
 };
--- a/packages/harness/LoadPlan.h
+++ b/packages/harness/LoadPlan.h
@@ -20,6 +20,7 @@
   std::string service;
   std::optional<bool> keyed;                       ///< true
   std::optional<unsigned> keys;                    ///< 1000; keys k0, k1, ...
+  std::optional<unsigned> firstKey;                ///< 0; number of the first (hottest) key.
   std::optional<std::vector<std::string>> keyList; ///< In place of the numbered keys.
   std::optional<double> zipf;                      ///< Exponent; absent: uniform.
   std::optional<double> postShare;                 ///< 0; the rest is GET.
@@ -37,8 +38,8 @@
       field("name", &LoadStreamPlan::name), field("account", &LoadStreamPlan::account),
       field("account_key", &LoadStreamPlan::accountKey), field("service", &LoadStreamPlan::service),
       field("keyed", &LoadStreamPlan::keyed), field("keys", &LoadStreamPlan::keys),
-      field("key_list", &LoadStreamPlan::keyList), field("zipf", &LoadStreamPlan::zipf),
-      field("post_share", &LoadStreamPlan::postShare),
+      field("first_key", &LoadStreamPlan::firstKey), field("key_list", &LoadStreamPlan::keyList),
+      field("zipf", &LoadStreamPlan::zipf), field("post_share", &LoadStreamPlan::postShare),
       field("rate_per_second", &LoadStreamPlan::ratePerSecond),
       field("steady", &LoadStreamPlan::steady), field("body_bytes", &LoadStreamPlan::bodyBytes),
       field("answer_bytes", &LoadStreamPlan::answerBytes),
--- a/packages/harness/Scenario.h
+++ b/packages/harness/Scenario.h
@@ -68,7 +68,8 @@
   double ratePerSecond = 0;
   bool isSteady = false;
   unsigned keys = 1000;
-  std::string onlyKey; ///< `key K`: all requests use this key.
+  unsigned firstKey = 0; ///< Of `keys N`; with zipf the hottest.
+  std::string onlyKey;   ///< `key K`: all requests use this key.
   std::optional<double> zipf;
   double postPercent = 0;
   bool hasIdempotencyKeys = false;
--- a/packages/harness/ScenarioParser.cc
+++ b/packages/harness/ScenarioParser.cc
@@ -195,6 +195,7 @@
     (keyword("rate") > kRate[set(&Load::ratePerSecond)]) |
     keyword("steady")[setTo(&Load::isSteady, true)] |
     (keyword("keys") > kWholeNumber[set(&Load::keys)]) |
+    (keyword("first-key") > kWholeNumber[set(&Load::firstKey)]) |
     (keyword("key") > kName[set(&Load::onlyKey)]) | (keyword("zipf") > kNumber[set(&Load::zipf)]) |
     keyword("uniform") | (keyword("post") > kPercent[set(&Load::postPercent)]) |
     keyword("idempotent")[setTo(&Load::hasIdempotencyKeys, true)] |
--- a/packages/harness/ScenarioRunner.cc
+++ b/packages/harness/ScenarioRunner.cc
@@ -396,6 +396,7 @@
     stream.keyed = it.name == aLoad.service ? it.isKeyed : stream.keyed.value_or(true);
   }
   stream.keys = aLoad.keys;
+  stream.firstKey = aLoad.firstKey;
   if (!aLoad.onlyKey.empty()) {
     stream.keyList = std::vector<std::string>{ aLoad.onlyKey };
   }
--- a/packages/harness/testing/LoadDriverTest.cc
+++ b/packages/harness/testing/LoadDriverTest.cc
@@ -276,6 +276,10 @@
   plan.keyed = true;
   plan.keyList = std::vector<std::string>{ "only" };
   REQUIRE(KeyChooser(plan).next(random) == "only");
+  plan.keyList.reset();
+  plan.keys = 1;
+  plan.firstKey = 22;
+  REQUIRE(KeyChooser(plan).next(random) == "k22");
 }
 
 TEST_CASE("a plan with an impossible value is refused")
