--- a/packages/harness/Scenario.h
+++ b/packages/harness/Scenario.h
@@ -68,7 +68,8 @@
   double ratePerSecond = 0;
   bool isSteady = false;
   unsigned keys = 1000;
-  std::string onlyKey; ///< `key K`: all requests use this key.
+  unsigned firstKey = 0; ///< Of `keys N`; with zipf the hottest.
+  std::string onlyKey;   ///< `key K`: all requests use this key.
   std::optional<double> zipf;
   double postPercent = 0;
   bool hasIdempotencyKeys = false;
@@ -99,6 +100,10 @@
 struct WaitReadyStatement
 {};
 
+/// `wait config`: until every running daemon has applied the last accepted operators' command.
+struct WaitConfigStatement
+{};
+
 /// Which VMs a statement means.
 struct NodeReference
 {
@@ -204,9 +209,9 @@
 using StatementBody =
   std::variant<FleetStatement, ServiceStatement, StartStatement, OperatorStatement,
                AccountStatement, LoadStatement, WaitStatement, WaitOwnedStatement,
-               WaitLoadsStatement, WaitReadyStatement, ProcessStatement, CutStatement,
-               HealStatement, SilenceStatement, ResetStatement, DelayStatement, TargetStatement,
-               ExpectStatement>;
+               WaitLoadsStatement, WaitReadyStatement, WaitConfigStatement, ProcessStatement,
+               CutStatement, HealStatement, SilenceStatement, ResetStatement, DelayStatement,
+               TargetStatement, ExpectStatement>;
 
 struct Statement
 {
