Name a node's connection in one place in the schedule test

Cause: clang-tidy refused casts after the multiplication and three string concatenations.

Change: linkOf() for the connection; append() in SettingsTest.

--- a/packages/daemon/testing/SettingsTest.cc
+++ b/packages/daemon/testing/SettingsTest.cc
@@ -175,15 +175,15 @@
     }
     ++rows;
     if (section != "peers" && value != "required" && value != "|") {
-      sections[section] += key + " = " + value + "\n";
+      sections[section].append(key).append(" = ").append(value).append("\n");
     }
   }
   std::string text = kGood + sections["control"];
   for (const auto& [section, keys] : sections) {
     if (section == "fleet") {
-      text = replaced(text, "name = tbilisi\n", "name = tbilisi\n" + keys);
+      text = replaced(text, "name = tbilisi\n", std::string("name = tbilisi\n").append(keys));
     } else if (section != "control") {
-      text += "[" + section + "]\n" + keys;
+      text.append("[").append(section).append("]\n").append(keys);
     }
   }
   CHECK(faultsOf(text).empty());
--- a/packages/fleet/testing/LeaseScheduleTest.cc
+++ b/packages/fleet/testing/LeaseScheduleTest.cc
@@ -334,10 +334,15 @@
     }
     checkView(aNode);
   }
+  // Each life of a node has a connection of its own.
+  LinkNumber linkOf(NodeId aNode)
+  {
+    return LinkNumber{ aNode } * 1000 + static_cast<LinkNumber>(mNodes[aNode].life);
+  }
   void sendToControl(NodeId aNode, const agent::Send& aSend)
   {
     const NodeId to = aSend.to;
-    const auto link = static_cast<LinkNumber>(aNode * 1000 + mNodes[aNode].life);
+    const LinkNumber link = linkOf(aNode);
     if (const auto* renew = std::get_if<wire::LeaseRenew>(&aSend.message)) {
       deliver(aNode, [this, to, link, renew = *renew] {
         whenControlRuns(to, [this, to, link, renew] {
@@ -483,8 +488,7 @@
     wire::CommandReply reply;
     reply.id = aSubmitter.second;
     reply.result.code = aCode;
-    const auto link =
-      static_cast<LinkNumber>(aSubmitter.first * 1000 + mNodes[aSubmitter.first].life);
+    const LinkNumber link = linkOf(aSubmitter.first);
     sendToNode(aMember, link, reply);
   }
 
