Build the expected refusal of chart events from its type

Cause: clang-tidy reports inefficient string concatenation in StateChartTest. Change: the loop compares with ChartEventError's sentence; a case of its own checks that sentence literally.

Measured: daemon_test passes (25 cases, 4,633 assertions); clang-tidy is clean for the file.

--- a/packages/daemon/testing/StateChartTest.cc
+++ b/packages/daemon/testing/StateChartTest.cc
@@ -181,8 +181,8 @@
           CHECK(outcome(*chart, event) == expected->second);
           CHECK(chart->state() == expected->second);
         } else {
-          CHECK(outcome(*chart, event) ==
-                "error: chart 'test' allows no event '" + event + "' in state '" + state + "'");
+          const std::string refusal = ChartEventError{ "test", state, event }.message();
+          CHECK(outcome(*chart, event) == "error: " + refusal);
           CHECK(chart->state() == state);
         }
       }
@@ -190,6 +190,13 @@
   }
 }
 
+TEST_CASE("a refused event is named with chart and state")
+{
+  const QtScope qt;
+  CHECK(outcome(*mustLoad("zone.scxml"), "zone.empty") ==
+        "error: chart 'test' allows no event 'zone.empty' in state 'in'");
+}
+
 TEST_CASE("a transition to an unknown state is reported with its line")
 {
   const QtScope qt;
