--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -106,6 +106,7 @@
     }
     return transport::SendStatus::Accepted;
   }
+  void attemptIsLate(const RequestId&) override {}
   void attemptOver(const RequestId& /*aId*/, bool /*aWasAnswered*/) override {}
   void finished(EntryExchange& /*aExchange*/, ErrorCode aCode) override
   {
