Promise tokens to requests that waited while their account had no home

The suspected cause, from the numbers and not from a trace: the killed control VM was the home of the account, and the next home judged 1.5 s of waiting requests as if they had come at once. Ruled out: loss of a key's owner, since control VMs own none. Change: a home that begins after a loss may promise 2 s of requests more; promises grant nothing.

--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -17,6 +17,10 @@
 // Draws reach the home with different delays, so requests that kept their distance at the callers
 // may arrive closer together. The ideal level may fall below zero by the refill of this time.
 constexpr Millis kJitter{ 5 };
+// Requests may have waited for so long while the account had no home; the owner's queue lets none
+// wait longer. They arrived at their own pace, so they must not be judged as if all had come at
+// once.
+constexpr Millis kHomelessTime{ 2'000 };
 // A drawer that is silent for so long has no waiting request any more.
 constexpr Millis kSilence{ 1'000 };
 
@@ -59,6 +63,10 @@
   , mUpdatedAt(aNow)
   , mLastUse(aNow)
 {
+  if (aStart == HomeStart::AfterLoss) {
+    mBacklog = std::max(aRate.requestsPerSecond, 0.0) * toSeconds(kHomelessTime);
+    mBacklogUntil = aNow + kHomelessTime;
+  }
   if (aStart == HomeStart::Full) {
     mLevel = aRate.burstRequests;
   } else if (aStart == HomeStart::AfterPlannedMove) {
@@ -269,8 +277,10 @@
   const std::uint32_t before = std::min(aDrawer.promised, aRequest.waiting);
   creditIdeal(aDrawer.promised - before);
   mPromised -= aDrawer.promised;
+  const double backlog = aNow < mBacklogUntil ? mBacklog : 0;
   const std::uint32_t most =
-    std::max(kLeastPromises, wholeTokens(std::max(mRate.requestsPerSecond, 0.0) * kPromiseSeconds));
+    std::max(kLeastPromises,
+             wholeTokens(std::max(mRate.requestsPerSecond, 0.0) * kPromiseSeconds + backlog));
   if (mPromised + aRequest.waiting > most) {
     dropStalePromises(aNow);
   }
@@ -278,7 +288,8 @@
   // A request is charged to the ideal bucket once, when it first gets a token or a promise.
   const std::uint32_t fresh = aRequest.waiting - before;
   const std::uint32_t served = forWaiting > before ? forWaiting - before : 0;
-  const std::uint32_t inside = std::max(served, std::min(fresh, wholeTokens(mIdeal + slack)));
+  const std::uint32_t inside =
+    std::max(served, std::min(fresh, wholeTokens(mIdeal + slack + backlog)));
   mIdeal -= inside;
   std::uint32_t promised = before + inside - forWaiting;
   const std::uint32_t room = most > mPromised ? most - mPromised : 0;
@@ -286,7 +297,10 @@
     mIdeal += promised - room;
     promised = room;
   }
-  mIdeal = std::max(mIdeal, -slack);
+  if (mIdeal < -slack) {
+    mBacklog = std::max(0.0, mBacklog + mIdeal + slack);
+    mIdeal = -slack;
+  }
   aDrawer.promised = promised;
   mPromised += promised;
   aAnswer.promised = promised;
--- a/packages/traffic/RateBucket.h
+++ b/packages/traffic/RateBucket.h
@@ -126,6 +126,8 @@
   Rate mRate;
   double mLevel = 0;
   double mIdeal = 0;
+  double mBacklog = 0; // Requests of the time without a home that may still be promised a token.
+  TimePoint mBacklogUntil;
   std::uint32_t mParked = 0;
   std::uint32_t mPromised = 0; // Sum over the drawers.
   TimePoint mUpdatedAt;
