--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -10,17 +10,12 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "daemon/OwnerExchange.h"
+#include "daemon/RequestPath.h"
 
 namespace camphorcleat::daemon {
 
 namespace {
 
-bool isIdempotentMethod(const std::string& aMethod)
-{
-  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" || aMethod == "DELETE" ||
-         aMethod == "OPTIONS";
-}
-
 unsigned statusOf(wire::Outcome aOutcome, ErrorCode aCode, bool aHasIdempotencyKey)
 {
   if (aOutcome == wire::Outcome::Unknown) {
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -8,6 +8,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "daemon/RequestPath.h"
 #include "traffic/TokenTimes.h"
 
 namespace camphorcleat::daemon {
@@ -32,12 +33,6 @@
   return config;
 }
 
-bool isIdempotentMethod(const std::string& aMethod)
-{
-  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" || aMethod == "DELETE" ||
-         aMethod == "OPTIONS";
-}
-
 std::string requestDigest(const wire::RequestHead& aHead)
 {
   return sha256Hex(aHead.method + "\n" + aHead.path + "\n" + aHead.bodyDigest + "\n" +
--- a/packages/daemon/RequestPath.cc
+++ b/packages/daemon/RequestPath.cc
@@ -71,4 +71,10 @@
   });
 }
 
+bool isIdempotentMethod(const std::string& aMethod)
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" || aMethod == "DELETE" ||
+         aMethod == "OPTIONS";
+}
+
 } // namespace camphorcleat::daemon
--- a/packages/daemon/RequestPath.h
+++ b/packages/daemon/RequestPath.h
@@ -22,6 +22,9 @@
 /// it to another route. Thread-safe.
 bool isOpenRoute(const std::string& aPath, const std::vector<std::string>& aPrefixes);
 
+/// Whether a method may be run twice with the same effect as once. Thread-safe.
+bool isIdempotentMethod(const std::string& aMethod);
+
 } // namespace camphorcleat::daemon
 
 #endif // CAMPHORCLEAT_DAEMON_REQUESTPATH_H_
