Use the shared header parser and the shared system issuer

Cause: EntryExchange parsed Content-Length itself beside contentLengthOf(), and FleetState had its own copy of wire::kSystemIssuer. Change: both call the shared piece; valid input behaves as before.

Measured: daemon_test passes (80 cases), 13 selected cases of fleet_test pass; format clean.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -4,13 +4,12 @@
 
 #include <algorithm>
 
-#include <boost/algorithm/string/predicate.hpp>
-
 #include "base/Codec.h"
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "daemon/OwnerExchange.h"
 #include "daemon/RequestPath.h"
+#include "transport/HttpHeaders.h"
 
 namespace camphorcleat::daemon {
 
@@ -57,16 +56,6 @@
   }
 };
 
-std::optional<std::uint64_t> lengthOf(const std::vector<wire::Header>& aHeaders)
-{
-  for (const auto& it : aHeaders) {
-    if (boost::iequals(it.name, "Content-Length")) {
-      return std::strtoull(it.value.c_str(), nullptr, 10);
-    }
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 void sendFailure(transport::CallerStream& aStream, wire::Outcome aOutcome, ErrorCode aCode,
@@ -347,7 +336,7 @@
   mUsed = it->first;
   mTimer.cancel();
   const wire::ResponseHead& head = *it->second.response;
-  mStream->sendHead(head.status, head.headers, lengthOf(head.headers));
+  mStream->sendHead(head.status, head.headers, transport::contentLengthOf(head.headers));
 }
 
 void EntryExchange::handle(const RequestId& aId, wire::BodyChunk aChunk)
--- a/packages/fleet/FleetState.cc
+++ b/packages/fleet/FleetState.cc
@@ -19,7 +19,6 @@
 constexpr std::size_t kMaxObjectBytes = 640; // A pin's service and key fit.
 constexpr std::size_t kMaxMessageBytes = 1024;
 constexpr std::string_view kSnapshotFormat = "camphorcleat fleet 1";
-constexpr const char* kSystemIssuer = "system";
 
 // Everything small. Changes and commands are parts of their own.
 struct SnapshotHead
@@ -150,7 +149,8 @@
   if (aCommand.bodies.empty()) {
     return refuse(ErrorCode::InvalidCommand, "the command asks for nothing");
   }
-  if (aCommand.commandId.empty() && !aCommand.issuer.empty() && aCommand.issuer != kSystemIssuer) {
+  if (aCommand.commandId.empty() && !aCommand.issuer.empty() &&
+      aCommand.issuer != wire::kSystemIssuer) {
     return refuse(ErrorCode::InvalidCommand, "an operator's command needs a command id");
   }
   const bool isAllowed =
