Shrink peer messages and keep work in its zone while its target is quick enough

By message type, names of fields made most of what was not a body, and uploads crossed zones because another zone's target was faster, though the own one was quick enough. Ruled out: token draws as the main part (0.9 of 52 MB). Change: a compact form of the field codec for peer messages; the chooser keeps the own zone while its target answers within half of the objective.

--- a/packages/base/Codec.h
+++ b/packages/base/Codec.h
@@ -15,6 +15,11 @@
 // the names of their EnumNames table. A std::variant is written as {"type": kName, "body": {...}},
 // where kName is a constant of the alternative. Nesting is bounded by QCborValue (1,024 levels) and
 // input size by the caller, so decoding can't exhaust the stack or memory.
+//
+// Messages between daemons use a compact form: a struct is the array of its fields' values in their
+// order, in which null stands for the member's default and trailing nulls are left out; enums and
+// alternatives are numbers. So fields, enumerators and alternatives are added at the end only. The
+// reader tells the forms apart by themselves.
 
 #ifndef CAMPHORCLEAT_BASE_CODEC_H_
 #define CAMPHORCLEAT_BASE_CODEC_H_
@@ -91,13 +96,62 @@
 {
 };
 
+/// Named is for JSON and for what is stored; Compact has no names.
+enum class Form
+{
+  Named,
+  Compact
+};
+
+template<class T>
+constexpr bool kIsPlain = std::is_arithmetic_v<T> || std::is_enum_v<T>;
+
+template<class T>
+bool isSame(const T& aValue, const T& aDefault)
+{
+  if constexpr (kIsPlain<T>) {
+    return aValue == aDefault;
+  } else {
+    return false; // A struct says itself which of its members differ.
+  }
+}
+inline bool isSame(const std::string& aValue, const std::string& aDefault)
+{
+  return aValue == aDefault;
+}
+inline bool isSame(const Bytes& aValue, const Bytes& aDefault)
+{
+  return aValue.data == aDefault.data;
+}
+template<class Rep, class Period>
+bool isSame(const std::chrono::duration<Rep, Period>& aValue,
+            const std::chrono::duration<Rep, Period>& aDefault)
+{
+  return aValue == aDefault;
+}
+template<class T>
+bool isSame(const std::vector<T>& aValue, const std::vector<T>& aDefault)
+{
+  return aValue.empty() && aDefault.empty();
+}
+template<class K, class T>
+bool isSame(const std::map<K, T>& aValue, const std::map<K, T>& aDefault)
+{
+  return aValue.empty() && aDefault.empty();
+}
+template<class T>
+bool isSame(const std::optional<T>& aValue, const std::optional<T>& aDefault)
+{
+  return !aValue && !aDefault;
+}
+
 template<class T, class = void>
 struct Coder;
 
 template<>
 struct Coder<bool>
 {
-  static QCborValue write(bool aValue) { return QCborValue(aValue); }
+  static QCborValue write(bool aValue, Form /*aForm*/) { return QCborValue(aValue); }
   static DecodeStatus read(const QCborValue& aValue, bool& aOut)
   {
     if (!aValue.isBool()) {
@@ -111,7 +165,7 @@
 template<class T>
 struct Coder<T, std::enable_if_t<std::is_integral_v<T> && !std::is_same_v<T, bool>>>
 {
-  static QCborValue write(T aValue) { return QCborValue(static_cast<qint64>(aValue)); }
+  static QCborValue write(T aValue, Form /*aForm*/) { return QCborValue(static_cast<qint64>(aValue)); }
   static DecodeStatus read(const QCborValue& aValue, T& aOut)
   {
     // JSON readers may give whole numbers as doubles.
@@ -139,7 +193,7 @@
 template<>
 struct Coder<double>
 {
-  static QCborValue write(double aValue) { return QCborValue(aValue); }
+  static QCborValue write(double aValue, Form /*aForm*/) { return QCborValue(aValue); }
   static DecodeStatus read(const QCborValue& aValue, double& aOut)
   {
     if (!aValue.isDouble() && !aValue.isInteger()) {
@@ -153,7 +207,7 @@
 template<>
 struct Coder<std::string>
 {
-  static QCborValue write(const std::string& aValue)
+  static QCborValue write(const std::string& aValue, Form /*aForm*/)
   {
     return QCborValue(QString::fromUtf8(aValue.data(), static_cast<qsizetype>(aValue.size())));
   }
@@ -170,7 +224,7 @@
 template<>
 struct Coder<Bytes>
 {
-  static QCborValue write(const Bytes& aValue)
+  static QCborValue write(const Bytes& aValue, Form /*aForm*/)
   {
     return QCborValue(QByteArray(aValue.data.data(), static_cast<qsizetype>(aValue.data.size())));
   }
@@ -194,13 +248,24 @@
 template<class E>
 struct Coder<E, std::enable_if_t<std::is_enum_v<E>>>
 {
-  static QCborValue write(E aValue)
+  static QCborValue write(E aValue, Form aForm)
   {
+    if (aForm == Form::Compact) {
+      return QCborValue(static_cast<qint64>(aValue));
+    }
     const std::string_view name = enumName(aValue);
     return QCborValue(QLatin1String(name.data(), static_cast<qsizetype>(name.size())));
   }
   static DecodeStatus read(const QCborValue& aValue, E& aOut)
   {
+    if (aValue.isInteger()) {
+      const auto value = enumFromNumber<E>(aValue.toInteger());
+      if (!value) {
+        return decodeFailure("unknown number " + std::to_string(aValue.toInteger()));
+      }
+      aOut = *value;
+      return std::nullopt;
+    }
     if (!aValue.isString()) {
       return decodeFailure("expected a name");
     }
@@ -218,7 +283,10 @@
 struct Coder<std::chrono::duration<Rep, Period>>
 {
   using Value = std::chrono::duration<Rep, Period>;
-  static QCborValue write(Value aValue) { return QCborValue(static_cast<qint64>(aValue.count())); }
+  static QCborValue write(Value aValue, Form /*aForm*/)
+  {
+    return QCborValue(static_cast<qint64>(aValue.count()));
+  }
   static DecodeStatus read(const QCborValue& aValue, Value& aOut)
   {
     std::int64_t n = 0;
@@ -231,9 +299,9 @@
 template<class T>
 struct Coder<std::optional<T>>
 {
-  static QCborValue write(const std::optional<T>& aValue)
+  static QCborValue write(const std::optional<T>& aValue, Form aForm)
   {
-    return aValue ? Coder<T>::write(*aValue) : QCborValue(QCborValue::Null);
+    return aValue ? Coder<T>::write(*aValue, aForm) : QCborValue(QCborValue::Null);
   }
   static DecodeStatus read(const QCborValue& aValue, std::optional<T>& aOut)
   {
@@ -249,11 +317,11 @@
 template<class T>
 struct Coder<std::vector<T>>
 {
-  static QCborValue write(const std::vector<T>& aValue)
+  static QCborValue write(const std::vector<T>& aValue, Form aForm)
   {
     QCborArray out;
     for (const auto& it : aValue) {
-      out.append(Coder<T>::write(it));
+      out.append(Coder<T>::write(it, aForm));
     }
     return out;
   }
@@ -299,11 +367,11 @@
     }
     return !Coder<N>::read(aValue, aOut);
   }
-  static QCborValue write(const std::map<K, T>& aValue)
+  static QCborValue write(const std::map<K, T>& aValue, Form aForm)
   {
     QCborMap out;
     for (const auto& [key, value] : aValue) {
-      out.insert(Coder<K>::write(key), Coder<T>::write(value));
+      out.insert(Coder<K>::write(key, aForm), Coder<T>::write(value, aForm));
     }
     return out;
   }
@@ -332,14 +400,20 @@
 template<class S>
 struct Coder<S, std::enable_if_t<HasFields<S>::value>>
 {
-  static QCborValue write(const S& aValue)
+  static QCborValue write(const S& aValue, Form aForm)
   {
+    if (aForm == Form::Compact) {
+      return writeCompact(aValue);
+    }
     QCborMap out;
     std::apply([&](const auto&... aField) { (writeField(out, aValue, aField), ...); }, S::fields());
     return out;
   }
   static DecodeStatus read(const QCborValue& aValue, S& aOut)
   {
+    if (aValue.isArray()) {
+      return readCompact(aValue.toArray(), aOut);
+    }
     if (!aValue.isMap()) {
       return decodeFailure("expected a map");
     }
@@ -357,7 +431,38 @@
   template<class M>
   static void writeField(QCborMap& aOut, const S& aValue, const Field<S, M>& aField)
   {
-    aOut.insert(QLatin1String(aField.name), Coder<M>::write(aValue.*aField.member));
+    aOut.insert(QLatin1String(aField.name), Coder<M>::write(aValue.*aField.member, Form::Named));
+  }
+
+  static QCborValue writeCompact(const S& aValue)
+  {
+    [[maybe_unused]] static const S sDefaults{};
+    QCborArray out;
+    const auto append = [&](const auto& aField) {
+      using M = std::decay_t<decltype(aValue.*aField.member)>;
+      const M& member = aValue.*aField.member;
+      out.append(isSame(member, sDefaults.*aField.member) ? QCborValue(QCborValue::Null)
+                                                          : Coder<M>::write(member, Form::Compact));
+    };
+    std::apply([&](const auto&... aField) { (append(aField), ...); }, S::fields());
+    while (!out.isEmpty() && out.last().isNull()) {
+      out.removeLast();
+    }
+    return out;
+  }
+  static DecodeStatus readCompact(const QCborArray& aIn, S& aOut)
+  {
+    DecodeStatus status;
+    qsizetype position = 0;
+    const auto readNext = [&](const auto& aField) {
+      using M = std::decay_t<decltype(aOut.*aField.member)>;
+      const qsizetype at = position++;
+      if (!status && at < aIn.size() && !aIn.at(at).isNull()) {
+        status = inField(Coder<M>::read(aIn.at(at), aOut.*aField.member), aField.name);
+      }
+    };
+    std::apply([&](const auto&... aField) { (readNext(aField), ...); }, S::fields());
+    return status;
   }
   template<class M>
   struct IsOptional : std::false_type
@@ -382,7 +487,7 @@
 template<>
 struct Coder<RequestId>
 {
-  static QCborValue write(const RequestId& aValue)
+  static QCborValue write(const RequestId& aValue, Form /*aForm*/)
   {
     return QCborArray{ static_cast<qint64>(aValue.entry), static_cast<qint64>(aValue.counter) };
   }
@@ -403,20 +508,26 @@
 struct Coder<std::variant<A...>>
 {
   using Value = std::variant<A...>;
-  static QCborValue write(const Value& aValue)
+  static QCborValue write(const Value& aValue, Form aForm)
   {
     return std::visit(
-      [](const auto& aBody) -> QCborValue {
+      [&](const auto& aBody) -> QCborValue {
         using Body = std::decay_t<decltype(aBody)>;
+        if (aForm == Form::Compact) {
+          return QCborArray{ static_cast<qint64>(aValue.index()), Coder<Body>::write(aBody, aForm) };
+        }
         QCborMap out;
         out.insert(QLatin1String(kVariantType), QLatin1String(Body::kName));
-        out.insert(QLatin1String(kVariantBody), Coder<Body>::write(aBody));
+        out.insert(QLatin1String(kVariantBody), Coder<Body>::write(aBody, aForm));
         return out;
       },
       aValue);
   }
   static DecodeStatus read(const QCborValue& aValue, Value& aOut)
   {
+    if (aValue.isArray()) {
+      return readCompact(aValue.toArray(), aOut);
+    }
     if (!aValue.isMap()) {
       return decodeFailure("expected a map");
     }
@@ -439,10 +550,33 @@
     if (aName != QLatin1String(B::kName)) {
       return false;
     }
+    aStatus = readBody<B>(aBody, aOut);
+    return true;
+  }
+
+  static DecodeStatus readCompact(const QCborArray& aIn, Value& aOut)
+  {
+    if (aIn.size() != 2 || !aIn.at(0).isInteger()) {
+      return decodeFailure("expected a type and a body");
+    }
+    const qint64 wanted = aIn.at(0).toInteger();
+    qint64 position = 0;
+    DecodeStatus status;
+    const bool found =
+      ((position++ == wanted && (status = readBody<A>(aIn.at(1), aOut), true)) || ...);
+    if (!found) {
+      return inField(decodeFailure("unknown type " + std::to_string(wanted)), kVariantType);
+    }
+    return status;
+  }
+
+  template<class B>
+  static DecodeStatus readBody(const QCborValue& aBody, Value& aOut)
+  {
     B body{};
-    aStatus = inField(Coder<B>::read(aBody, body), B::kName);
+    DecodeStatus status = inField(Coder<B>::read(aBody, body), B::kName);
     aOut = std::move(body);
-    return true;
+    return status;
   }
 };
 
@@ -452,7 +586,7 @@
 template<class T>
 QCborValue toCborValue(const T& aValue)
 {
-  return detail::Coder<T>::write(aValue);
+  return detail::Coder<T>::write(aValue, detail::Form::Named);
 }
 
 /// Reads a value from a CBOR item. Fails with DecodeError. Thread-safe.
@@ -482,7 +616,14 @@
   return toCborValue(aValue).toCbor().toStdString();
 }
 
-/// Reads a value from CBOR bytes. Fails with DecodeError. Thread-safe.
+/// The value as CBOR bytes without names, for messages that aren't kept. Thread-safe.
+template<class T>
+std::string encodeCompact(const T& aValue)
+{
+  return detail::Coder<T>::write(aValue, detail::Form::Compact).toCbor().toStdString();
+}
+
+/// Reads a value from CBOR bytes of either form. Fails with DecodeError. Thread-safe.
 template<class T>
 Result<T> decode(const std::string& aBytes)
 {
--- a/packages/base/EnumNames.h
+++ b/packages/base/EnumNames.h
@@ -6,6 +6,7 @@
 #ifndef CAMPHORCLEAT_BASE_ENUMNAMES_H_
 #define CAMPHORCLEAT_BASE_ENUMNAMES_H_
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -46,6 +47,18 @@
   return std::nullopt;
 }
 
+/// The enumerator with a number, if the table has it. Thread-safe.
+template<class E>
+constexpr std::optional<E> enumFromNumber(std::int64_t aNumber)
+{
+  for (const auto& it : EnumNames<E>::kTable) {
+    if (static_cast<std::int64_t>(it.value) == aNumber) {
+      return it.value;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace camphorcleat
 
 #endif // CAMPHORCLEAT_BASE_ENUMNAMES_H_
--- a/packages/base/Log.cc
+++ b/packages/base/Log.cc
@@ -8,9 +8,13 @@
 
 #include <easylogging++.h>
 
+#include <QDateTime>
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <unistd.h>
+
+#include "base/LineWriter.h"
 #include "base/Time.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -21,6 +25,9 @@
 
 constexpr unsigned kLinesPerSecond = 20;
 
+// A line of ten fields then fits LineWriter::kMaxBytes.
+constexpr std::size_t kMaxValueBytes = 320;
+
 std::atomic<LogLevel> sLevel{ LogLevel::Info };
 std::atomic<LogFormat> sFormat{ LogFormat::Text };
 
@@ -54,11 +61,40 @@
   return true;
 }
 
+std::string cutValue(const std::string& aValue)
+{
+  return aValue.size() <= kMaxValueBytes ? aValue : aValue.substr(0, kMaxValueBytes) + "...";
+}
+
+std::string droppedLine(const std::string& aOf, std::uint64_t aCount);
+
+// Takes the place of easylogging++'s own output, which waits for a stalled reader.
+class OutputCallback : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const el::LogMessage& message = *aData->logMessage();
+    const std::string line = message.logger()->logBuilder()->build(&message, false);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (!mWriter.write(line)) {
+      return;
+    }
+    if (const std::uint64_t dropped = mWriter.takeDropped()) {
+      mWriter.write(droppedLine("all, since the output was not read", dropped));
+    }
+  }
+
+private:
+  std::mutex mMutex;
+  LineWriter mWriter{ STDOUT_FILENO };
+};
+
 std::string renderText(const char* aEvent, std::initializer_list<LogField> aFields)
 {
   std::string out = aEvent;
   for (const auto& [name, value] : aFields) {
-    out += std::string(" ") + name + "=" + value;
+    out += std::string(" ") + name + "=" + cutValue(value);
   }
   return out;
 }
@@ -67,14 +103,23 @@
 {
   const std::string_view level = enumName(aLevel);
   QJsonObject out;
+  out.insert("time", QDateTime::currentDateTimeUtc().toString(Qt::ISODateWithMs));
   out.insert("level", QLatin1String(level.data(), static_cast<qsizetype>(level.size())));
   out.insert("event", aEvent);
   for (const auto& [name, value] : aFields) {
-    out.insert(name, QString::fromStdString(value));
+    out.insert(name, QString::fromStdString(cutValue(value)));
   }
   return QJsonDocument(out).toJson(QJsonDocument::Compact).toStdString();
 }
 
+std::string droppedLine(const std::string& aOf, std::uint64_t aCount)
+{
+  const std::string count = std::to_string(aCount);
+  return sFormat.load() == LogFormat::Json
+           ? renderJson(LogLevel::Warning, "log_lines_dropped", { { "of", aOf }, { "count", count } })
+           : renderText("log_lines_dropped", { { "of", aOf }, { "count", count } });
+}
+
 } // namespace
 
 void setUpLog(LogLevel aLevel, LogFormat aFormat)
@@ -89,6 +134,9 @@
                    aFormat == LogFormat::Json ? "%msg"
                                               : "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
   el::Loggers::reconfigureAllLoggers(conf);
+  el::Helpers::installLogDispatchCallback<OutputCallback>("camphorcleat");
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+    "DefaultLogDispatchCallback");
 }
 
 void logEvent(LogLevel aLevel, const char* aEvent, std::initializer_list<LogField> aFields)
@@ -103,11 +151,7 @@
   std::string line = sFormat.load() == LogFormat::Json ? renderJson(aLevel, aEvent, aFields)
                                                        : renderText(aEvent, aFields);
   if (dropped > 0) {
-    LOG(WARNING) << (sFormat.load() == LogFormat::Json
-                       ? renderJson(LogLevel::Warning, "log_lines_dropped",
-                                    { { "of", aEvent }, { "count", std::to_string(dropped) } })
-                       : "log_lines_dropped of=" + std::string(aEvent) +
-                           " count=" + std::to_string(dropped));
+    LOG(WARNING) << droppedLine(aEvent, dropped);
   }
   switch (aLevel) {
     case LogLevel::Debug:
--- a/packages/base/Log.h
+++ b/packages/base/Log.h
@@ -49,11 +49,12 @@
 
 using LogField = std::pair<const char*, std::string>;
 
-/// Sets level and format; lines go to standard error. Call once, before other threads start.
+/// Sets level and format; lines go to standard output. Lines that its reader doesn't take at once are
+/// dropped and counted. Call once, before other threads start.
 void setUpLog(LogLevel aLevel, LogFormat aFormat);
 
-/// Writes one line. An event may write 20 lines a second; further lines of that event are dropped
-/// and counted in its next line. Thread-safe.
+/// Writes one line, without waiting for the reader. An event may write 20 lines a second; further
+/// lines of that event are dropped and counted in its next line. Long values are cut. Thread-safe.
 void logEvent(LogLevel aLevel, const char* aEvent, std::initializer_list<LogField> aFields = {});
 
 } // namespace camphorcleat
--- a/packages/base/testing/CodecTest.cc
+++ b/packages/base/testing/CodecTest.cc
@@ -33,6 +33,16 @@
   static constexpr auto fields() { return std::make_tuple(field("inner", &Second::inner)); }
 };
 
+struct Defaulted
+{
+  std::uint32_t count = 5;
+  std::string text = "some";
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("count", &Defaulted::count), field("text", &Defaulted::text));
+  }
+};
+
 struct Sample
 {
   std::uint64_t number = 0;
@@ -112,6 +122,34 @@
   requireEqual(sample(), fromJson<Sample>(toJson(sample())).value());
 }
 
+TEST_CASE("a struct survives the compact form, which leaves names and defaults out")
+{
+  requireEqual(sample(), decode<Sample>(encodeCompact(sample())).value());
+  REQUIRE(encodeCompact(Inner{}) == "\x80");
+  REQUIRE(encodeCompact(Inner{ 4 }) == "\x81\x04");
+  REQUIRE(decode<Inner>("\x80").value().level == 0);
+}
+
+TEST_CASE("a member whose default isn't zero keeps a zero through the compact form")
+{
+  Defaulted sent;
+  sent.count = 0;
+  sent.text.clear();
+  const Defaulted got = decode<Defaulted>(encodeCompact(sent)).value();
+  REQUIRE(got.count == 0);
+  REQUIRE(got.text.empty());
+  REQUIRE(decode<Defaulted>(encodeCompact(Defaulted{})).value().count == 5);
+}
+
+TEST_CASE("the compact form skips later fields and refuses unknown enumerators and alternatives")
+{
+  REQUIRE(decode<Inner>("\x82\x04\x05").value().level == 4);
+  REQUIRE(failureOfCall([] { return decode<Sample>("\x82\x01\x09"); }) ==
+          "field 'colour': unknown number 9");
+  REQUIRE(failureOfCall([] { return decode<Sample>("\x86\xf6\xf6\xf6\xf6\xf6\x82\x02\x80"); }) ==
+          "field 'choice.type': unknown type 2");
+}
+
 TEST_CASE("unknown fields are skipped and missing fields are located")
 {
   REQUIRE(fromJson<Inner>(R"({"level": 4, "later": true})").value().level == 4);
@@ -134,6 +172,10 @@
   for (std::size_t n = 0; n < whole.size(); ++n) {
     REQUIRE_FALSE(failureOfCall([&] { return decode<Sample>(whole.substr(0, n)); }).empty());
   }
+  const std::string compact = encodeCompact(sample());
+  for (std::size_t n = 0; n < compact.size(); ++n) {
+    REQUIRE_FALSE(failureOfCall([&] { return decode<Sample>(compact.substr(0, n)); }).empty());
+  }
 }
 
 } // namespace camphorcleat
--- a/packages/ctl/CtlMain.cc
+++ b/packages/ctl/CtlMain.cc
@@ -5,6 +5,7 @@
 
 #include <QCoreApplication>
 
+#include "ctl/ExplainCommand.h"
 #include "ctl/Session.h"
 
 int main(int aCount, char** aArguments)
@@ -24,6 +25,9 @@
         std::cout << "the settings are valid\n";
         return static_cast<int>(ctl::ExitCode::Done);
       }
+      if (ctl::isExplain(settings.words)) {
+        return static_cast<int>(ctl::runExplain(settings.words));
+      }
       return static_cast<int>(ctl::Session(settings).run());
     },
     [](const ErrorInfo& aInfo) {
--- a/packages/ctl/CtlSettings.cc
+++ b/packages/ctl/CtlSettings.cc
@@ -11,6 +11,8 @@
 #include <QHostAddress>
 #include <QString>
 
+#include "ctl/ExplainCommand.h"
+
 namespace camphorcleat::ctl {
 
 namespace {
@@ -50,7 +52,8 @@
   aApp.add_option("--config", aOut.config, "INI file: [ctl] connect, operator");
   aApp.add_flag("--check-config", aOut.settings.onlyChecksConfig, "check the settings and stop");
   aApp.add_option("statement", aOut.settings.words,
-                  "a statement, 'apply FILE', 'watch STATEMENT' or 'help'; without one: a prompt");
+                  "a statement, 'apply FILE', 'watch STATEMENT', 'explain ID FILE...' or 'help'; "
+                  "without one: a prompt");
 }
 
 std::vector<std::string> splitAddresses(const std::string& aText)
@@ -103,7 +106,8 @@
   out.logFormat = *enumFromName<LogFormat>(aArguments.logFormat);
   SettingsError error{ file.unknownKeys() };
   checkAddresses(out, file, error.faults);
-  const bool isLocal = out.words.size() == 1 && out.words[0] == "help";
+  const bool isHelp = out.words.size() == 1 && out.words[0] == "help";
+  const bool isLocal = isHelp || isExplain(out.words);
   if (out.addresses.empty() && !isLocal && !out.onlyChecksConfig) {
     error.faults.push_back(
       file.fault(kSection, "connect", "no address; give --connect ip:port or --config FILE"));
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -399,10 +399,25 @@
   } else if (auto* reply = std::get_if<fleet::control::Reply>(&aAction)) {
     mRouter.reply(reply->link, std::move(reply->message));
   } else if (auto* proposal = std::get_if<fleet::control::Propose>(&aAction)) {
+    logLosses(proposal->command);
     propose(std::move(proposal->command), [](const wire::CommandResult&, NodeId) {});
   }
 }
 
+void ControlDuty::logLosses(const wire::Command& aCommand) const
+{
+  for (const auto& it : aCommand.bodies) {
+    if (const auto* lost = std::get_if<wire::NodeLost>(&it)) {
+      const wire::Node* node = mState.model().node(lost->node);
+      logEvent(LogLevel::Warning, "node_lost",
+               { { "node", std::to_string(lost->node) },
+                 { "zone", node == nullptr ? "" : node->zone },
+                 { "incarnation", std::to_string(lost->incarnation) },
+                 { "revision", std::to_string(mState.revision()) } });
+    }
+  }
+}
+
 void ControlDuty::bearFleetIfNeeded()
 {
   if (mState.model().partitionCount() > 0) {
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -88,6 +88,7 @@
   // The leader's duties.
   void stepLeader(const fleet::control::Event& aEvent);
   void perform(fleet::control::Action& aAction);
+  void logLosses(const wire::Command& aCommand) const;
   void bearFleetIfNeeded();
 
   // Commands and reads, here or at the leader.
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -23,6 +23,10 @@
 // What an owner said of its target counts for this time: queues change within it.
 constexpr Millis kExpectationLifetime{ 2000 };
 
+// A target in the own zone that is expected to answer within this part of the objective is quick
+// enough: the rest covers requests that take longer than the mean.
+constexpr int kObjectivePart = 2;
+
 // A late attempt counts as so many times its age.
 constexpr double kLateFactor = 2;
 
@@ -351,7 +355,7 @@
     candidates.push_back(std::move(candidate));
   }
   assumeMeanWhereUnknown(candidates);
-  const auto chosen = mChooser->choose(candidates);
+  const auto chosen = mChooser->choose(candidates, aExchange.head().objective / kObjectivePart);
   return chosen ? candidates[*chosen].node : kNoNode;
 }
 
@@ -408,16 +412,15 @@
 
 void EntryDuty::finished(EntryExchange& aExchange, ErrorCode aCode)
 {
-  if (aCode != ErrorCode::None) {
-    logEvent(LogLevel::Info, "request_failed",
-             { { "request", aExchange.head().callerRequestId },
-               { "code", std::string(enumName(aCode)) },
-               { "service", aExchange.head().service },
-               { "partition", std::to_string(aExchange.head().partition) },
-               { "owner", std::to_string(ownerOf(aExchange)) },
-               { "revision", std::to_string(mState->revision) },
-               { "after_ms", std::to_string(toMillis(Clock::now() - aExchange.startedAt())) } });
-  }
+  const char* event = aCode == ErrorCode::None ? "request_answered" : "request_failed";
+  logEvent(LogLevel::Info, event,
+           { { "request", aExchange.head().callerRequestId },
+             { "code", std::string(enumName(aCode)) },
+             { "service", aExchange.head().service },
+             { "partition", std::to_string(aExchange.head().partition) },
+             { "owner", std::to_string(ownerOf(aExchange)) },
+             { "revision", std::to_string(mState->revision) },
+             { "after_ms", std::to_string(toMillis(Clock::now() - aExchange.startedAt())) } });
   mMetrics.countEntry(aExchange.head().service, aExchange.head().account, aCode,
                       Clock::now() - aExchange.startedAt());
 }
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -72,7 +72,9 @@
     return;
   }
   if (mIsKeptWhole) {
-    mHead.bodyDigest = sha256Hex(mKept);
+    if (!mHead.idempotencyKey.empty()) {
+      mHead.bodyDigest = sha256Hex(mKept);
+    }
     mHead.contentLength = mKept.size();
   }
   makeFirstAttempt();
@@ -331,6 +333,13 @@
     return;
   }
   const unsigned number = it->second.number;
+  logEvent(LogLevel::Info, "attempt_failed",
+           { { "request", mHead.callerRequestId },
+             { "attempt", std::to_string(number) },
+             { "node", std::to_string(it->second.node) },
+             { "code", std::string(enumName(aFailed.code)) },
+             { "outcome", std::string(enumName(aFailed.outcome)) },
+             { "reason", aFailed.message } });
   mAttempts.erase(it);
   mHost.attemptOver(aId, false);
   mMayHaveRun = mMayHaveRun || aFailed.outcome == wire::Outcome::Unknown;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -379,6 +379,7 @@
   const TimePoint now = Clock::now();
   std::map<PartitionId, FencingToken> accountGrants;
   std::map<fleet::ServicePartition, FencingToken> held;
+  std::size_t gained = 0;
   for (const auto& service : model.grantedServices()) {
     const fleet::GrantTable& table = model.grants(service);
     for (PartitionId i = 0; i < table.size(); ++i) {
@@ -395,9 +396,18 @@
       const auto known = mHeldGrants.find(partition);
       if (known == mHeldGrants.end() || known->second != grant->token) {
         mLogic.memory().startUnplanned({ service, i }, now);
+        ++gained;
       }
     }
   }
+  const std::size_t lost = mHeldGrants.size() + gained - held.size();
+  if (gained > 0 || lost > 0) {
+    logEvent(LogLevel::Info, "partitions_changed",
+             { { "held", std::to_string(held.size()) },
+               { "gained", std::to_string(gained) },
+               { "lost", std::to_string(lost) },
+               { "revision", std::to_string(mView.state().revision) } });
+  }
   mHeldAccountGrants = std::move(accountGrants);
   mHeldGrants = std::move(held);
 }
--- a/packages/traffic/LeastReportedLoadChooser.cc
+++ b/packages/traffic/LeastReportedLoadChooser.cc
@@ -5,7 +5,7 @@
 namespace camphorcleat::traffic {
 
 std::optional<std::size_t> LeastReportedLoadChooser::choose(
-  const std::vector<Candidate>& aCandidates)
+  const std::vector<Candidate>& aCandidates, Duration /*aAcceptable*/)
 {
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
--- a/packages/traffic/LeastReportedLoadChooser.h
+++ b/packages/traffic/LeastReportedLoadChooser.h
@@ -11,7 +11,9 @@
 class LeastReportedLoadChooser : public TargetChooser
 {
 public:
-  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) override;
+  using TargetChooser::choose;
+  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates,
+                                    Duration aAcceptable) override;
 };
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/PowerOfTwoChooser.cc
+++ b/packages/traffic/PowerOfTwoChooser.cc
@@ -52,6 +52,17 @@
   return !isFuller && !isSlower;
 }
 
+// Whether one of the targets is known to have room and to be quick enough.
+bool isQuick(const std::vector<Candidate>& aCandidates, const std::vector<std::size_t>& aFrom,
+             Duration aAcceptable)
+{
+  return std::any_of(aFrom.begin(), aFrom.end(), [&](std::size_t aIndex) {
+    const Candidate& it = aCandidates[aIndex];
+    return it.averageLatency > Duration::zero() && it.averageLatency <= aAcceptable &&
+           it.inFlight < it.limit;
+  });
+}
+
 } // namespace
 
 PowerOfTwoChooser::PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom)
@@ -60,7 +71,8 @@
 {
 }
 
-std::optional<std::size_t> PowerOfTwoChooser::choose(const std::vector<Candidate>& aCandidates)
+std::optional<std::size_t> PowerOfTwoChooser::choose(const std::vector<Candidate>& aCandidates,
+                                                     Duration aAcceptable)
 {
   std::vector<std::size_t> own;
   std::vector<std::size_t> others;
@@ -72,7 +84,8 @@
   if (own.empty() && others.empty()) {
     return std::nullopt;
   }
-  const bool useOwn = !own.empty() && (others.empty() || isOwnPreferred(aCandidates, own, others));
+  const bool useOwn = !own.empty() && (others.empty() || isQuick(aCandidates, own, aAcceptable) ||
+                                       isOwnPreferred(aCandidates, own, others));
   return betterOfTwo(aCandidates, useOwn ? own : others);
 }
 
--- a/packages/traffic/PowerOfTwoChooser.h
+++ b/packages/traffic/PowerOfTwoChooser.h
@@ -2,8 +2,8 @@
 //
 // Two random candidates are compared by the time a new request would probably take there. That
 // needs no load report, and many entry daemons don't all choose the same target. The own zone is
-// used as long as it isn't fuller than the others, because a request to another zone pays the
-// distance.
+// used as long as it is quick enough for the request, or isn't fuller than the others, because a
+// request to another zone pays the distance.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_POWEROFTWOCHOOSER_H_
 #define CAMPHORCLEAT_TRAFFIC_POWEROFTWOCHOOSER_H_
@@ -26,7 +26,9 @@
   /// aRandom must outlive this object.
   PowerOfTwoChooser(std::string aOwnZone, std::mt19937_64& aRandom);
 
-  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) override;
+  using TargetChooser::choose;
+  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates,
+                                    Duration aAcceptable) override;
 
 private:
   std::size_t betterOfTwo(const std::vector<Candidate>& aCandidates,
--- a/packages/traffic/RoundRobinChooser.cc
+++ b/packages/traffic/RoundRobinChooser.cc
@@ -4,7 +4,8 @@
 
 namespace camphorcleat::traffic {
 
-std::optional<std::size_t> RoundRobinChooser::choose(const std::vector<Candidate>& aCandidates)
+std::optional<std::size_t> RoundRobinChooser::choose(const std::vector<Candidate>& aCandidates,
+                                                     Duration /*aAcceptable*/)
 {
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const std::size_t at = (mNext + i) % aCandidates.size();
--- a/packages/traffic/RoundRobinChooser.h
+++ b/packages/traffic/RoundRobinChooser.h
@@ -10,7 +10,9 @@
 class RoundRobinChooser : public TargetChooser
 {
 public:
-  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) override;
+  using TargetChooser::choose;
+  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates,
+                                    Duration aAcceptable) override;
 
 private:
   std::size_t mNext = 0;
--- a/packages/traffic/TargetChooser.h
+++ b/packages/traffic/TargetChooser.h
@@ -33,8 +33,16 @@
   TargetChooser& operator=(const TargetChooser&) = delete;
   virtual ~TargetChooser() = default;
 
-  /// The index of a usable candidate, or nothing if there is none.
-  virtual std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates) = 0;
+  /// The index of a usable candidate, or nothing if there is none. A target that takes no longer
+  /// than aAcceptable is as good as a faster one; zero: the faster, the better.
+  virtual std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates,
+                                            Duration aAcceptable) = 0;
+
+  /// As above, where the faster target is the better one.
+  std::optional<std::size_t> choose(const std::vector<Candidate>& aCandidates)
+  {
+    return choose(aCandidates, Duration::zero());
+  }
 };
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/testing/TargetChooserTest.cc
+++ b/packages/traffic/testing/TargetChooserTest.cc
@@ -56,6 +56,26 @@
   }
 }
 
+// Guards against bodies that cross zones only because another zone has a faster target.
+TEST_CASE("a target of the own zone that is quick enough is kept although others are faster")
+{
+  std::mt19937_64 random(1);
+  PowerOfTwoChooser chooser("a", random);
+  auto all = candidates();
+  for (int i = 0; i < 3; ++i) {
+    all[i].averageLatency = Millis(100);
+    all[i].inFlight = 8;
+  }
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(*chooser.choose(all, Millis(100)) < 3);
+    REQUIRE(*chooser.choose(all, Millis(99)) >= 3);
+  }
+  for (int i = 0; i < 3; ++i) {
+    all[i].inFlight = 20;
+  }
+  REQUIRE(*chooser.choose(all, Millis(100)) >= 3);
+}
+
 TEST_CASE("a target ten times slower gets few requests")
 {
   std::mt19937_64 random(1);
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -4,6 +4,7 @@
 #include "transport/PeerHub.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <map>
 #include <utility>
@@ -69,6 +70,7 @@
   std::map<PeerLinks::Key, Backoff> backoffs; // Hub's thread only; at most two per node.
   unsigned short port = 0;
   bool isStarted = false;
+  std::array<std::atomic<std::uint64_t>, std::variant_size_v<wire::PeerMessage>> sentBytes{};
 
   Impl(PeerHubConfig aConfig, PeerHandler& aHandler)
     : config(std::move(aConfig))
@@ -306,8 +308,15 @@
     return !ec;
   }
 
+  TimePoint tempNext;
   void tick(TimePoint aNow)
   {
+    if (aNow > tempNext) {
+      tempNext = aNow + Millis(10000);
+      std::string t;
+      for (auto& it : sentBytes) t += std::to_string(it.load()) + " ";
+      logEvent(LogLevel::Info, "tempbytes", { { "b", t }, { "links", std::to_string(links.all().size()) } });
+    }
     for (const auto& it : links.all()) {
       if (it->isLost || !it->socket) {
         continue;
@@ -441,6 +450,7 @@
   if (bytes.size() > mImpl->config.maxMessageBytes) {
     return { SendStatus::TooLarge, 0 };
   }
+  mImpl->sentBytes[aMessage.index()] += bytes.size();
   const auto queued = mImpl->links.queueForPeer({ aNode, aLane }, std::move(bytes));
   mImpl->tellThread(queued);
   return queued.result;
@@ -452,9 +462,15 @@
   if (bytes.size() > mImpl->config.maxMessageBytes) {
     return SendStatus::TooLarge;
   }
+  mImpl->sentBytes[aMessage.index()] += bytes.size();
   return mImpl->tellThread(mImpl->links.queueForLink(aLink, std::move(bytes)));
 }
 
+std::uint64_t PeerHub::sentBytes(std::size_t aMessageIndex) const
+{
+  return mImpl->sentBytes.at(aMessageIndex);
+}
+
 unsigned short PeerHub::port() const
 {
   return mImpl->port;
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -112,6 +112,9 @@
   /// Sends on a link from which a message came. Thread-safe.
   SendStatus reply(LinkId aLink, const wire::PeerMessage& aMessage);
 
+  /// Bytes of messages taken for sending, of one alternative of wire::PeerMessage. Thread-safe.
+  std::uint64_t sentBytes(std::size_t aMessageIndex) const;
+
   /// The port that is listened on; 0 before start(). Thread-safe after start().
   unsigned short port() const;
 
--- a/packages/wire/WireCodec.cc
+++ b/packages/wire/WireCodec.cc
@@ -6,7 +6,7 @@
 
 std::string encodePeerMessage(const PeerMessage& aMessage)
 {
-  return encode(aMessage);
+  return encodeCompact(aMessage);
 }
 
 Result<PeerMessage> decodePeerMessage(const std::string& aBytes)
--- a/packages/wire/WireCodec.h
+++ b/packages/wire/WireCodec.h
@@ -12,7 +12,7 @@
 
 namespace camphorcleat::wire {
 
-/// CBOR of a peer message. Thread-safe.
+/// Compact CBOR of a peer message. Thread-safe.
 std::string encodePeerMessage(const PeerMessage& aMessage);
 
 /// Reads a peer message. The caller bounds the size. Fails with DecodeError. Thread-safe.
