Tell the leader of a crowded target at once and plan for it soon

Cause: after traffic starts or a key turns hot, the first moves come after 1.6 s: a load report every 300 ms, renewals every 700 ms and plans every 500 ms add up. Change: an owner with more requests waiting than it runs says so; its daemon renews within 200 ms and the leader plans within 150 ms. Placement weighs targets by the mean of the last 256 runs, which short slow spells don't sway.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -29,7 +29,7 @@
 constexpr Millis kProbeInterval{ 200 };
 constexpr Millis kProbeTimeout{ 500 };
 
-constexpr Millis kLoadInterval{ 300 };
+constexpr Millis kLoadInterval{ 100 };
 
 // Targets may close idle connections after 10 s.
 constexpr Millis kTargetIdleTimeout{ 5000 };
@@ -787,8 +787,10 @@
     return;
   }
   mNextLoadReport = now + kLoadInterval;
+  const bool isCrowded = mLogic.queuedCount() > mLogic.limit(now);
   AgentMessage message(fleet::agent::LoadMeasured{
-    mLogic.loads().rates(now), std::chrono::duration_cast<Micros>(mLogic.loads().meanRun()) });
+    mLogic.loads().rates(now),
+    std::chrono::duration_cast<Micros>(mLogic.loads().longMeanRun()), isCrowded });
   mRings.agent.tryPush(std::move(message)); // Repeated with the next interval.
 }
 
--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -18,6 +18,9 @@
 // against the state at the time it is applied.
 constexpr Millis kPlanAgainAfter{ 500 };
 
+// While a target is crowded, plans follow each other so closely at most.
+constexpr Millis kCrowdedPlanInterval{ 150 };
+
 } // namespace
 
 bool isPlannerCommand(const wire::Command& aCommand)
@@ -88,6 +91,7 @@
   session.load.requestsPerSecond = aEvent.renew.loadRequestsPerSecond;
   session.load.partitionLoads = aEvent.renew.partitionLoads;
   session.load.meanRun = aEvent.renew.meanRun;
+  mHasCrowdedTarget = mHasCrowdedTarget || aEvent.renew.isCrowded;
   if (isOtherLink || isOverdue || session.sent < session.applied) {
     session.sent = session.applied;
   }
@@ -237,9 +241,11 @@
   }
   // A plan takes about 2 ms at 470 nodes, too much for every tick.
   const bool isDue = mNextPlanAt && *mNextPlanAt <= mNow;
-  if (mPlannedRevision == mHistory.revision() && !isDue && !isLate) {
+  const bool isUrgent = mHasCrowdedTarget && mNow - mPlanProposedAt >= kCrowdedPlanInterval;
+  if (mPlannedRevision == mHistory.revision() && !isDue && !isLate && !isUrgent) {
     return;
   }
+  mHasCrowdedTarget = false;
   mPlannedRevision = mHistory.revision();
   std::map<NodeId, NodeLoad> loads;
   for (const auto& [id, session] : mSessions) {
--- a/packages/fleet/ControlLeader.h
+++ b/packages/fleet/ControlLeader.h
@@ -162,6 +162,7 @@
   bool mIsRoundRunning = false;
   TimePoint mPlanProposedAt;
   std::optional<TimePoint> mNextPlanAt;
+  bool mHasCrowdedTarget = false;   // Heard since the latest plan.
   Revision mPlannedRevision = 0;    // State that the latest plan was made for.
   std::size_t mPlanOutstanding = 0; // Planner's commands that are proposed and not applied yet.
 };
--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -17,6 +17,9 @@
 constexpr int kUnansweredRenewals = 2;
 
 // Renewal after "not leader": soon, but not so soon that an election is flooded.
+// A crowded target's load is told so often at most: queues grow within a few hundred ms.
+constexpr Millis kCrowdedRenewal{ 200 };
+
 constexpr Millis kRetryRenewal{ 25 };
 
 // Commands are idempotent, so one without an answer is sent again.
@@ -65,6 +68,7 @@
   message.appliedRevision = mRevision;
   message.partitionLoads = mLoad.partitionLoads;
   message.meanRun = mLoad.meanRun;
+  message.isCrowded = mLoad.isCrowded;
   if (mSentRenewals.size() >= kMaxSentRenewals) {
     mSentRenewals.pop_front();
   }
@@ -314,6 +318,10 @@
 void NodeAgent::handle(const agent::LoadMeasured& aEvent, Actions& /*aOut*/)
 {
   mLoad = aEvent;
+  if (mLoad.isCrowded) {
+    const TimePoint lastRenewal = mNextRenewal - mConfig.lease.renewInterval;
+    mNextRenewal = std::min(mNextRenewal, lastRenewal + kCrowdedRenewal);
+  }
 }
 
 // Renewals were sent earlier than their times say, and the lease ends that much sooner.
--- a/packages/fleet/NodeAgent.h
+++ b/packages/fleet/NodeAgent.h
@@ -86,6 +86,7 @@
 {
   std::vector<wire::PartitionLoad> partitionLoads;
   Micros meanRun{ 0 };
+  bool isCrowded = false; ///< More requests wait than run at once; the leader hears of it soon.
 };
 /// A planned stop: hand everything over, then leave.
 struct DrainRequested
--- a/packages/fleet/testing/ControlLeaderTest.cc
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -14,10 +14,14 @@
 struct Leader
 {
   Member member = smallFleet();
-  ControlLeader control{ kSettings, member.state.model(), std::make_unique<Planner>() };
+  ControlLeader control;
   TimePoint now{ std::chrono::hours(1) };
 
-  Leader() { control.step(now, control::Restored{ member.state.revision() }); }
+  explicit Leader(std::unique_ptr<Planner> aPlanner = std::make_unique<Planner>())
+    : control(kSettings, member.state.model(), std::move(aPlanner))
+  {
+    control.step(now, control::Restored{ member.state.revision() });
+  }
 
   std::vector<control::Action> step(const control::Event& aEvent)
   {
@@ -229,5 +233,58 @@
   CHECK(answers[0].status == wire::LeaseStatus::NotLeader);
 }
 
+namespace {
+
+// Counts how often a plan is made.
+class CountingPlacement : public Placement
+{
+public:
+  explicit CountingPlacement(unsigned& aCount)
+    : mCount(aCount)
+  {
+  }
+  std::vector<PlannedMove> place(const PlacementInput& /*aInput*/) const override
+  {
+    ++mCount;
+    return {};
+  }
+
+private:
+  unsigned& mCount;
+};
+
+} // namespace
+
+// Guards against a planner that looks at a crowded target only half a second later.
+TEST_CASE("a crowded target is planned for within 150 ms, others with the usual plan")
+{
+  unsigned plans = 0;
+  Leader leader(
+    std::make_unique<Planner>(PlannerSettings{}, std::make_unique<CountingPlacement>(plans)));
+  leader.step(control::BecameLeader{});
+  leader.step(control::Tick{});
+  leader.now += Millis(400); // Nodes have settled, which calls for a plan of its own.
+  leader.step(control::Tick{});
+  const unsigned before = plans;
+  REQUIRE(before > 0);
+
+  wire::LeaseRenew renewal;
+  renewal.node = 1;
+  renewal.incarnation = 11;
+  leader.now += Millis(150);
+  leader.step(control::RenewArrived{ kLink, renewal });
+  leader.step(control::Tick{});
+  REQUIRE(plans == before);
+  renewal.isCrowded = true;
+  leader.step(control::RenewArrived{ kLink, renewal });
+  leader.step(control::Tick{});
+  const unsigned after = plans;
+  REQUIRE(after > before);
+  leader.now += Millis(50);
+  leader.step(control::RenewArrived{ kLink, renewal });
+  leader.step(control::Tick{});
+  REQUIRE(plans == after);
+}
+
 } // namespace
 } // namespace camphorcleat::fleet
--- a/packages/fleet/testing/NodeAgentTest.cc
+++ b/packages/fleet/testing/NodeAgentTest.cc
@@ -375,5 +375,23 @@
   CHECK(daemon.step(agent::Tick{}).empty());
 }
 
+// Guards against hot keys that stay at a crowded target for the rest of a renewal interval.
+TEST_CASE("a crowded target's load is told within 200 ms, and not more often")
+{
+  Daemon daemon;
+  daemon.join();
+  daemon.renew();
+  daemon.step(agent::LoadMeasured{ {}, Micros(0), false });
+  daemon.now += Millis(150);
+  REQUIRE(sentOf<wire::LeaseRenew>(daemon.step(agent::Tick{})).empty());
+  daemon.step(agent::LoadMeasured{ { { 7, 40.0 } }, Micros(0), true });
+  REQUIRE(sentOf<wire::LeaseRenew>(daemon.step(agent::Tick{})).empty());
+  daemon.now += Millis(50);
+  const auto sent = sentOf<wire::LeaseRenew>(daemon.step(agent::Tick{}));
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].isCrowded);
+  REQUIRE(sent[0].partitionLoads.at(0).partition == 7);
+}
+
 } // namespace
 } // namespace camphorcleat::fleet
--- a/packages/traffic/PartitionLoads.cc
+++ b/packages/traffic/PartitionLoads.cc
@@ -2,6 +2,7 @@
 
 #include "traffic/PartitionLoads.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace camphorcleat::traffic {
@@ -13,6 +14,9 @@
 // Weight of the newest run in the mean: about the last 30 runs count.
 constexpr double kRunWeight = 1.0 / 32;
 
+// Runs that count in the long mean: 5 s or more of a busy target.
+constexpr std::uint32_t kLongRuns = 256;
+
 constexpr std::size_t kMaxPriorities = 32;
 
 void addRun(double& aMean, double aSeconds)
@@ -37,6 +41,8 @@
 void PartitionLoads::ran(Duration aTime, std::uint32_t aPriority)
 {
   addRun(mRunSeconds, toSeconds(aTime));
+  mLongRuns = std::min(mLongRuns + 1, kLongRuns);
+  mLongRunSeconds += (toSeconds(aTime) - mLongRunSeconds) / mLongRuns;
   if (mRunSecondsOf.count(aPriority) > 0 || mRunSecondsOf.size() < kMaxPriorities) {
     addRun(mRunSecondsOf[aPriority], toSeconds(aTime));
   }
--- a/packages/traffic/PartitionLoads.h
+++ b/packages/traffic/PartitionLoads.h
@@ -35,6 +35,9 @@
   /// Mean time of a run at this target; zero before the first.
   Duration meanRun() const { return fromSeconds(mRunSeconds); }
 
+  /// The same over so many runs that short spells don't show: for decisions that last.
+  Duration longMeanRun() const { return fromSeconds(mLongRunSeconds); }
+
   /// Mean time of a run of a priority, which tells short kinds of requests from long ones; that of
   /// all runs before the first.
   Duration meanRun(std::uint32_t aPriority) const;
@@ -49,6 +52,8 @@
 
   std::map<PartitionId, Rate> mRates;
   double mRunSeconds = 0;
+  double mLongRunSeconds = 0;
+  std::uint32_t mLongRuns = 0; // At most kLongRuns.
   std::map<std::uint32_t, double> mRunSecondsOf; // By priority, at most kMaxPriorities.
 };
 
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -308,15 +308,8 @@
     return !ec;
   }
 
-  TimePoint tempNext;
   void tick(TimePoint aNow)
   {
-    if (aNow > tempNext) {
-      tempNext = aNow + Millis(10000);
-      std::string t;
-      for (auto& it : sentBytes) t += std::to_string(it.load()) + " ";
-      logEvent(LogLevel::Info, "tempbytes", { { "b", t }, { "links", std::to_string(links.all().size()) } });
-    }
     for (const auto& it : links.all()) {
       if (it->isLost || !it->socket) {
         continue;
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -84,6 +84,7 @@
   /// mean time of a run; 0 if not known.
   std::vector<PartitionLoad> partitionLoads{};
   Micros meanRun{ 0 };
+  bool isCrowded = false; ///< More requests wait at the target than it runs at once.
   static constexpr auto fields()
   {
     return std::make_tuple(field("node", &LeaseRenew::node),
@@ -92,7 +93,8 @@
                            field("applied_revision", &LeaseRenew::appliedRevision),
                            field("load_requests_per_second", &LeaseRenew::loadRequestsPerSecond),
                            field("partition_loads", &LeaseRenew::partitionLoads),
-                           field("mean_run_us", &LeaseRenew::meanRun));
+                           field("mean_run_us", &LeaseRenew::meanRun),
+                           field("crowded", &LeaseRenew::isCrowded));
   }
 };
 
