--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -18,6 +18,7 @@
 #include "daemon/OperatorServer.h"
 #include "daemon/OwnerDuty.h"
 #include "daemon/PeerRouter.h"
+#include "wire/WireCodec.h"
 
 namespace camphorcleat::daemon {
 
@@ -45,6 +46,7 @@
   transport::PeerHubConfig hubConfig();
   void setFixedAddresses();
   void addGauges();
+  void addPeerGauges();
 
   Settings settings;
   std::mt19937_64 random;
@@ -151,6 +153,16 @@
                    [this] { return static_cast<double>(countOwned(*view.state(), settings.id)); });
 }
 
+void Daemon::Impl::addPeerGauges()
+{
+  const std::vector<std::string> names = wire::peerMessageNames();
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    metrics.addGauge("camphorcleat_peer_sent_bytes", "type=\"" + names[i] + "\"",
+                     "Bytes of messages sent to other daemons.",
+                     [this, i] { return static_cast<double>(hub->sentBytes(i)); });
+  }
+}
+
 Daemon::Daemon(Settings aSettings, const DialectFactory& aFactory)
   : mImpl(std::make_unique<Impl>(std::move(aSettings), aFactory))
 {
@@ -188,6 +200,7 @@
   impl.hub = std::make_unique<transport::PeerHub>(impl.hubConfig(), impl.router);
   impl.router.setHub(impl.hub.get());
   impl.setFixedAddresses();
+  impl.addPeerGauges();
   if (impl.settings.takesCallers()) {
     impl.makeServing();
     impl.addGauges();
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -27,6 +27,10 @@
 // enough: the rest covers requests that take longer than the mean.
 constexpr int kObjectivePart = 2;
 
+// A request whose owner is lost waits for this part of its objective: enough for a daemon that
+// accepts connections again, and little of what the caller has for another try.
+constexpr int kLossBridgePart = 8;
+
 // A late attempt counts as so many times its age.
 constexpr double kLateFactor = 2;
 
@@ -292,6 +296,9 @@
   aPlan.deadline = std::min(aPlan.deadline, now + route->timeout);
   constexpr int kPercent = 100;
   aPlan.bridgeUntil = now + (aPlan.deadline - now) * mSettings.bridgePercent / kPercent;
+  if (mSettings.refusesLate && route->objective > Millis(0)) {
+    aPlan.lossBridgeUntil = now + route->objective / kLossBridgePart;
+  }
   aPlan.failsWithoutRoom = mSettings.refusesLate;
   const auto service = model.services().find(aHead.service);
   aPlan.isKeyed = service != model.services().end() && service->second.isKeyed;
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -88,6 +88,7 @@
   started.maxRuns = mPlan.maxRuns;
   started.mayHedge = mPlan.mayHedge;
   started.bridgeUntil = mPlan.bridgeUntil;
+  started.lossBridgeUntil = mPlan.lossBridgeUntil;
   started.failsWithoutRoom = mPlan.failsWithoutRoom;
   started.hasIdempotencyKey = !mHead.idempotencyKey.empty();
   started.deadline = mPlan.deadline;
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -61,6 +61,7 @@
   std::uint32_t maxRuns = 0; ///< Attempts that may have run; 0: no limit.
   bool mayHedge = true;
   TimePoint bridgeUntil = TimePoint::max();
+  TimePoint lossBridgeUntil = TimePoint::max();
   bool failsWithoutRoom = false;
 };
 
--- a/packages/daemon/Metrics.cc
+++ b/packages/daemon/Metrics.cc
@@ -10,6 +10,8 @@
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 namespace camphorcleat::daemon {
 
@@ -24,6 +26,13 @@
 using Quantile =
   ba::accumulator_set<double, ba::stats<ba::tag::count, ba::tag::sum, ba::tag::p_square_quantile>>;
 
+// Upper bounds in seconds, around the objectives and deadlines that services have.
+auto makeHistogram()
+{
+  return boost::histogram::make_histogram(boost::histogram::axis::variable<>(
+    { 0.0, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0 }));
+}
+
 // Label values come from operators' names, which have no quotes, or from fixed tables.
 std::string label(const char* aName, const std::string& aValue)
 {
@@ -38,7 +47,39 @@
   Quantile tail{ ba::quantile_probability = kTail };
 };
 
-Metrics::Metrics() = default;
+struct Metrics::Durations
+{
+  decltype(makeHistogram()) counts = makeHistogram();
+  double sum = 0;
+
+  void add(double aSeconds)
+  {
+    counts(aSeconds);
+    sum += aSeconds;
+  }
+
+  void render(std::ostream& aOut) const
+  {
+    const auto& axis = counts.axis(0);
+    std::uint64_t below = 0;
+    aOut << "# TYPE camphorcleat_entry_duration_seconds histogram\n";
+    for (int i = 0; i < axis.size(); ++i) {
+      below += static_cast<std::uint64_t>(counts.at(i));
+      aOut << "camphorcleat_entry_duration_seconds_bucket{le=\"" << axis.bin(i).upper() << "\"} "
+           << below << "\n";
+    }
+    below += static_cast<std::uint64_t>(counts.at(axis.size()));
+    aOut << "camphorcleat_entry_duration_seconds_bucket{le=\"+Inf\"} " << below << "\n"
+         << "camphorcleat_entry_duration_seconds_sum " << sum << "\n"
+         << "camphorcleat_entry_duration_seconds_count " << below << "\n";
+  }
+};
+
+Metrics::Metrics()
+  : mDurations(std::make_unique<Durations>())
+{
+}
+
 Metrics::~Metrics() = default;
 
 void Metrics::countAnswered()
@@ -58,6 +99,7 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mEntryResults[aCode];
+  mDurations->add(toSeconds(aLatency));
   if (aCode != ErrorCode::None) {
     return;
   }
@@ -80,9 +122,15 @@
 }
 
 void Metrics::addGauge(std::string aName, std::string aHelp, std::function<double()> aRead)
+{
+  addGauge(std::move(aName), "", std::move(aHelp), std::move(aRead));
+}
+
+void Metrics::addGauge(std::string aName, std::string aLabels, std::string aHelp,
+                       std::function<double()> aRead)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mGauges.push_back({ std::move(aName), std::move(aHelp), std::move(aRead) });
+  mGauges.push_back({ std::move(aName), std::move(aLabels), std::move(aHelp), std::move(aRead) });
 }
 
 std::uint32_t Metrics::answeredPerSecond() const
@@ -129,9 +177,14 @@
         << "camphorcleat_entry_latency_seconds_count{" << labels << "} " << ba::count(series->tail)
         << "\n";
   }
+  mDurations->render(out);
+  std::string before;
   for (const auto& it : mGauges) {
-    out << "# HELP " << it.name << " " << it.help << "\n# TYPE " << it.name << " gauge\n"
-        << it.name << " " << it.read() << "\n";
+    if (it.name != before) {
+      out << "# HELP " << it.name << " " << it.help << "\n# TYPE " << it.name << " gauge\n";
+      before = it.name;
+    }
+    out << it.name << (it.labels.empty() ? "" : "{" + it.labels + "}") << " " << it.read() << "\n";
   }
   return out.str();
 }
--- a/packages/daemon/Metrics.h
+++ b/packages/daemon/Metrics.h
@@ -1,7 +1,8 @@
-// Counters and latency quantiles of one daemon, in the Prometheus text format.
+// Counters, latency quantiles and a latency histogram of one daemon, in the Prometheus text format.
 //
 // Latencies go into Boost.Accumulators' P-square estimators, one set per service and account. The
-// number of sets is bounded; what exceeds it is counted under "other".
+// number of sets is bounded; what exceeds it is counted under "other". Quantiles can't be added up
+// over daemons, so a histogram counts the durations of all requests.
 
 #ifndef CAMPHORCLEAT_DAEMON_METRICS_H_
 #define CAMPHORCLEAT_DAEMON_METRICS_H_
@@ -39,6 +40,10 @@
   /// A value that is read when the metrics are asked for. aRead is thread-safe.
   void addGauge(std::string aName, std::string aHelp, std::function<double()> aRead);
 
+  /// The same with labels, such as `lane="data"`. Gauges of one name are added one after another.
+  void addGauge(std::string aName, std::string aLabels, std::string aHelp,
+                std::function<double()> aRead);
+
   /// All metrics as text.
   std::string render() const;
 
@@ -47,9 +52,11 @@
 
 private:
   struct Series;
+  struct Durations;
   struct Gauge
   {
     std::string name;
+    std::string labels;
     std::string help;
     std::function<double()> read;
   };
@@ -65,6 +72,7 @@
   std::map<ErrorCode, std::uint64_t> mRefusals;
   std::map<ErrorCode, std::uint64_t> mEntryResults;
   std::map<SeriesKey, std::unique_ptr<Series>> mSeries;
+  std::unique_ptr<Durations> mDurations; // Of all requests that ended at the entry.
   std::vector<Gauge> mGauges;
 };
 
--- a/packages/daemon/testing/MetricsTest.cc
+++ b/packages/daemon/testing/MetricsTest.cc
@@ -49,6 +49,31 @@
         std::string::npos);
 }
 
+TEST_CASE("the histogram counts answers and refusals in cumulative buckets")
+{
+  Metrics metrics;
+  metrics.countEntry("lookup", "a", ErrorCode::None, Millis(3));
+  metrics.countEntry("lookup", "a", ErrorCode::Overloaded, Millis(300));
+  metrics.countEntry("lookup", "a", ErrorCode::None, Millis(20'000));
+  const std::string text = metrics.render();
+  CHECK(text.find("_duration_seconds_bucket{le=\"0.005\"} 1\n") != std::string::npos);
+  CHECK(text.find("_duration_seconds_bucket{le=\"0.25\"} 1\n") != std::string::npos);
+  CHECK(text.find("_duration_seconds_bucket{le=\"0.5\"} 2\n") != std::string::npos);
+  CHECK(text.find("_duration_seconds_bucket{le=\"10\"} 2\n") != std::string::npos);
+  CHECK(text.find("_duration_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
+  CHECK(text.find("_duration_seconds_count 3\n") != std::string::npos);
+}
+
+TEST_CASE("gauges of one name have one description")
+{
+  Metrics metrics;
+  metrics.addGauge("sent_bytes", "type=\"a\"", "Bytes sent.", [] { return 1; });
+  metrics.addGauge("sent_bytes", "type=\"b\"", "Bytes sent.", [] { return 2; });
+  const std::string text = metrics.render();
+  CHECK(linesWith(text, "# TYPE sent_bytes gauge") == 1);
+  CHECK(linesWith(text, "sent_bytes{type=\"b\"} 2") == 1);
+}
+
 TEST_CASE("counters and gauges show what was counted")
 {
   Metrics metrics;
--- a/packages/harness/HttpCall.cc
+++ b/packages/harness/HttpCall.cc
@@ -15,8 +15,19 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+std::string HttpReply::header(const std::string& aName) const
+{
+  for (const auto& [name, value] : headers) {
+    if (beast::iequals(name, aName)) {
+      return value;
+    }
+  }
+  return {};
+}
+
 Result<HttpReply> httpCall(const Endpoint& aServer, const std::string& aMethod,
-                           const std::string& aTarget, const std::string& aBody, Millis aTimeout)
+                           const std::string& aTarget, const std::string& aBody, Millis aTimeout,
+                           const HttpHeaders& aHeaders)
 {
   asio::io_context loop(1);
   beast::tcp_stream stream(loop);
@@ -26,6 +37,9 @@
   request.method_string(aMethod);
   request.target(aTarget);
   request.set(http::field::host, endpointText(aServer));
+  for (const auto& [name, value] : aHeaders) {
+    request.set(name, value);
+  }
   request.keep_alive(false);
   request.body() = aBody;
   request.prepare_payload();
@@ -51,7 +65,11 @@
     return fail(HarnessError{ aMethod + " " + aTarget + " at " + endpointText(aServer) +
                               " failed: " + failure.message() });
   }
-  return HttpReply{ parser.get().result_int(), parser.get().body() };
+  HttpReply out{ parser.get().result_int(), parser.get().body() };
+  for (const auto& it : parser.get()) {
+    out.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
+  }
+  return out;
 }
 
 } // namespace camphorcleat::harness
--- a/packages/harness/HttpCall.h
+++ b/packages/harness/HttpCall.h
@@ -4,22 +4,31 @@
 #define CAMPHORCLEAT_HARNESS_HTTPCALL_H_
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/Time.h"
 #include "harness/Endpoint.h"
 
 namespace camphorcleat::harness {
 
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
 struct HttpReply
 {
   unsigned status = 0;
   std::string body;
+  HttpHeaders headers{};
+
+  /// The value of a header, or an empty text.
+  std::string header(const std::string& aName) const;
 };
 
 /// Sends one request on a new connection and reads the answer of at most 64 MiB.
 /// Fails with HarnessError. Thread-safe.
 Result<HttpReply> httpCall(const Endpoint& aServer, const std::string& aMethod,
-                           const std::string& aTarget, const std::string& aBody, Millis aTimeout);
+                           const std::string& aTarget, const std::string& aBody, Millis aTimeout,
+                           const HttpHeaders& aHeaders = {});
 
 } // namespace camphorcleat::harness
 
--- a/packages/traffic/EntryMessages.h
+++ b/packages/traffic/EntryMessages.h
@@ -28,6 +28,8 @@
   bool mayHedge = true;
   /// Until then a request waits for an owner of its key or a way to it.
   TimePoint bridgeUntil = TimePoint::max();
+  /// The same while the owner is lost: its lease runs on for long against a request's time.
+  TimePoint lossBridgeUntil = TimePoint::max();
   /// Whether a request without a key that finds no room at any target ends at once. Otherwise it
   /// tries again until its deadline.
   bool failsWithoutRoom = false;
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -14,6 +14,9 @@
 constexpr Millis kFirstPaidDelay{ 5 };
 constexpr Millis kFirstBridgeDelay{ 2 }; // A planned move takes a few milliseconds.
 constexpr Millis kLastDelay{ 100 };
+// Advice to a caller whose key has no reachable owner: this part of its time, so that most of the
+// rest is left for another try.
+constexpr int kRetryPart = 3;
 // A longer list would leave too few targets to choose from.
 constexpr std::size_t kMaxExcluded = 8;
 
@@ -28,6 +31,7 @@
 
 std::vector<EntryAction> EntryRequest::step(TimePoint aNow, const EntryEvent& aEvent)
 {
+  mNow = aNow;
   mOut.clear();
   if (!mIsFinished && (mIsStarted || std::holds_alternative<Started>(aEvent))) {
     std::visit([&](const auto& aIt) { on(aNow, aIt); }, aEvent);
@@ -209,8 +213,12 @@
   } else if (mStarted.isKeyed) {
     delay = std::max<Duration>(delay, aFailure.retryAfter); // No other node can take it.
   }
+  const bool isOwnerLost =
+    aFailure.code == ErrorCode::PeerUnreachable || aFailure.code == ErrorCode::NoOwner;
+  const TimePoint bridgeUntil =
+    isOwnerLost ? std::min(mStarted.bridgeUntil, mStarted.lossBridgeUntil) : mStarted.bridgeUntil;
   if (aNow + delay >= mStarted.deadline ||
-      (kind == RetryKind::Bridge && aNow + delay >= mStarted.bridgeUntil)) {
+      (kind == RetryKind::Bridge && aNow + delay >= bridgeUntil)) {
     return false;
   }
   if (kind == RetryKind::Paid && !mShared.retryBudget.tryTake()) {
@@ -260,6 +268,11 @@
       out.code = ErrorCode::OutcomeUnknown;
     }
   }
+  const bool isBridged = retryKindOf(aFailure.outcome, aFailure.code, false) == RetryKind::Bridge;
+  if (out.outcome == wire::Outcome::NotRun && out.retryAfter == Millis(0) && isBridged) {
+    const auto left = std::chrono::duration_cast<Millis>(mStarted.deadline - mNow);
+    out.retryAfter = std::max(left / kRetryPart, Millis(1));
+  }
   mIsFinished = true;
   mOut.emplace_back(std::move(out));
 }
--- a/packages/traffic/EntryRequest.h
+++ b/packages/traffic/EntryRequest.h
@@ -85,6 +85,7 @@
   EntryShared mShared;
   Backoff mPaidBackoff;
   Backoff mBridgeBackoff;
+  TimePoint mNow; // Of the present step.
   Started mStarted;
   bool mIsStarted = false;
   bool mIsFinished = false;
--- a/packages/traffic/testing/EntryRequestTest.cc
+++ b/packages/traffic/testing/EntryRequestTest.cc
@@ -112,6 +112,35 @@
   REQUIRE(f.find<UseAttempt>()->attempt == attempt);
 }
 
+// Guards against callers that are held while the lease of a lost owner runs on.
+TEST_CASE(
+  "a lost owner is waited for shorter than a move, and the caller is told when to come back")
+{
+  for (const ErrorCode code : { ErrorCode::PeerUnreachable, ErrorCode::NotOwner }) {
+    Fixture f;
+    Started started{ true, false, false, f.now + Millis(1500), false };
+    started.bridgeUntil = f.now + Millis(600);
+    started.lossBridgeUntil = f.now + Millis(75);
+    const TimePoint begin = f.now;
+    f.step(started);
+    f.step(RouteKnown{ 1 });
+    std::uint32_t attempt = 1;
+    f.fail(attempt, wire::Outcome::NotRun, code);
+    while (f.find<FailRequest>() == nullptr) {
+      REQUIRE(f.retries());
+      f.step(RouteKnown{ 1 });
+      f.fail(++attempt, wire::Outcome::NotRun, code);
+    }
+    const bool isLost = code == ErrorCode::PeerUnreachable;
+    REQUIRE(f.now - begin <= (isLost ? Millis(75) : Millis(600)));
+    REQUIRE(f.now - begin >= (isLost ? Millis(1) : Millis(300)));
+    const FailRequest& failure = *f.find<FailRequest>();
+    REQUIRE(failure.outcome == wire::Outcome::NotRun);
+    REQUIRE(failure.retryAfter > Millis(290));
+    REQUIRE(failure.retryAfter <= Millis(500));
+  }
+}
+
 TEST_CASE("an unknown route is asked for again until the deadline")
 {
   Fixture f;
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -36,7 +36,9 @@
     link->lane = aKey.second;
     mLinks[link->id] = link;
   }
-  Queued out = queueLocked(link, std::move(aBytes));
+  // The link is dialed all the same, so that the peer is found again.
+  const bool isRefused = aKey.second == Lane::Data && mUnreachable.count(aKey) > 0;
+  Queued out = isRefused ? Queued{ {}, link } : queueLocked(link, std::move(aBytes));
   out.isNew = isNew;
   return out;
 }
@@ -105,6 +107,9 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   aLink.peer = aPeer;
   aLink.isOpen = true;
+  if (aLink.wasDialed) {
+    mUnreachable.erase({ aPeer, aLink.lane });
+  }
   return !aLink.outbox.empty();
 }
 
@@ -121,6 +126,9 @@
   const auto it = mDialed.find({ aLink.peer, aLink.lane });
   if (it != mDialed.end() && it->second->id == aLink.id) {
     mDialed.erase(it);
+    if (!aLink.isOpen) {
+      mUnreachable.insert({ aLink.peer, aLink.lane });
+    }
   }
 }
 
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,7 +65,9 @@
   {
   }
 
-  /// Queues a message for the dialed link of a peer, which is made if there is none.
+  /// Queues a message for the dialed link of a peer, which is made if there is none. While the
+  /// latest dial of a peer has failed, work for it is refused at once: it would wait for the next
+  /// dial to fail. Control messages have their own timers and wait.
   Queued queueForPeer(const Key& aKey, std::string aBytes);
 
   /// Queues a message for an open link.
@@ -104,6 +107,7 @@
   mutable std::mutex mMutex;
   std::map<NodeId, std::string> mAddresses;
   std::map<Key, std::shared_ptr<PeerLink>> mDialed;
+  std::set<Key> mUnreachable; // Their latest dial failed. At most two for each node ever dialed.
   std::map<LinkId, std::shared_ptr<PeerLink>> mLinks;
   std::size_t mAcceptedCount = 0;
   bool mIsClosed = false;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -269,6 +269,33 @@
   REQUIRE(a.handler.losses().size() == 1);
 }
 
+// Guards against work that waits for the dial of a VM that is gone.
+TEST_CASE("work for a peer whose latest dial failed is refused at once, until the peer is back")
+{
+  unsigned short port = 0;
+  {
+    Node gone(configOf(2));
+    port = gone.hub.port();
+  }
+  Node a(configOf(1));
+  a.hub.setAddress(2, "127.0.0.1:" + std::to_string(port));
+  REQUIRE(a.hub.send(2, Lane::Data, numbered(1)).status == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(a.hub.send(2, Lane::Data, numbered(2)).status == SendStatus::Unreachable);
+  REQUIRE(a.hub.send(2, Lane::Control, numbered(3)).status == SendStatus::Accepted);
+
+  auto config = configOf(2);
+  config.listenAddress = "127.0.0.1:" + std::to_string(port);
+  Node b(config);
+  // Refused messages still make the hub dial, no faster than the backoff allows.
+  REQUIRE(
+    waitFor([&] { return a.hub.send(2, Lane::Data, numbered(4)).status == SendStatus::Accepted; }));
+  REQUIRE(waitFor([&] { return b.handler.count() >= 1; }));
+  for (const auto& it : b.handler.messages()) {
+    REQUIRE(std::get<wire::LeaseRenew>(it).sequence != 2);
+  }
+}
+
 TEST_CASE("dialing is not repeated faster than the backoff allows")
 {
   FakeServer closing([](PlainSocket&, int) {});
--- a/packages/wire/WireCodec.cc
+++ b/packages/wire/WireCodec.cc
@@ -4,6 +4,16 @@
 
 namespace camphorcleat::wire {
 
+namespace detail {
+
+template<class... A>
+std::vector<std::string> namesOf(const std::variant<A...>* /*aMessage*/)
+{
+  return { A::kName... };
+}
+
+} // namespace detail
+
 std::string encodePeerMessage(const PeerMessage& aMessage)
 {
   return encodeCompact(aMessage);
@@ -14,6 +24,11 @@
   return decode<PeerMessage>(aBytes);
 }
 
+std::vector<std::string> peerMessageNames()
+{
+  return detail::namesOf(static_cast<const PeerMessage*>(nullptr));
+}
+
 std::string encodeCommand(const Command& aCommand)
 {
   return encode(aCommand);
--- a/packages/wire/WireCodec.h
+++ b/packages/wire/WireCodec.h
@@ -7,6 +7,7 @@
 #define CAMPHORCLEAT_WIRE_WIRECODEC_H_
 
 #include <string>
+#include <vector>
 
 #include "wire/PeerMessages.h"
 
@@ -18,6 +19,9 @@
 /// Reads a peer message. The caller bounds the size. Fails with DecodeError. Thread-safe.
 Result<PeerMessage> decodePeerMessage(const std::string& aBytes);
 
+/// The names of the alternatives of PeerMessage, in their order. Thread-safe.
+std::vector<std::string> peerMessageNames();
+
 /// CBOR of a command. Thread-safe.
 std::string encodeCommand(const Command& aCommand);
 
