Send bodies on connections that are being dialed; give a target's next process no old grants

PeerHubTest and platform.processes fail without the change. A target process that followed another within one heartbeat was told the keys of the one before under the same token, because the view still named the old incarnation. OwnerDutyTest fails without the change. child-starter closes inherited descriptors: a listening socket of the test lived on in the daemons. MetricsTest accepts the type histogram, which the text format has.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -188,7 +188,22 @@
   chunk.isLast = mIsKeptWhole && mRest.empty();
   chunk.totalBytes = mBodyBytes;
   mIsBodyOver = chunk.isLast;
-  mHost.replyTo(aAttempt.link, std::move(chunk));
+  sendChunk(aId, aAttempt.link, std::move(chunk));
+}
+
+// An owner that lacks a part of the body would wait for it until the deadline.
+void EntryExchange::sendChunk(RequestId aId, transport::LinkId aLink, wire::BodyChunk aChunk)
+{
+  if (mHost.replyTo(aLink, std::move(aChunk)) == transport::SendStatus::Accepted) {
+    return;
+  }
+  mHost.replyTo(aLink, wire::CancelRequest{ aId });
+  wire::RequestFailed failed;
+  failed.id = aId;
+  failed.outcome = wire::Outcome::Unknown;
+  failed.code = ErrorCode::PeerUnreachable;
+  failed.message = "a part of the body could not be sent to the owner's daemon";
+  handle(aId, failed);
 }
 
 void EntryExchange::handle(const RequestId& aId, const wire::Credit& aCredit)
@@ -269,7 +284,7 @@
   chunk.totalBytes = mBodyBytes;
   chunk.data.data = std::move(aData);
   mIsBodyOver = aIsLast;
-  mHost.replyTo(attempt.link, std::move(chunk));
+  sendChunk(it->first, attempt.link, std::move(chunk));
 }
 
 void EntryExchange::handle(const RequestId& aId, wire::ResponseHead aHead)
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -118,6 +118,7 @@
   void useAttempt(unsigned aNumber);
   void setTimer(TimePoint aWhen);
   void sendKeptBody(const RequestId& aId, Attempt& aAttempt);
+  void sendChunk(RequestId aId, transport::LinkId aLink, wire::BodyChunk aChunk);
   void pumpBody();
   void restOfBodyRead(transport::BodyPart aPart);
   void sendRest();
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -645,6 +645,7 @@
 {
   mView.refresh();
   const TimePoint now = Clock::now();
+  const bool hadTarget = mBeats.hasTarget();
   const TargetBeats::Verdict verdict = mBeats.note(aHeartbeat);
   if (verdict == TargetBeats::Verdict::Stale) {
     aHeartbeat.reply(fleet::GrantAnswer());
@@ -654,6 +655,9 @@
     logEvent(LogLevel::Info, "target_announced",
              { { "service", aHeartbeat.announcement.service },
                { "instance", aHeartbeat.announcement.instance } });
+    if (hadTarget) {
+      mEndedIncarnation = mView.state().incarnation;
+    }
     mGrants.reset();
     cancelAllAtTarget();
   }
@@ -661,7 +665,10 @@
   const std::string& service = aHeartbeat.announcement.service;
   const fleet::FleetModel& model = *mView.state().model;
   const auto known = model.services().find(service);
-  if (known == model.services().end() || !known->second.isRanged) {
+  // Until the agent has registered the new process, the view still names the grants of the one
+  // before.
+  const bool isOfEnded = mEndedIncarnation == mView.state().incarnation;
+  if (known == model.services().end() || !known->second.isRanged || isOfEnded) {
     aHeartbeat.reply(fleet::GrantAnswer());
     return;
   }
@@ -755,6 +762,7 @@
   logEvent(LogLevel::Warning, "target_ended",
            { { "instance", mBeats.last().announcement.instance } });
   mBeats.noteEnd();
+  mEndedIncarnation = mView.state().incarnation;
   mGrants.reset();
   step(traffic::TargetReport{});
   if (mTargetFeed) {
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -134,6 +134,7 @@
   std::unique_ptr<TargetWatch> mWatch;
   TargetBeats mBeats; // Used if the dialect has heartbeats, in place of mWatch.
   fleet::TargetGrants mGrants;
+  std::optional<Incarnation> mEndedIncarnation; // Its target's process is gone, its grants are void.
   bool mIsProbing = false;
   std::optional<TargetFeed> mTargetFeed;
   boost::asio::steady_timer mTimer;
--- a/packages/daemon/testing/MetricsTest.cc
+++ b/packages/daemon/testing/MetricsTest.cc
@@ -107,7 +107,8 @@
   const std::string text = metrics.render();
   const std::regex sample(
     R"(^[a-z_]+(\{[a-z_]+="[^"\\]*"(,[a-z_]+="[^"\\]*")*\})? (-?[0-9][0-9.e+-]*|NaN|[+-]Inf)$)");
-  const std::regex comment(R"(^# (TYPE [a-z_]+ (counter|gauge|summary)|HELP [a-z_]+ .+)$)");
+  const std::regex comment(
+    R"(^# (TYPE [a-z_]+ (counter|gauge|histogram|summary)|HELP [a-z_]+ .+)$)");
   std::set<std::string> seen;
   std::istringstream in(text);
   for (std::string line; std::getline(in, line);) {
--- a/packages/harness/ChildStarterMain.cc
+++ b/packages/harness/ChildStarterMain.cc
@@ -23,6 +23,11 @@
   if (getppid() != std::strtol(argv[1], nullptr, 10)) {
     return 3;
   }
+  // A descriptor of the parent, such as a listening socket, must not live on in the program.
+  if (close_range(STDERR_FILENO + 1, ~0U, 0) != 0) {
+    std::perror("close_range");
+    return 3;
+  }
   execv(argv[2], argv + 2);
   std::perror(argv[2]);
   return 127;
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -47,7 +47,8 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto it = mLinks.find(aLink);
-  if (mIsClosed || it == mLinks.end() || !it->second->isOpen) {
+  // What follows a message on a link that is still being dialed waits with it.
+  if (mIsClosed || it == mLinks.end() || !(it->second->isOpen || it->second->wasDialed)) {
     return {};
   }
   return queueLocked(it->second, std::move(aBytes));
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -70,7 +70,7 @@
   /// dial to fail. Control messages have their own timers and wait.
   Queued queueForPeer(const Key& aKey, std::string aBytes);
 
-  /// Queues a message for an open link.
+  /// Queues a message for a link that is open or being dialed.
   Queued queueForLink(LinkId aLink, std::string aBytes);
 
   /// Takes everything that waits on an open link.
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -176,6 +176,18 @@
   REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
 }
 
+// Guards against bodies that are lost because their connection is still being dialed.
+TEST_CASE("what follows a message on a link that is being dialed arrives with it")
+{
+  Node b(configOf(2));
+  Node a(configOf(1));
+  a.hub.setAddress(2, addressOf(b.hub));
+  const auto sent = a.hub.send(2, Lane::Data, numbered(1));
+  REQUIRE(a.hub.reply(sent.link, numbered(2)) == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return b.handler.count() == 2; }));
+  REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 2);
+}
+
 TEST_CASE("messages of concurrent senders keep each sender's order")
 {
   Node a(configOf(1));
