--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -91,6 +91,7 @@
   session.load.requestsPerSecond = aEvent.renew.loadRequestsPerSecond;
   session.load.partitionLoads = aEvent.renew.partitionLoads;
   session.load.meanRun = aEvent.renew.meanRun;
+  session.load.isCrowded = aEvent.renew.isCrowded;
   mHasCrowdedTarget = mHasCrowdedTarget || aEvent.renew.isCrowded;
   if (isOtherLink || isOverdue || session.sent < session.applied) {
     session.sent = session.applied;
--- a/packages/fleet/Placement.h
+++ b/packages/fleet/Placement.h
@@ -22,6 +22,7 @@
   double requestsPerSecond = 0;
   std::vector<wire::PartitionLoad> partitionLoads{}; ///< Of partitions that it owns.
   Duration meanRun{ 0 };                             ///< Of a request; zero if not known.
+  bool isCrowded = false;                            ///< More requests wait than it runs at once.
 };
 
 /// A node that may own partitions of the service.
--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -15,6 +15,7 @@
   Candidate candidate;
   double held = 0;
   double target = 0; ///< Its fair part of the whole weight.
+  bool isCrowded = false;
 
   double missing() const { return target - held; }
 };
@@ -27,7 +28,9 @@
   {
     for (const auto& it : aInput.candidates) {
       mSeatOf[it.node] = mSeats.size();
-      mSeats.push_back({ it, 0, 0 });
+      const auto load = aInput.loads.find(it.node);
+      const bool isCrowded = load != aInput.loads.end() && load->second.isCrowded;
+      mSeats.push_back({ it, 0, 0, isCrowded });
     }
   }
 
@@ -149,8 +152,13 @@
         }
       }
       const double over = full->held - full->target;
-      if (empty == nullptr || empty == full ||
-          ratio(*full) - ratio(*empty) <= RangePlacement::kTolerance || over <= 0) {
+      if (empty == nullptr || empty == full || over <= 0) {
+        return;
+      }
+      const bool isWorthIt = full->isCrowded || ratio(*empty) < RangePlacement::kLeastPart;
+      const double tolerance =
+        isWorthIt ? RangePlacement::kTolerance : RangePlacement::kCalmTolerance;
+      if (ratio(*full) - ratio(*empty) <= tolerance) {
         return;
       }
       if (!shift(*full, *empty, std::min(over, empty->missing()))) {
--- a/packages/fleet/RangePlacement.h
+++ b/packages/fleet/RangePlacement.h
@@ -16,8 +16,14 @@
 class RangePlacement : public Placement
 {
 public:
-  /// A target whose share is above the mean by less than this part of the mean keeps its keys.
+  /// A crowded target keeps its keys if its part of its share is above that of the emptiest target
+  /// by less than this.
   static constexpr double kTolerance = 0.3;
+  /// The same for a target that has room: a move interrupts its keys, and rates measured over a few
+  /// seconds differ by chance.
+  static constexpr double kCalmTolerance = 0.8;
+  /// A target that has less than this part of its share gets keys although nobody is crowded.
+  static constexpr double kLeastPart = 0.5;
 
   std::vector<PlannedMove> place(const PlacementInput& aInput) const override;
 };
--- a/packages/fleet/testing/RangePlacementTest.cc
+++ b/packages/fleet/testing/RangePlacementTest.cc
@@ -118,4 +118,26 @@
   }
 }
 
+// Guards against keys that are interrupted for differences that are chance.
+TEST_CASE("a moderate difference moves keys only away from a crowded target")
+{
+  Fixture f(40, { 1, 2 });
+  f.carryOut(f.place());
+  f.input.partitionWeights.assign(40, 1.0);
+  f.input.partitionWeights[3] = 15;
+  CHECK(f.place().empty());
+  f.input.loads[2].isCrowded = true;
+  CHECK(f.place().empty());
+  f.input.loads[1].isCrowded = true;
+  CHECK_FALSE(f.place().empty());
+}
+
+TEST_CASE("a target that has just come gets its share although nobody is crowded")
+{
+  Fixture f(40, { 1, 2 });
+  f.carryOut(f.place());
+  f.input.candidates.push_back({ 3, 1, true, true });
+  CHECK_FALSE(f.place().empty());
+}
+
 } // namespace camphorcleat::fleet
