--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -326,6 +326,9 @@
   }
   noteHomes();
   noteNewGrants();
+  if (mWaitingHeartbeat && hasNewGrants(mWaitingHeartbeat->announcement.service)) {
+    answerWaitingHeartbeat();
+  }
   for (auto it = mStopping.begin(); it != mStopping.end();) {
     const auto* grant = mView.ownGrant(it->first.first, it->first.second);
     it = grant != nullptr && grant->token == it->second ? std::next(it) : mStopping.erase(it);
@@ -658,6 +661,7 @@
     if (hadTarget) {
       mEndedIncarnation = mView.state().incarnation;
     }
+    dropWaitingHeartbeat();
     mGrants.reset();
     cancelAllAtTarget();
   }
@@ -668,15 +672,57 @@
   // Until the agent has registered the new process, the view still names the grants of the one
   // before.
   const bool isOfEnded = mEndedIncarnation == mView.state().incarnation;
+  answerWaitingHeartbeat();
   if (known == model.services().end() || !known->second.isRanged || isOfEnded) {
     aHeartbeat.reply(fleet::GrantAnswer());
     return;
   }
-  aHeartbeat.reply(mGrants.heartbeat(now, model, aHeartbeat.holds, mView.ownGrants(service),
-                                     mView.leaseValidUntil()));
+  const bool bringsNews = verdict == TargetBeats::Verdict::NewTarget || mBeats.isLeaving() ||
+                          !aHeartbeat.holds.released.empty() || hasNewGrants(service);
+  if (bringsNews || mSettings.heartbeatWait <= Millis(0)) {
+    answerHeartbeat(aHeartbeat);
+    return;
+  }
+  mWaitingHeartbeat = aHeartbeat;
+  mAnswerHeartbeatBy = now + mSettings.heartbeatWait;
+}
+
+void OwnerDuty::answerHeartbeat(const TargetHeartbeat& aHeartbeat)
+{
+  mToldGrants = mView.ownGrants(aHeartbeat.announcement.service);
+  aHeartbeat.reply(mGrants.heartbeat(Clock::now(), *mView.state().model, aHeartbeat.holds,
+                                     mToldGrants, mView.leaseValidUntil()));
   releaseGrants();
 }
 
+// Its process is gone, so nothing may be granted to it.
+void OwnerDuty::dropWaitingHeartbeat()
+{
+  mToldGrants.clear();
+  if (auto heartbeat = std::exchange(mWaitingHeartbeat, std::nullopt)) {
+    heartbeat->reply(fleet::GrantAnswer());
+  }
+}
+
+void OwnerDuty::answerWaitingHeartbeat()
+{
+  if (auto heartbeat = std::exchange(mWaitingHeartbeat, std::nullopt)) {
+    answerHeartbeat(*heartbeat);
+  }
+}
+
+// Whether an answer would tell the target to hold other keys than the latest one did.
+bool OwnerDuty::hasNewGrants(const std::string& aService) const
+{
+  const auto grants = mView.ownGrants(aService);
+  return !std::equal(grants.begin(), grants.end(), mToldGrants.begin(), mToldGrants.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.first == aRight.first &&
+                              aLeft.second.token == aRight.second.token &&
+                              aLeft.second.movingTo == aRight.second.movingTo;
+                     });
+}
+
 void OwnerDuty::handleLeaving(const TargetLeaves& aLeaving)
 {
   if (mBeats.noteLeaving(aLeaving)) {
@@ -763,6 +809,7 @@
            { { "instance", mBeats.last().announcement.instance } });
   mBeats.noteEnd();
   mEndedIncarnation = mView.state().incarnation;
+  dropWaitingHeartbeat();
   mGrants.reset();
   step(traffic::TargetReport{});
   if (mTargetFeed) {
@@ -797,8 +844,8 @@
   mNextLoadReport = now + kLoadInterval;
   const bool isCrowded = mLogic.queuedCount() > mLogic.limit(now);
   AgentMessage message(fleet::agent::LoadMeasured{
-    mLogic.loads().rates(now),
-    std::chrono::duration_cast<Micros>(mLogic.loads().longMeanRun()), isCrowded });
+    mLogic.loads().rates(now), std::chrono::duration_cast<Micros>(mLogic.loads().longMeanRun()),
+    isCrowded });
   mRings.agent.tryPush(std::move(message)); // Repeated with the next interval.
 }
 
@@ -834,6 +881,9 @@
       return;
     }
     step(traffic::Tick{});
+    if (Clock::now() >= mAnswerHeartbeatBy) {
+      answerWaitingHeartbeat();
+    }
     releaseGrants();
     reportLoad();
     scheduleWake();
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -93,6 +93,10 @@
   void startTarget();
   void startPolling();
   void handleHeartbeat(const TargetHeartbeat& aHeartbeat);
+  void answerHeartbeat(const TargetHeartbeat& aHeartbeat);
+  void answerWaitingHeartbeat();
+  void dropWaitingHeartbeat();
+  bool hasNewGrants(const std::string& aService) const;
   void handleLeaving(const TargetLeaves& aLeaving);
   void reportTarget();
   void releaseGrants();
@@ -134,7 +138,11 @@
   std::unique_ptr<TargetWatch> mWatch;
   TargetBeats mBeats; // Used if the dialect has heartbeats, in place of mWatch.
   fleet::TargetGrants mGrants;
-  std::optional<Incarnation> mEndedIncarnation; // Its target's process is gone, its grants are void.
+  std::map<PartitionId, wire::PartitionGrant> mToldGrants; // By the latest answer.
+  std::optional<TargetHeartbeat> mWaitingHeartbeat;        // Is answered when the grants change.
+  TimePoint mAnswerHeartbeatBy;
+  std::optional<Incarnation>
+    mEndedIncarnation; // Its target's process is gone, its grants are void.
   bool mIsProbing = false;
   std::optional<TargetFeed> mTargetFeed;
   boost::asio::steady_timer mTimer;
--- a/packages/daemon/Settings.h
+++ b/packages/daemon/Settings.h
@@ -50,6 +50,7 @@
 
   std::string targetAddress; ///< Empty: no target beside this daemon.
   Millis maxHold{};          ///< Longest hold that a target takes.
+  Millis heartbeatWait{}; ///< Longest wait for a change of grants before a heartbeat is answered.
   Millis targetPollInterval{};
 
   std::map<NodeId, std::string> members; ///< Fixed members; empty if seeds are set.
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -99,7 +99,11 @@
   OwnerDuty owner{ settings, dialect, rings, router, view, metrics };
   std::uint64_t counter = 0;
 
-  Fixture() { owner.start(); }
+  explicit Fixture(Millis aHeartbeatWait = Millis(0))
+  {
+    settings.heartbeatWait = aHeartbeatWait;
+    owner.start();
+  }
 
   // A view with the service "intake" and the account "acme", whose only key is "known".
   void publish(Revision aRevision)
@@ -153,20 +157,26 @@
     push(ViewPublished{});
   }
 
-  // The answer of the owner to a heartbeat.
-  fleet::GrantAnswer beat(Millis aColdFor, const std::string& aService = "intake",
-                          const std::string& aInstance = "i-1")
+  std::future<fleet::GrantAnswer> sendBeat(Millis aColdFor, const std::string& aService,
+                                           const std::string& aInstance)
   {
-    std::promise<fleet::GrantAnswer> taken;
+    auto answer = std::make_shared<std::promise<fleet::GrantAnswer>>();
     TargetHeartbeat heartbeat;
     heartbeat.announcement.service = aService;
     heartbeat.announcement.slots = 100;
     heartbeat.announcement.instance = aInstance;
     heartbeat.sequence = ++counter;
     heartbeat.coldFor = aColdFor;
-    heartbeat.reply = [&taken](const fleet::GrantAnswer& aAnswer) { taken.set_value(aAnswer); };
+    heartbeat.reply = [answer](const fleet::GrantAnswer& aAnswer) { answer->set_value(aAnswer); };
     push(heartbeat);
-    auto answer = taken.get_future();
+    return answer->get_future();
+  }
+
+  // The answer of the owner to a heartbeat.
+  fleet::GrantAnswer beat(Millis aColdFor, const std::string& aService = "intake",
+                          const std::string& aInstance = "i-1")
+  {
+    auto answer = sendBeat(aColdFor, aService, aInstance);
     REQUIRE(answer.wait_for(Millis(2000)) == std::future_status::ready);
     return answer.get();
   }
@@ -251,6 +261,33 @@
   CHECK(answer.granted[0].token == 42);
 }
 
+// Guards against keys that have no server until the next heartbeat of the one that gets them.
+TEST_CASE("a heartbeat without news is answered when the grants change, or after its wait")
+{
+  Fixture f(Millis(400));
+  f.publishGrants(5, 7, 41);
+  CHECK(f.beat(Millis(0), "lookup").granted.at(0).token == 41);
+  const TimePoint begin = Clock::now();
+  CHECK(f.beat(Millis(0), "lookup").granted.at(0).token == 41);
+  CHECK(Clock::now() - begin >= Millis(400));
+  auto waiting = f.sendBeat(Millis(0), "lookup", "i-1");
+  CHECK(waiting.wait_for(Millis(100)) == std::future_status::timeout);
+  f.publishGrants(6, 7, 43);
+  REQUIRE(waiting.wait_for(Millis(200)) == std::future_status::ready);
+  CHECK(waiting.get().granted.at(0).token == 43);
+}
+
+TEST_CASE("a heartbeat that waits gets no grants once another process is there")
+{
+  Fixture f(Millis(5000));
+  f.publishGrants(5, 7, 41);
+  CHECK(f.beat(Millis(0), "lookup").granted.size() == 1);
+  auto waiting = f.sendBeat(Millis(0), "lookup", "i-1");
+  CHECK(f.beat(Millis(0), "lookup", "i-2").granted.empty());
+  REQUIRE(waiting.wait_for(Millis(2000)) == std::future_status::ready);
+  CHECK(waiting.get().granted.empty());
+}
+
 TEST_CASE("a cold target is paced although its heartbeat came before the view that knows its rate")
 {
   Fixture f;
--- a/packages/fleet/TargetGrants.cc
+++ b/packages/fleet/TargetGrants.cc
@@ -41,13 +41,15 @@
     const auto [first, last] = aModel.rangeOf(partition);
     if (rangeAround(aHolds.held, first, last) != nullptr) {
       told.isReleased = false;
+      told.isConfirmed = true;
       continue;
     }
-    told.isReleased = true;
     const ReleasedRange* released = rangeAround(aHolds.released, first, last);
     if (released != nullptr) {
       told.handover = released->handover;
     }
+    // A heartbeat that was sent before the answer with the grant arrived doesn't name it either.
+    told.isReleased = told.isConfirmed || released != nullptr;
   }
 }
 
@@ -73,11 +75,13 @@
         // Told by an earlier process of this daemon, if at all.
         const bool isHeld = rangeAround(aHolds.held, first, last) != nullptr;
         const TimePoint longest = aNow + fromSeconds(toSeconds(mMaxHold) * (1 + kClockSlack));
-        mTold[partition] = Told{ grant.token, isHeld ? longest : aNow, true, {}, !isHeld };
+        mTold[partition] = Told{ grant.token, isHeld ? longest : aNow, true, {}, !isHeld, isHeld };
       }
       continue;
     }
-    mTold[partition] = Told{ grant.token, until, false, {}, false };
+    Told& told = mTold[partition];
+    const bool isConfirmed = told.isConfirmed && told.token == grant.token;
+    told = Told{ grant.token, until, false, {}, false, isConfirmed };
     if (!out.granted.empty() && continues(out.granted.back(), first, grant)) {
       out.granted.back().to = last;
     } else {
--- a/packages/fleet/TargetGrants.h
+++ b/packages/fleet/TargetGrants.h
@@ -106,6 +106,7 @@
     bool isWithdrawn = false;
     std::string handover; ///< What the target gave when it released.
     bool isReleased = false;
+    bool isConfirmed = false; ///< The target has said that it holds it.
   };
 
   void noteHolds(const FleetModel& aModel, const HeartbeatHolds& aHolds);
--- a/packages/fleet/testing/TargetGrantsTest.cc
+++ b/packages/fleet/testing/TargetGrantsTest.cc
@@ -112,4 +112,21 @@
   CHECK(f.grants.takeReleased(f.now).size() == 1);
 }
 
+// Guards against two holders of a key: the answer with the grant may still be on its way.
+TEST_CASE("a target that has not taken a grant yet has not released it")
+{
+  Fixture f;
+  f.beat(kNothing);
+  f.owned[0].movingTo = 2;
+  f.now += Millis(100);
+  f.beat(kNothing);
+  CHECK(f.grants.takeReleased(f.now).empty());
+  f.now += Millis(100);
+  f.beat(kAll); // The first answer has arrived there meanwhile.
+  CHECK(f.grants.takeReleased(f.now).empty());
+  f.now += Millis(100);
+  f.beat(kAllButFirst);
+  CHECK(f.grants.takeReleased(f.now).size() == 1);
+}
+
 } // namespace camphorcleat::fleet
