--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -109,24 +109,28 @@
     return *best;
   }
 
-  // Gives each run of partitions in need to candidates in turn, each until it has its share.
+  // Gives the partitions in need to candidates in pieces, to the one that lacks most each time.
   void placeRuns(bool aIsStranded)
   {
     const State wanted = aIsStranded ? State::Stranded : State::Unowned;
     Seat* seat = nullptr;
     PartitionId before = 0;
     NodeId ownerBefore = kNoNode;
+    double piece = 0;
     for (const PartitionId it : mInput.partitions) {
       if (stateOf(it) != wanted) {
         continue;
       }
       const NodeId owner = (*mInput.grants)[it].owner;
       const double weight = weightOf(mInput, it);
-      const bool isNextPiece =
-        seat == nullptr || it != before + 1 || owner != ownerBefore || seat->missing() < weight / 2;
+      const bool isNextPiece = seat == nullptr || it != before + 1 || owner != ownerBefore ||
+                               seat->missing() < weight / 2 ||
+                               piece + weight / 2 > seat->target / RangePlacement::kPieces;
       if (isNextPiece) {
         seat = &neediest(owner);
+        piece = 0;
       }
+      piece += weight;
       before = it;
       ownerBefore = owner;
       if (seat->candidate.node != owner) {
--- a/packages/fleet/RangePlacement.h
+++ b/packages/fleet/RangePlacement.h
@@ -1,9 +1,10 @@
-// Placement of a ranged service: each target owns few, long ranges of neighbouring partitions.
+// Placement of a ranged service: each target owns a few ranges of neighbouring partitions.
 //
-// Busy keys lie side by side and a target is told its keys as ranges, so long ranges keep both the
-// messages and the number of hand-overs small. What must move goes to the candidates with the least
-// load for their weight, in pieces as long as possible. Balancing moves cut a piece off the end of
-// the fullest target's ranges, and only if the gap is worth the move.
+// Busy keys lie side by side, so one long range for each target would give all of them to one. A
+// target is told its keys as ranges, so many short ones would make long messages. What has no owner
+// goes to the candidates with the least load for their weight, in pieces of a sixteenth of a share.
+// Balancing moves cut a piece off the end of the fullest target's ranges, and only if the gap is
+// worth the move.
 
 #ifndef CAMPHORCLEAT_FLEET_RANGEPLACEMENT_H_
 #define CAMPHORCLEAT_FLEET_RANGEPLACEMENT_H_
@@ -16,6 +17,9 @@
 class RangePlacement : public Placement
 {
 public:
+  /// Pieces that make up a target's share. A target that is left with all keys of seven is told 112
+  /// ranges, which fit an answer of 4 KiB.
+  static constexpr int kPieces = 16;
   /// A crowded target keeps its keys if its part of its share is above that of the emptiest target
   /// by less than this.
   static constexpr double kTolerance = 0.3;
--- a/packages/fleet/TargetGrants.cc
+++ b/packages/fleet/TargetGrants.cc
@@ -21,10 +21,10 @@
   return it == aRanges.end() ? nullptr : &*it;
 }
 
-bool continues(const GrantedRange& aRange, std::uint32_t aFirst, const wire::PartitionGrant& aGrant)
+bool continues(const GrantedRange& aRange, std::uint32_t aFirst, FencingToken aToken,
+               const std::string& aHandover)
 {
-  return aRange.to + 1 == aFirst && aRange.token == aGrant.token &&
-         aRange.handover == aGrant.handover;
+  return aRange.to + 1 == aFirst && aRange.token == aToken && aRange.handover == aHandover;
 }
 
 } // namespace
@@ -82,10 +82,12 @@
     Told& told = mTold[partition];
     const bool isConfirmed = told.isConfirmed && told.token == grant.token;
     told = Told{ grant.token, until, false, {}, false, isConfirmed };
-    if (!out.granted.empty() && continues(out.granted.back(), first, grant)) {
+    // Once the target has the keys, their handover would only lengthen the answer.
+    const std::string handover = isConfirmed ? std::string() : grant.handover;
+    if (!out.granted.empty() && continues(out.granted.back(), first, grant.token, handover)) {
       out.granted.back().to = last;
     } else {
-      out.granted.push_back({ first, last, grant.token, grant.handover });
+      out.granted.push_back({ first, last, grant.token, handover });
     }
   }
   for (auto& [partition, told] : mTold) {
