--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -125,7 +125,7 @@
       const double weight = weightOf(mInput, it);
       const bool isNextPiece = seat == nullptr || it != before + 1 || owner != ownerBefore ||
                                seat->missing() < weight / 2 ||
-                               piece + weight / 2 > seat->target / RangePlacement::kPieces;
+                               piece >= seat->target / RangePlacement::kPieces;
       if (isNextPiece) {
         seat = &neediest(owner);
         piece = 0;
