--- a/packages/base/Codec.h
+++ b/packages/base/Codec.h
@@ -165,7 +165,10 @@
 template<class T>
 struct Coder<T, std::enable_if_t<std::is_integral_v<T> && !std::is_same_v<T, bool>>>
 {
-  static QCborValue write(T aValue, Form /*aForm*/) { return QCborValue(static_cast<qint64>(aValue)); }
+  static QCborValue write(T aValue, Form /*aForm*/)
+  {
+    return QCborValue(static_cast<qint64>(aValue));
+  }
   static DecodeStatus read(const QCborValue& aValue, T& aOut)
   {
     // JSON readers may give whole numbers as doubles.
@@ -514,7 +517,8 @@
       [&](const auto& aBody) -> QCborValue {
         using Body = std::decay_t<decltype(aBody)>;
         if (aForm == Form::Compact) {
-          return QCborArray{ static_cast<qint64>(aValue.index()), Coder<Body>::write(aBody, aForm) };
+          return QCborArray{ static_cast<qint64>(aValue.index()),
+                             Coder<Body>::write(aBody, aForm) };
         }
         QCborMap out;
         out.insert(QLatin1String(kVariantType), QLatin1String(Body::kName));
--- a/packages/base/Log.cc
+++ b/packages/base/Log.cc
@@ -116,7 +116,8 @@
 {
   const std::string count = std::to_string(aCount);
   return sFormat.load() == LogFormat::Json
-           ? renderJson(LogLevel::Warning, "log_lines_dropped", { { "of", aOf }, { "count", count } })
+           ? renderJson(LogLevel::Warning, "log_lines_dropped",
+                        { { "of", aOf }, { "count", count } })
            : renderText("log_lines_dropped", { { "of", aOf }, { "count", count } });
 }
 
--- a/packages/base/Log.h
+++ b/packages/base/Log.h
@@ -49,8 +49,8 @@
 
 using LogField = std::pair<const char*, std::string>;
 
-/// Sets level and format; lines go to standard output. Lines that its reader doesn't take at once are
-/// dropped and counted. Call once, before other threads start.
+/// Sets level and format; lines go to standard output. Lines that its reader doesn't take at once
+/// are dropped and counted. Call once, before other threads start.
 void setUpLog(LogLevel aLevel, LogFormat aFormat);
 
 /// Writes one line, without waiting for the reader. An event may write 20 lines a second; further
--- a/packages/ctl/RequestTrace.cc
+++ b/packages/ctl/RequestTrace.cc
@@ -26,10 +26,10 @@
                                                          "request_not_admitted", "request_failed" };
 
 constexpr std::array<std::string_view, 16> kBeliefs = {
-  "became_leader",       "configuration_in_force", "daemon_started",       "daemon_stopped",
-  "incarnation_started", "lost_leadership",        "node_lost",            "partitions_changed",
-  "peer_link_lost",      "planned_stop_started",   "settings_reloaded",    "target_announced",
-  "target_down",         "target_ended",           "target_leaving",       "was_suspended",
+  "became_leader",       "configuration_in_force", "daemon_started",    "daemon_stopped",
+  "incarnation_started", "lost_leadership",        "node_lost",         "partitions_changed",
+  "peer_link_lost",      "planned_stop_started",   "settings_reloaded", "target_announced",
+  "target_down",         "target_ended",           "target_leaving",    "was_suspended",
 };
 
 struct Cause
--- a/packages/ctl/testing/RequestTraceTest.cc
+++ b/packages/ctl/testing/RequestTraceTest.cc
@@ -51,9 +51,9 @@
 
 TEST_CASE("only daemons that decided about the request give context")
 {
-  const LogLines log = logsOf(
-    { { "entry", kEntryLog },
-      { "bystander", R"({"time":"2026-12-04T10:00:05.000Z","event":"target_ended"})" } });
+  const LogLines log =
+    logsOf({ { "entry", kEntryLog },
+             { "bystander", R"({"time":"2026-12-04T10:00:05.000Z","event":"target_ended"})" } });
   for (const auto& it : traceRequest(log, "ab12").context) {
     REQUIRE(it.source == "entry");
   }
@@ -98,9 +98,9 @@
          "config_stale", "not_owner", "no_owner", "lease_expired", "target_down", "target_shed",
          "target_fenced", "draining", "deadline_exceeded", "peer_unreachable", "outcome_unknown",
          "answer_truncated", "cancelled" }) {
-    const LogLines log = logsOf(
-      { { "entry", std::string(R"({"event":"request_failed","request":"x","code":")") + code +
-                     "\"}\n" } });
+    const LogLines log =
+      logsOf({ { "entry", std::string(R"({"event":"request_failed","request":"x","code":")") +
+                            code + "\"}\n" } });
     INFO(code);
     REQUIRE(traceRequest(log, "x").cause != "See the reason of the decision.");
   }
--- a/packages/traffic/PartitionLoads.h
+++ b/packages/traffic/PartitionLoads.h
@@ -53,7 +53,7 @@
   std::map<PartitionId, Rate> mRates;
   double mRunSeconds = 0;
   double mLongRunSeconds = 0;
-  std::uint32_t mLongRuns = 0; // At most kLongRuns.
+  std::uint32_t mLongRuns = 0;                   // At most kLongRuns.
   std::map<std::uint32_t, double> mRunSecondsOf; // By priority, at most kMaxPriorities.
 };
 
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -87,14 +87,13 @@
   bool isCrowded = false; ///< More requests wait at the target than it runs at once.
   static constexpr auto fields()
   {
-    return std::make_tuple(field("node", &LeaseRenew::node),
-                           field("incarnation", &LeaseRenew::incarnation),
-                           field("sequence", &LeaseRenew::sequence),
-                           field("applied_revision", &LeaseRenew::appliedRevision),
-                           field("load_requests_per_second", &LeaseRenew::loadRequestsPerSecond),
-                           field("partition_loads", &LeaseRenew::partitionLoads),
-                           field("mean_run_us", &LeaseRenew::meanRun),
-                           field("crowded", &LeaseRenew::isCrowded));
+    return std::make_tuple(
+      field("node", &LeaseRenew::node), field("incarnation", &LeaseRenew::incarnation),
+      field("sequence", &LeaseRenew::sequence),
+      field("applied_revision", &LeaseRenew::appliedRevision),
+      field("load_requests_per_second", &LeaseRenew::loadRequestsPerSecond),
+      field("partition_loads", &LeaseRenew::partitionLoads),
+      field("mean_run_us", &LeaseRenew::meanRun), field("crowded", &LeaseRenew::isCrowded));
   }
 };
 
