Tag compact items, so that JSON arrays are never taken for structs

Found by reading: the reader told the forms apart by their type, so an operator's document with an array in place of an object would have been read by position.

--- a/packages/base/Codec.h
+++ b/packages/base/Codec.h
@@ -17,9 +17,10 @@
 // input size by the caller, so decoding can't exhaust the stack or memory.
 //
 // Messages between daemons use a compact form: a struct is the array of its fields' values in their
-// order, in which null stands for the member's default and trailing nulls are left out; enums and
-// alternatives are numbers. So fields, enumerators and alternatives are added at the end only. The
-// reader tells the forms apart by themselves.
+// order, in which null stands for the member's default and trailing nulls are left out; a variant
+// is the array of a number and a body; enums are numbers. So fields, enumerators and alternatives
+// are added at the end only. A CBOR tag marks each of these items, so that the reader tells the
+// forms apart and takes no JSON for the compact one.
 
 #ifndef CAMPHORCLEAT_BASE_CODEC_H_
 #define CAMPHORCLEAT_BASE_CODEC_H_
@@ -103,6 +104,19 @@
   Compact
 };
 
+/// Not assigned by IANA.
+inline constexpr QCborTag kCompactTag{ 6 };
+
+inline bool isCompact(const QCborValue& aValue)
+{
+  return aValue.isTag() && aValue.tag() == kCompactTag;
+}
+
+inline QCborValue compactItem(const QCborValue& aValue)
+{
+  return { kCompactTag, aValue };
+}
+
 template<class T>
 constexpr bool kIsPlain = std::is_arithmetic_v<T> || std::is_enum_v<T>;
 
@@ -254,17 +268,19 @@
   static QCborValue write(E aValue, Form aForm)
   {
     if (aForm == Form::Compact) {
-      return QCborValue(static_cast<qint64>(aValue));
+      return compactItem(static_cast<qint64>(aValue));
     }
     const std::string_view name = enumName(aValue);
     return QCborValue(QLatin1String(name.data(), static_cast<qsizetype>(name.size())));
   }
   static DecodeStatus read(const QCborValue& aValue, E& aOut)
   {
-    if (aValue.isInteger()) {
-      const auto value = enumFromNumber<E>(aValue.toInteger());
+    if (isCompact(aValue)) {
+      constexpr qint64 kNone = -1;
+      const qint64 number = aValue.taggedValue().toInteger(kNone);
+      const auto value = enumFromNumber<E>(number);
       if (!value) {
-        return decodeFailure("unknown number " + std::to_string(aValue.toInteger()));
+        return decodeFailure("unknown number " + std::to_string(number));
       }
       aOut = *value;
       return std::nullopt;
@@ -414,8 +430,8 @@
   }
   static DecodeStatus read(const QCborValue& aValue, S& aOut)
   {
-    if (aValue.isArray()) {
-      return readCompact(aValue.toArray(), aOut);
+    if (isCompact(aValue)) {
+      return readCompact(aValue.taggedValue().toArray(), aOut);
     }
     if (!aValue.isMap()) {
       return decodeFailure("expected a map");
@@ -451,7 +467,7 @@
     while (!out.isEmpty() && out.last().isNull()) {
       out.removeLast();
     }
-    return out;
+    return compactItem(out);
   }
   static DecodeStatus readCompact(const QCborArray& aIn, S& aOut)
   {
@@ -517,8 +533,8 @@
       [&](const auto& aBody) -> QCborValue {
         using Body = std::decay_t<decltype(aBody)>;
         if (aForm == Form::Compact) {
-          return QCborArray{ static_cast<qint64>(aValue.index()),
-                             Coder<Body>::write(aBody, aForm) };
+          return compactItem(
+            QCborArray{ static_cast<qint64>(aValue.index()), Coder<Body>::write(aBody, aForm) });
         }
         QCborMap out;
         out.insert(QLatin1String(kVariantType), QLatin1String(Body::kName));
@@ -529,8 +545,8 @@
   }
   static DecodeStatus read(const QCborValue& aValue, Value& aOut)
   {
-    if (aValue.isArray()) {
-      return readCompact(aValue.toArray(), aOut);
+    if (isCompact(aValue)) {
+      return readCompact(aValue.taggedValue().toArray(), aOut);
     }
     if (!aValue.isMap()) {
       return decodeFailure("expected a map");
--- a/packages/base/testing/CodecTest.cc
+++ b/packages/base/testing/CodecTest.cc
@@ -125,9 +125,9 @@
 TEST_CASE("a struct survives the compact form, which leaves names and defaults out")
 {
   requireEqual(sample(), decode<Sample>(encodeCompact(sample())).value());
-  REQUIRE(encodeCompact(Inner{}) == "\x80");
-  REQUIRE(encodeCompact(Inner{ 4 }) == "\x81\x04");
-  REQUIRE(decode<Inner>("\x80").value().level == 0);
+  REQUIRE(encodeCompact(Inner{}) == "\xc6\x80");
+  REQUIRE(encodeCompact(Inner{ 4 }) == "\xc6\x81\x04");
+  REQUIRE(decode<Inner>("\xc6\x80").value().level == 0);
 }
 
 TEST_CASE("a member whose default isn't zero keeps a zero through the compact form")
@@ -143,11 +143,20 @@
 
 TEST_CASE("the compact form skips later fields and refuses unknown enumerators and alternatives")
 {
-  REQUIRE(decode<Inner>("\x82\x04\x05").value().level == 4);
-  REQUIRE(failureOfCall([] { return decode<Sample>("\x82\x01\x09"); }) ==
+  REQUIRE(decode<Inner>("\xc6\x82\x04\x05").value().level == 4);
+  REQUIRE(failureOfCall([] { return decode<Sample>("\xc6\x82\x01\xc6\x09"); }) ==
           "field 'colour': unknown number 9");
-  REQUIRE(failureOfCall([] { return decode<Sample>("\x86\xf6\xf6\xf6\xf6\xf6\x82\x02\x80"); }) ==
-          "field 'choice.type': unknown type 2");
+  REQUIRE(failureOfCall([] {
+            return decode<Sample>("\xc6\x86\xf6\xf6\xf6\xf6\xf6\xc6\x82\x02\xc6\x80");
+          }) == "field 'choice.type': unknown type 2");
+}
+
+TEST_CASE("arrays and numbers without the tag are not taken for the compact form")
+{
+  REQUIRE(failureOfCall([] { return decode<Inner>("\x81\x04"); }) == "field '': expected a map");
+  REQUIRE(failureOfCall([] { return fromJson<Inner>("[4]"); }) == "field '': expected a map");
+  REQUIRE(failureOfCall([] { return fromJson<Second>(R"({"inner": [4]})"); }) ==
+          "field 'inner': expected a map");
 }
 
 TEST_CASE("unknown fields are skipped and missing fields are located")
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -141,8 +141,7 @@
   std::map<PartitionId, wire::PartitionGrant> mToldGrants; // By the latest answer.
   std::optional<TargetHeartbeat> mWaitingHeartbeat;        // Is answered when the grants change.
   TimePoint mAnswerHeartbeatBy;
-  std::optional<Incarnation>
-    mEndedIncarnation; // Its target's process is gone, its grants are void.
+  std::optional<Incarnation> mEndedIncarnation; // Its target's process is gone.
   bool mIsProbing = false;
   std::optional<TargetFeed> mTargetFeed;
   boost::asio::steady_timer mTimer;
--- a/packages/fleet/TargetGrants.cc
+++ b/packages/fleet/TargetGrants.cc
@@ -32,7 +32,6 @@
 void TargetGrants::reset()
 {
   mTold.clear();
-  mHeldUntil = TimePoint();
 }
 
 void TargetGrants::noteHolds(const FleetModel& aModel, const HeartbeatHolds& aHolds)
@@ -96,7 +95,6 @@
                            owned->second.token == told.token;
     told.isWithdrawn = !isGranted;
   }
-  mHeldUntil = until;
   return out;
 }
 
--- a/packages/fleet/TargetGrants.h
+++ b/packages/fleet/TargetGrants.h
@@ -95,9 +95,6 @@
   /// Whether the target was told to hold the partition under this token and the hold runs.
   bool isHeld(TimePoint aNow, PartitionId aPartition, FencingToken aToken) const;
 
-  /// When the last hold that isn't withdrawn runs out; the epoch if there is none.
-  TimePoint heldUntil() const { return mHeldUntil; }
-
 private:
   struct Told
   {
@@ -113,7 +110,6 @@
 
   Millis mMaxHold;
   std::map<PartitionId, Told> mTold;
-  TimePoint mHeldUntil;
 };
 
 } // namespace camphorcleat::fleet
