--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -221,11 +221,14 @@
   if (!mBodyAttempt || mIsBodyOver || mIsFinished) {
     return;
   }
-  const auto it = mAttempts.find(*mBodyAttempt);
-  if (it == mAttempts.end()) {
+  if (mAttempts.count(*mBodyAttempt) == 0) {
     return;
   }
   sendRest();
+  const auto it = mAttempts.find(*mBodyAttempt); // Gone if the part could not be sent.
+  if (it == mAttempts.end() || mIsFinished) {
+    return;
+  }
   if (mIsBodyOver || mIsRestLast || mIsReadingBody || !mRest.empty() ||
       it->second.bodyCredit == 0) {
     return;
