--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Millis kMaxDeadline{ 600'000 };
+// 10,000 connections that each hold so long a header take 2.5 GB, the most that one VM bears.
+constexpr std::uint64_t kMostHeaderBytes = 256U << 10U;
 // Weight of the newest latency in a node's average.
 constexpr double kLatencyWeight = 0.1;
 
@@ -105,15 +107,27 @@
 
 Result<void> EntryDuty::start()
 {
-  transport::HttpLimits limits;
-  limits.maxBodyBytes = mSettings.maxBodyBytes;
   mFrontend = std::make_unique<transport::HttpFrontend>(mThread.context(), mSettings.callersAddress,
-                                                        limits, *this);
+                                                        callerLimits(), *this);
   BOOST_LEAF_CHECK(mFrontend->start());
   mThread.start();
   return {};
 }
 
+// Those of the configuration, but never more than this daemon has memory for.
+transport::HttpLimits EntryDuty::callerLimits() const
+{
+  transport::HttpLimits out;
+  const wire::CallerLimits& limits = mState->model->configuration().limits;
+  out.maxHeaderBytes =
+    std::min<std::uint64_t>(limits.headerBytes.value_or(out.maxHeaderBytes), kMostHeaderBytes);
+  out.maxBodyBytes = std::min(limits.bodyBytes.value_or(mSettings.maxBodyBytes),
+                              mSettings.maxBodyBytes);
+  out.headerTimeout = limits.headerTimeout.value_or(out.headerTimeout);
+  out.keepAliveTimeout = limits.idleTimeout.value_or(out.keepAliveTimeout);
+  return out;
+}
+
 void EntryDuty::stop()
 {
   mRing.close();
@@ -143,6 +157,7 @@
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
     mState = mView.state();
+    mFrontend->setLimits(callerLimits());
   } else if (std::holds_alternative<BeginStop>(aMessage)) {
     mFrontend->beginDrain();
   }
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -86,6 +86,7 @@
     void note(TimePoint aNow, double aLatencySeconds, double aWeight);
   };
 
+  transport::HttpLimits callerLimits() const;
   void handle(EntryMessage aMessage);
   void handlePeer(FromPeer aMessage);
   void noteExpectation(const wire::ResponseHead& aHead);
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -100,6 +100,9 @@
   transport::SendStatus replyTo(transport::LinkId /*aLink*/, wire::PeerMessage aMessage) override
   {
     if (const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage)) {
+      if (chunkStatus != transport::SendStatus::Accepted) {
+        return chunkStatus;
+      }
       chunks.push_back(*chunk);
     } else if (const auto* credit = std::get_if<wire::Credit>(&aMessage)) {
       credits.push_back(*credit);
@@ -129,6 +132,7 @@
   NativeDialect native;
   NodeId owner = 2;
   transport::SendStatus status = transport::SendStatus::Accepted;
+  transport::SendStatus chunkStatus = transport::SendStatus::Accepted;
   std::vector<RequestId> ids;
   std::vector<wire::RequestHead> heads;
   std::vector<wire::BodyChunk> chunks;
@@ -427,6 +431,22 @@
   CHECK(run.caller->outcome == "unknown");
 }
 
+// Guards against the use of an attempt that a part of its body which couldn't be sent has ended.
+TEST_CASE("a part of the body that can't be sent ends the attempt, and nothing more is read")
+{
+  Run run("PUT", std::nullopt);
+  run.caller->give(kFirstCreditBytes, false);
+  const RequestId id = run.host.ids[0];
+  run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 5000 });
+  run.host.chunkStatus = transport::SendStatus::Full;
+  run.caller->give(1000, false);
+  REQUIRE(run.runToEnd());
+  CHECK_FALSE(run.caller->reader);
+  CHECK(run.host.cancelled == std::vector<RequestId>{ id });
+  CHECK(run.host.heads.size() == 1);
+  CHECK(run.caller->outcome == "unknown");
+}
+
 TEST_CASE("a kept body is sent again whole, with its own chunk numbers")
 {
   Run run("PUT", 100);
--- a/packages/fleet/ConfigurationRules.cc
+++ b/packages/fleet/ConfigurationRules.cc
@@ -96,6 +96,16 @@
   return std::nullopt;
 }
 
+Verdict checkLimits(const wire::Configuration& aConfiguration)
+{
+  const wire::CallerLimits& limits = aConfiguration.limits;
+  const bool isUsable =
+    limits.headerBytes.value_or(1) > 0 && limits.bodyBytes.value_or(1) > 0 &&
+    limits.headerTimeout.value_or(Millis(1)) > Millis(0) &&
+    limits.idleTimeout.value_or(Millis(1)) > Millis(0);
+  return isUsable ? Verdict() : invalid("a limit for callers is not above 0");
+}
+
 Verdict checkRoutes(const wire::Configuration& aConfiguration,
                     const std::set<std::string>& aServices)
 {
@@ -142,6 +152,9 @@
   if (auto verdict = checkRoutes(next, services)) {
     return verdict;
   }
+  if (auto verdict = checkLimits(next)) {
+    return verdict;
+  }
   mOut.emplace_back(wire::ConfigurationSet{ next });
   return std::nullopt;
 }
--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace camphorcleat::fleet {
 
@@ -16,6 +17,7 @@
   double held = 0;
   double target = 0; ///< Its fair part of the whole weight.
   bool isCrowded = false;
+  bool isExhausted = false; ///< Has no partition light enough to move.
 
   double missing() const { return target - held; }
 };
@@ -140,23 +142,25 @@
     }
   }
 
-  // From the target that is fullest for its weight to the one that is emptiest.
+  // From the targets that are fullest for their weight to those that are emptiest. One that can't
+  // give a piece is passed over: the others still have more than their share.
   void balance()
   {
     const auto ratio = [](const Seat& aSeat) {
       return aSeat.target > 0 ? aSeat.held / aSeat.target : 0.0;
     };
     for (std::size_t i = 0; i < mSeats.size(); ++i) {
-      Seat* full = &mSeats.front();
+      Seat* full = nullptr;
       Seat* empty = nullptr;
       for (auto& it : mSeats) {
-        full = ratio(it) > ratio(*full) ? &it : full;
+        if (!it.isExhausted && (full == nullptr || ratio(it) > ratio(*full))) {
+          full = &it;
+        }
         if (it.candidate.takesMoves && (empty == nullptr || ratio(it) < ratio(*empty))) {
           empty = &it;
         }
       }
-      const double over = full->held - full->target;
-      if (empty == nullptr || empty == full || over <= 0) {
+      if (full == nullptr || empty == nullptr || empty == full || full->held <= full->target) {
         return;
       }
       const bool isWorthIt = full->isCrowded || ratio(*empty) < RangePlacement::kLeastPart;
@@ -165,28 +169,26 @@
       if (ratio(*full) - ratio(*empty) <= tolerance) {
         return;
       }
-      if (!shift(*full, *empty, std::min(over, empty->missing()))) {
-        return;
-      }
+      full->isExhausted =
+        !shift(*full, *empty, std::min(full->held - full->target, empty->missing()));
     }
   }
 
-  // Moves a piece of at most aWeight off the end of the giver's last range.
+  // Moves pieces of at most aWeight in all off the end of the giver's ranges. A partition that is
+  // too heavy stays, and lighter ones leave it.
   bool shift(Seat& aFrom, Seat& aTo, double aWeight)
   {
     double moved = 0;
     for (auto it = mInput.partitions.rbegin(); it != mInput.partitions.rend(); ++it) {
       const wire::PartitionGrant& grant = (*mInput.grants)[*it];
       const bool isMovable = grant.owner == aFrom.candidate.node && grant.movingTo == kNoNode &&
-                             *it < mInput.partitionCount;
-      if (!isMovable) {
-        continue;
-      }
+                             *it < mInput.partitionCount && mPlanned.count(*it) == 0;
       const double weight = weightOf(mInput, *it);
-      if (moved + weight > aWeight) {
-        break;
+      if (!isMovable || moved + weight > aWeight) {
+        continue;
       }
       moved += weight;
+      mPlanned.insert(*it);
       mMoves.push_back({ *it, aFrom.candidate.node, aTo.candidate.node, false });
     }
     aFrom.held -= moved;
@@ -197,6 +199,7 @@
   const PlacementInput& mInput;
   std::vector<Seat> mSeats;
   std::map<NodeId, std::size_t> mSeatOf;
+  std::set<PartitionId> mPlanned; // Partitions of balancing moves.
   std::vector<PlannedMove> mMoves;
 };
 
--- a/packages/fleet/testing/ConfigurationTest.cc
+++ b/packages/fleet/testing/ConfigurationTest.cc
@@ -79,7 +79,7 @@
 {
   Member member = founded();
   REQUIRE(put(member, configuration(0, 7, "good"), "good") == ErrorCode::None);
-  std::vector<wire::ReplaceConfiguration> bad(9, configuration(7, 8, "bad"));
+  std::vector<wire::ReplaceConfiguration> bad(11, configuration(7, 8, "bad"));
   bad[0].configuration.routes = { routeTo("nowhere") };
   bad[1].configuration.routes[0].pathPrefix = "a/";
   bad[2].configuration.routes[0].parts[0].weight = 0;
@@ -90,6 +90,8 @@
   bad[7].configuration.accounts.push_back(bad[7].configuration.accounts[0]);
   bad[7].configuration.accounts[1].name = "other";
   bad[8].configuration.routes[0].timeout = Millis(0);
+  bad[9].configuration.limits.bodyBytes = 0;
+  bad[10].configuration.limits.idleTimeout = Millis(0);
   for (std::size_t i = 0; i < bad.size(); ++i) {
     INFO("fault " << i);
     CHECK(put(member, bad[i], "bad" + std::to_string(i)) == ErrorCode::InvalidCommand);
--- a/packages/fleet/testing/RangePlacementTest.cc
+++ b/packages/fleet/testing/RangePlacementTest.cc
@@ -140,6 +140,31 @@
   }
 }
 
+// Guards against a partition too heavy to move that keeps other crowded targets from being relieved.
+TEST_CASE("a target that can give nothing doesn't keep others from giving")
+{
+  Fixture f(60, { 1, 2, 3 });
+  f.carryOut(f.place());
+  f.input.partitionWeights.assign(60, 1.0);
+  NodeId hottest = 0;
+  for (PartitionId i = 0; i < 60; ++i) {
+    if (f.grants[i].owner == 1) {
+      f.input.partitionWeights[i] = hottest == 0 ? 200 : 0;
+      hottest = 1;
+    } else if (f.grants[i].owner == 2) {
+      f.input.partitionWeights[i] = 9;
+    }
+  }
+  f.input.loads[1].isCrowded = true;
+  f.input.loads[2].isCrowded = true;
+  bool hasRelievedSecond = false;
+  for (const auto& it : f.place()) {
+    CHECK(f.input.partitionWeights[it.partition] < 200);
+    hasRelievedSecond = hasRelievedSecond || (it.from == 2 && it.to == 3);
+  }
+  CHECK(hasRelievedSecond);
+}
+
 // Guards against keys that are interrupted for differences that are chance.
 TEST_CASE("a moderate difference moves keys only away from a crowded target")
 {
--- a/packages/harness/testing/ScenarioRunnerTest.cc
+++ b/packages/harness/testing/ScenarioRunnerTest.cc
@@ -42,7 +42,12 @@
     mFolder = (std::filesystem::temp_directory_path() / "camphorcleat-runs-XXXXXX").string();
     REQUIRE(::mkdtemp(mFolder.data()) != nullptr);
   }
-  ~Runs() { std::filesystem::remove_all(mFolder); }
+  // A run that no test waited for still writes to the folder, so it ends first.
+  ~Runs()
+  {
+    mGroup.endAll(kRunTime);
+    std::filesystem::remove_all(mFolder);
+  }
 
   pid_t start(const std::string& aName, const std::string& aText)
   {
--- a/packages/transport/HttpFrontend.cc
+++ b/packages/transport/HttpFrontend.cc
@@ -186,6 +186,11 @@
   return {};
 }
 
+void HttpFrontend::setLimits(const HttpLimits& aLimits)
+{
+  mImpl->shared->limits = aLimits;
+}
+
 void HttpFrontend::beginDrain()
 {
   mImpl->shared->isDraining = true;
--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -129,6 +129,10 @@
   /// Listens. Fails with AddressError. On the io_context's thread, or before it runs.
   Result<void> start();
 
+  /// Replaces the limits. Requests and waits that began before keep theirs. On the io_context's
+  /// thread.
+  void setLimits(const HttpLimits& aLimits);
+
   /// From now on each answer closes its connection, and idle connections are closed. New
   /// connections are still accepted, for one request each. On the io_context's thread.
   void beginDrain();
--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -191,6 +191,7 @@
 void HttpSession::readHeader()
 {
   mPhase = Phase::Reading;
+  mBuffer.max_size(mShared->limits.maxHeaderBytes + kReadAheadBytes);
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(mShared->limits.maxHeaderBytes));
   mParser->body_limit(mShared->limits.maxBodyBytes);
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -30,7 +30,7 @@
     , handler(aHandler)
   {
   }
-  const HttpLimits limits;
+  HttpLimits limits;
   HttpHandler& handler;
   std::unordered_set<std::shared_ptr<HttpSession>> sessions;
   std::atomic<std::size_t> sessionCount{ 0 };
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -262,6 +262,7 @@
     } else if (hello != nullptr) {
       onHello(aLink, *hello);
     } else {
+      links.noteWork(*aLink, workNoteOf(message));
       handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(message));
     }
   }
@@ -301,6 +302,7 @@
 
   bool sendFrame(const LinkPtr& aLink, const std::string& aBytes)
   {
+    aLink->lastSent = Clock::now();
     const auto ec = aLink->socket->send(aBytes, websocketpp::frame::opcode::binary);
     if (ec) {
       lose(aLink, "can't send: " + ec.message());
@@ -310,24 +312,55 @@
 
   void tick(TimePoint aNow)
   {
-    for (const auto& it : links.all()) {
+    const auto all = links.all();
+    const Millis idleInterval = idlePingInterval(all);
+    for (const auto& it : all) {
       if (it->isLost || !it->socket) {
         continue;
       }
-      const Duration silence = aNow - it->socket->lastReceived();
       if (aNow >= it->setUpDeadline) {
         lose(it, "set-up took too long");
-      } else if (it->isOpen && silence >= config.silenceLimit) {
-        lose(it, "no bytes for " + std::to_string(toMillis(silence)) + " ms");
-      } else if (it->isOpen && silence >= config.pingInterval &&
-                 aNow - it->lastPing >= config.pingInterval) {
-        it->lastPing = aNow;
-        websocketpp::lib::error_code ec;
-        it->socket->ping("", ec);
+      } else if (it->isOpen) {
+        checkSilence(it, aNow, idleInterval);
       }
     }
   }
 
+  Millis idlePingInterval(const std::vector<LinkPtr>& aLinks) const
+  {
+    const auto dialed = std::count_if(aLinks.begin(), aLinks.end(),
+                                      [](const LinkPtr& aLink) { return aLink->wasDialed; });
+    const Millis fair(std::chrono::seconds(dialed) / config.idlePingsPerSecond);
+    return std::max(config.pingInterval, fair);
+  }
+
+  void checkSilence(const LinkPtr& aLink, TimePoint aNow, Millis aIdleInterval)
+  {
+    const TimePoint heard = aLink->socket->lastReceived();
+    const Duration silence = aNow - heard;
+    if (silence < config.pingInterval) {
+      return;
+    }
+    // The accepting side expects something only while a request runs: its answers need none.
+    const bool isExpecting =
+      links.hasWork(*aLink) || (aLink->wasDialed && aLink->lastSent > heard);
+    const bool isPinged = aLink->unansweredPing > heard;
+    const bool isLost =
+      isPinged ? aNow - aLink->unansweredPing >= config.silenceLimit - config.pingInterval
+               : !aLink->wasDialed && silence >= config.abandonedLimit;
+    if (isLost) {
+      lose(aLink, "no bytes for " + std::to_string(toMillis(silence)) + " ms");
+      return;
+    }
+    const bool isDue = isExpecting || (aLink->wasDialed && silence >= aIdleInterval);
+    if (isDue && aNow - aLink->lastPing >= config.pingInterval) {
+      aLink->lastPing = aNow;
+      aLink->unansweredPing = isPinged ? aLink->unansweredPing : aNow;
+      websocketpp::lib::error_code ec;
+      aLink->socket->ping("", ec);
+    }
+  }
+
   // Ends a link, whoever ended the connection. Later events of the connection are ignored.
   void lose(const LinkPtr& aLink, const std::string& aReason)
   {
@@ -444,7 +477,8 @@
     return { SendStatus::TooLarge, 0 };
   }
   mImpl->sentBytes[aMessage.index()] += bytes.size();
-  const auto queued = mImpl->links.queueForPeer({ aNode, aLane }, std::move(bytes));
+  const auto queued = mImpl->links.queueForPeer({ aNode, aLane }, std::move(bytes),
+                                                  workNoteOf(aMessage));
   mImpl->tellThread(queued);
   return queued.result;
 }
@@ -456,7 +490,8 @@
     return SendStatus::TooLarge;
   }
   mImpl->sentBytes[aMessage.index()] += bytes.size();
-  return mImpl->tellThread(mImpl->links.queueForLink(aLink, std::move(bytes)));
+  return mImpl->tellThread(
+    mImpl->links.queueForLink(aLink, std::move(bytes), workNoteOf(aMessage)));
 }
 
 std::uint64_t PeerHub::sentBytes(std::size_t aMessageIndex) const
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -4,6 +4,10 @@
 // side sends requests only on connections that it dialed itself; answers go back on the connection
 // on which the request came. Delivery is at most once: a message that was accepted for a link is
 // either delivered in order, or the loss of the link is reported.
+//
+// A link with requests that run, or on which nothing came since the last message, is pinged every
+// pingInterval. In a fleet of n daemons each has 2n links, so idle ones are pinged by the side that
+// dialed them only, and so seldom that a daemon sends a bounded number of pings a second.
 
 #ifndef CAMPHORCLEAT_TRANSPORT_PEERHUB_H_
 #define CAMPHORCLEAT_TRANSPORT_PEERHUB_H_
@@ -31,7 +35,12 @@
   /// Port of all nodes if ids are made of addresses; 0: only nodes with a set address are dialed.
   unsigned short derivedPort = 0;
   Millis pingInterval{ 250 };
+  /// A link that is pinged after pingInterval and on which nothing comes until this time is lost.
   Millis silenceLimit{ 750 };
+  /// Pings to idle peers in all. At 80 peers each is pinged every 2 s.
+  unsigned idlePingsPerSecond = 40;
+  /// An accepted link that is silent for so long is lost although nothing is expected on it.
+  Millis abandonedLimit{ 60000 };
   Millis connectTimeout{ 500 }; ///< From the start of dialing to the peer's Hello.
   std::size_t maxMessageBytes = 1U << 20U;
   std::size_t maxBufferedBytes = 8U << 20U; ///< Waiting on one link.
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -22,7 +22,26 @@
 
 } // namespace
 
-PeerLinks::Queued PeerLinks::queueForPeer(const Key& aKey, std::string aBytes)
+WorkNote workNoteOf(const wire::PeerMessage& aMessage)
+{
+  using Kind = WorkNote::Kind;
+  if (const auto* head = std::get_if<wire::RequestHead>(&aMessage)) {
+    return { Kind::Begins, head->id };
+  }
+  if (const auto* failed = std::get_if<wire::RequestFailed>(&aMessage)) {
+    return { Kind::Ends, failed->id };
+  }
+  if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage)) {
+    return { Kind::Ends, cancel->id };
+  }
+  const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage);
+  const bool isEnd =
+    chunk != nullptr && chunk->isLast && chunk->direction == wire::Direction::ToCaller;
+  return isEnd ? WorkNote{ Kind::Ends, chunk->id } : WorkNote{};
+}
+
+PeerLinks::Queued PeerLinks::queueForPeer(const Key& aKey, std::string aBytes,
+                                          const WorkNote& aNote)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   if (mIsClosed || (mDerivedPort == 0 && mAddresses.count(aKey.first) == 0)) {
@@ -38,12 +57,12 @@
   }
   // The link is dialed all the same, so that the peer is found again.
   const bool isRefused = aKey.second == Lane::Data && mUnreachable.count(aKey) > 0;
-  Queued out = isRefused ? Queued{ {}, link } : queueLocked(link, std::move(aBytes));
+  Queued out = isRefused ? Queued{ {}, link } : queueLocked(link, std::move(aBytes), aNote);
   out.isNew = isNew;
   return out;
 }
 
-PeerLinks::Queued PeerLinks::queueForLink(LinkId aLink, std::string aBytes)
+PeerLinks::Queued PeerLinks::queueForLink(LinkId aLink, std::string aBytes, const WorkNote& aNote)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto it = mLinks.find(aLink);
@@ -51,10 +70,32 @@
   if (mIsClosed || it == mLinks.end() || !(it->second->isOpen || it->second->wasDialed)) {
     return {};
   }
-  return queueLocked(it->second, std::move(aBytes));
+  return queueLocked(it->second, std::move(aBytes), aNote);
+}
+
+void PeerLinks::noteLocked(PeerLink& aLink, const WorkNote& aNote)
+{
+  if (aNote.kind == WorkNote::Kind::Begins) {
+    aLink.running.insert(aNote.request);
+  } else if (aNote.kind == WorkNote::Kind::Ends) {
+    aLink.running.erase(aNote.request);
+  }
+}
+
+void PeerLinks::noteWork(PeerLink& aLink, const WorkNote& aNote)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  noteLocked(aLink, aNote);
+}
+
+bool PeerLinks::hasWork(const PeerLink& aLink) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return !aLink.running.empty();
 }
 
-PeerLinks::Queued PeerLinks::queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes)
+PeerLinks::Queued PeerLinks::queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes,
+                                         const WorkNote& aNote)
 {
   Queued out;
   out.link = aLink;
@@ -67,6 +108,7 @@
   }
   aLink->outbox.push_back(std::move(aBytes));
   aLink->outboxBytes += bytes;
+  noteLocked(*aLink, aNote);
   out.result = { SendStatus::Accepted, aLink->id };
   out.needsFlush = aLink->isOpen && !aLink->isFlushPosted;
   aLink->isFlushPosted = aLink->isFlushPosted || out.needsFlush;
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,22 @@
 
 namespace camphorcleat::transport {
 
+/// What a message says about requests that run on its link.
+struct WorkNote
+{
+  enum class Kind
+  {
+    None,
+    Begins,
+    Ends,
+  };
+  Kind kind = Kind::None;
+  RequestId request{};
+};
+
+/// The same in both directions. Never fails. Thread-safe.
+WorkNote workNoteOf(const wire::PeerMessage& aMessage);
+
 struct PeerLink
 {
   PeerLink(LinkId aId, bool aWasDialed)
@@ -37,11 +54,14 @@
   std::vector<std::string> outbox;
   std::size_t outboxBytes = 0;
   std::size_t socketBytes = 0; ///< Given to the connection and not written yet.
+  std::unordered_set<RequestId> running; ///< Requests whose end wasn't sent or received yet.
 
   // Hub's thread only.
   std::shared_ptr<PeerSocket> socket;
   TimePoint setUpDeadline = TimePoint::max();
+  TimePoint lastSent;
   TimePoint lastPing;
+  TimePoint unansweredPing; ///< The first ping since bytes last came; earlier than them if none.
   bool isLost = false;
 };
 
@@ -68,10 +88,16 @@
   /// Queues a message for the dialed link of a peer, which is made if there is none. While the
   /// latest dial of a peer has failed, work for it is refused at once: it would wait for the next
   /// dial to fail. Control messages have their own timers and wait.
-  Queued queueForPeer(const Key& aKey, std::string aBytes);
+  Queued queueForPeer(const Key& aKey, std::string aBytes, const WorkNote& aNote = {});
 
   /// Queues a message for a link that is open or being dialed.
-  Queued queueForLink(LinkId aLink, std::string aBytes);
+  Queued queueForLink(LinkId aLink, std::string aBytes, const WorkNote& aNote = {});
+
+  /// Notes what an arrived message says.
+  void noteWork(PeerLink& aLink, const WorkNote& aNote);
+
+  /// Whether requests run on the link.
+  bool hasWork(const PeerLink& aLink) const;
 
   /// Takes everything that waits on an open link.
   std::vector<std::string> takeOutbox(PeerLink& aLink);
@@ -100,7 +126,9 @@
   void close();
 
 private:
-  Queued queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes);
+  Queued queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes,
+                     const WorkNote& aNote);
+  static void noteLocked(PeerLink& aLink, const WorkNote& aNote);
 
   const std::size_t mMaxBufferedBytes;
   const unsigned short mDerivedPort;
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -132,6 +132,32 @@
   REQUIRE(server.handler.requests() == 0);
 }
 
+// Guards against limits of a new configuration that bind after a restart only.
+TEST_CASE("changed limits bind requests and idle times on connections that are open already")
+{
+  Server server;
+  PlainSocket caller(server.frontend->port());
+  const std::string head = "GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(1000, 'a');
+  caller.write(head + "\r\n\r\n");
+  REQUIRE(caller.readUntil("/a").find("200 OK") != std::string::npos);
+  HttpLimits limits;
+  limits.maxHeaderBytes = 500;
+  limits.keepAliveTimeout = Millis(200);
+  runOn(server.thread, [&] { server.frontend->setLimits(limits); });
+  caller.write(head + "\r\n\r\n");
+  REQUIRE(caller.readAll().substr(0, 13) == "HTTP/1.1 431 ");
+
+  limits.maxHeaderBytes = 100'000;
+  runOn(server.thread, [&] { server.frontend->setLimits(limits); });
+  PlainSocket second(server.frontend->port());
+  second.write("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(90'000, 'a') + "\r\n\r\n");
+  REQUIRE(second.readUntil("/a").find("200 OK") != std::string::npos);
+  const TimePoint answeredAt = Clock::now();
+  REQUIRE(second.readAll().empty());
+  REQUIRE(second.hasEnded());
+  REQUIRE(Clock::now() - answeredAt < Millis(1000));
+}
+
 TEST_CASE("faults within a body reach the handler, which can still answer")
 {
   HttpLimits limits = shortLimits();
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -102,6 +102,13 @@
   return wire::LeaseRenew{ 1, 2, aSequence, 0, 0 };
 }
 
+wire::RequestHead request(std::uint64_t aCounter)
+{
+  wire::RequestHead out;
+  out.id = { 1, aCounter };
+  return out;
+}
+
 wire::BodyChunk chunk(std::uint64_t aSequence, std::size_t aBytes)
 {
   wire::BodyChunk out;
@@ -220,10 +227,11 @@
   FreezingProxy proxy(b.hub.port());
   Node a(configOf(1));
   a.hub.setAddress(2, proxy.address());
-  const auto first = a.hub.send(2, Lane::Control, numbered(1));
+  const auto first = a.hub.send(2, Lane::Control, request(1));
   REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
 
-  // An idle link must survive longer than the silence limit, because pings keep it alive.
+  // A link with a request that runs must survive longer than the silence limit, because pings keep
+  // it alive.
   std::this_thread::sleep_for(Millis(1000));
   REQUIRE(a.handler.losses().empty());
   REQUIRE(b.handler.losses().empty());
@@ -245,6 +253,52 @@
   REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 3);
 }
 
+// Guards against an idle link whose loss nobody finds: the next request on it would be lost.
+TEST_CASE("an idle connection that goes silent is found by the side that dialed it, then by the other")
+{
+  PeerHubConfig acceptor = configOf(2);
+  acceptor.abandonedLimit = Millis(2000);
+  Node b(acceptor);
+  FreezingProxy proxy(b.hub.port());
+  Node a(configOf(1));
+  a.hub.setAddress(2, proxy.address());
+  a.hub.send(2, Lane::Control, request(1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  wire::RequestFailed failed;
+  failed.id = { 1, 1 };
+  b.hub.reply(b.handler.lastLink(), failed);
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  std::this_thread::sleep_for(Millis(1000));
+  REQUIRE(a.handler.losses().empty());
+  REQUIRE(b.handler.losses().empty());
+  proxy.freeze();
+  const TimePoint frozenAt = Clock::now();
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  REQUIRE(Clock::now() - frozenAt < Millis(1100));
+  REQUIRE(waitFor([&] { return b.handler.losses().size() == 1; }));
+}
+
+// Guards against costs that grow with the square of a fleet: n daemons have n * n idle links.
+TEST_CASE("only links with running requests, and dialed ones in turn, are pinged")
+{
+  Node a(configOf(1));
+  RawPeer peer(a.hub, "/camphorcleat/data");
+  peer.sayHello();
+  peer.socket.readUntil("tbilisi");
+  std::this_thread::sleep_for(Millis(800));
+  peer.socket.write(binaryFrame(wire::encodePeerMessage(request(1))));
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  const TimePoint startedAt = Clock::now();
+  // The first bytes since Hello are a ping of the request: none came while the link was idle.
+  REQUIRE(peer.socket.readSome(2) == std::string("\x89\x00", 2));
+  REQUIRE(Clock::now() - startedAt > Millis(200));
+  REQUIRE(Clock::now() - startedAt < Millis(500));
+  peer.socket.write(frame(10, "", 0));
+  peer.socket.write(binaryFrame(wire::encodePeerMessage(wire::CancelRequest{ { 1, 1 } })));
+  REQUIRE(waitFor([&] { return a.handler.count() == 2; }));
+  REQUIRE(peer.socket.readSome(2).empty()); // For the 2 s that a read may take.
+}
+
 TEST_CASE("a peer that accepts and never speaks is given up, and nothing counts as delivered")
 {
   std::promise<void> done;
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -88,6 +88,22 @@
   }
 };
 
+/// What a caller may send, and how long it may take. Where one is missing, the daemon's own applies.
+struct CallerLimits
+{
+  std::optional<std::uint64_t> headerBytes{};
+  std::optional<std::uint64_t> bodyBytes{};
+  std::optional<Millis> headerTimeout{}; ///< From a request's first byte to its last header byte.
+  std::optional<Millis> idleTimeout{};   ///< Between two requests on a connection.
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("header_bytes", &CallerLimits::headerBytes),
+                           field("body_bytes", &CallerLimits::bodyBytes),
+                           field("header_timeout_ms", &CallerLimits::headerTimeout),
+                           field("idle_timeout_ms", &CallerLimits::idleTimeout));
+  }
+};
+
 /// Services, accounts and routes that are replaced as a whole. Version 0: none was set.
 struct Configuration
 {
@@ -96,12 +112,13 @@
   std::vector<Service> services;
   std::vector<Account> accounts;
   std::vector<Route> routes;
+  CallerLimits limits{};
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("version", &Configuration::version), field("digest", &Configuration::digest),
       field("services", &Configuration::services), field("accounts", &Configuration::accounts),
-      field("routes", &Configuration::routes));
+      field("routes", &Configuration::routes), field("limits", &Configuration::limits));
   }
 };
 
