--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr Millis kMaxDeadline{ 600'000 };
-// 10,000 connections that each hold so long a header take 2.5 GB, the most that one VM bears.
-constexpr std::uint64_t kMostHeaderBytes = 256U << 10U;
 // Weight of the newest latency in a node's average.
 constexpr double kLatencyWeight = 0.1;
 
@@ -114,15 +112,14 @@
   return {};
 }
 
-// Those of the configuration, but never more than this daemon has memory for.
+// Those of the configuration; a body never exceeds what the settings allow.
 transport::HttpLimits EntryDuty::callerLimits() const
 {
   transport::HttpLimits out;
   const wire::CallerLimits& limits = mState->model->configuration().limits;
-  out.maxHeaderBytes =
-    std::min<std::uint64_t>(limits.headerBytes.value_or(out.maxHeaderBytes), kMostHeaderBytes);
-  out.maxBodyBytes = std::min(limits.bodyBytes.value_or(mSettings.maxBodyBytes),
-                              mSettings.maxBodyBytes);
+  out.maxHeaderBytes = limits.headerBytes.value_or(out.maxHeaderBytes);
+  out.maxBodyBytes =
+    std::min(limits.bodyBytes.value_or(mSettings.maxBodyBytes), mSettings.maxBodyBytes);
   out.headerTimeout = limits.headerTimeout.value_or(out.headerTimeout);
   out.keepAliveTimeout = limits.idleTimeout.value_or(out.keepAliveTimeout);
   return out;
--- a/packages/fleet/ConfigurationRules.cc
+++ b/packages/fleet/ConfigurationRules.cc
@@ -99,10 +99,9 @@
 Verdict checkLimits(const wire::Configuration& aConfiguration)
 {
   const wire::CallerLimits& limits = aConfiguration.limits;
-  const bool isUsable =
-    limits.headerBytes.value_or(1) > 0 && limits.bodyBytes.value_or(1) > 0 &&
-    limits.headerTimeout.value_or(Millis(1)) > Millis(0) &&
-    limits.idleTimeout.value_or(Millis(1)) > Millis(0);
+  const bool isUsable = limits.headerBytes.value_or(1) > 0 && limits.bodyBytes.value_or(1) > 0 &&
+                        limits.headerTimeout.value_or(Millis(1)) > Millis(0) &&
+                        limits.idleTimeout.value_or(Millis(1)) > Millis(0);
   return isUsable ? Verdict() : invalid("a limit for callers is not above 0");
 }
 
--- a/packages/transport/HttpFrontend.cc
+++ b/packages/transport/HttpFrontend.cc
@@ -25,6 +25,12 @@
 // Accepting can fail for lack of descriptors, which needs time rather than an immediate retry.
 constexpr Millis kAcceptRetry{ 100 };
 
+HttpLimits bounded(HttpLimits aLimits)
+{
+  aLimits.maxHeaderBytes = std::min(aLimits.maxHeaderBytes, HttpLimits::kMostHeaderBytes);
+  return aLimits;
+}
+
 } // namespace
 
 struct HttpFrontend::Impl
@@ -41,7 +47,7 @@
   Impl(asio::io_context& aIo, std::string aAddress, HttpLimits aLimits, HttpHandler& aHandler)
     : io(aIo)
     , address(std::move(aAddress))
-    , shared(std::make_shared<HttpShared>(aLimits, aHandler))
+    , shared(std::make_shared<HttpShared>(bounded(aLimits), aHandler))
     , acceptor(aIo)
     , acceptTimer(aIo)
     , ticker(aIo, kTick, [this](TimePoint aNow) { tick(aNow); })
@@ -188,7 +194,7 @@
 
 void HttpFrontend::setLimits(const HttpLimits& aLimits)
 {
-  mImpl->shared->limits = aLimits;
+  mImpl->shared->limits = bounded(aLimits);
 }
 
 void HttpFrontend::beginDrain()
--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -28,6 +28,9 @@
 /// Limits of one frontend. Time limits are checked every 50 ms, so they act up to 50 ms late.
 struct HttpLimits
 {
+  /// Beast throws on a field of 64 KiB, so a frontend applies at most this.
+  static constexpr std::size_t kMostHeaderBytes = 60U << 10U;
+
   std::size_t maxHeaderBytes = 16U << 10U;
   std::uint64_t maxBodyBytes = 1ULL << 30U;
   Millis headerTimeout{ 5000 };    ///< From the first byte of a request to its last header byte.
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -342,8 +342,7 @@
       return;
     }
     // The accepting side expects something only while a request runs: its answers need none.
-    const bool isExpecting =
-      links.hasWork(*aLink) || (aLink->wasDialed && aLink->lastSent > heard);
+    const bool isExpecting = links.hasWork(*aLink) || (aLink->wasDialed && aLink->lastSent > heard);
     const bool isPinged = aLink->unansweredPing > heard;
     const bool isLost =
       isPinged ? aNow - aLink->unansweredPing >= config.silenceLimit - config.pingInterval
@@ -477,8 +476,8 @@
     return { SendStatus::TooLarge, 0 };
   }
   mImpl->sentBytes[aMessage.index()] += bytes.size();
-  const auto queued = mImpl->links.queueForPeer({ aNode, aLane }, std::move(bytes),
-                                                  workNoteOf(aMessage));
+  const auto queued =
+    mImpl->links.queueForPeer({ aNode, aLane }, std::move(bytes), workNoteOf(aMessage));
   mImpl->tellThread(queued);
   return queued.result;
 }
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -53,7 +53,7 @@
   bool isFlushPosted = false;
   std::vector<std::string> outbox;
   std::size_t outboxBytes = 0;
-  std::size_t socketBytes = 0; ///< Given to the connection and not written yet.
+  std::size_t socketBytes = 0;           ///< Given to the connection and not written yet.
   std::unordered_set<RequestId> running; ///< Requests whose end wasn't sent or received yet.
 
   // Hub's thread only.
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -147,10 +147,14 @@
   caller.write(head + "\r\n\r\n");
   REQUIRE(caller.readAll().substr(0, 13) == "HTTP/1.1 431 ");
 
-  limits.maxHeaderBytes = 100'000;
+  // A limit beyond what the parser bears must not let a caller end the process.
+  limits.maxHeaderBytes = 1'000'000;
   runOn(server.thread, [&] { server.frontend->setLimits(limits); });
+  PlainSocket tooLong(server.frontend->port());
+  tooLong.write("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(90'000, 'a') + "\r\n\r\n");
+  REQUIRE(tooLong.readAll().substr(0, 13) == "HTTP/1.1 431 ");
   PlainSocket second(server.frontend->port());
-  second.write("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(90'000, 'a') + "\r\n\r\n");
+  second.write("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(50'000, 'a') + "\r\n\r\n");
   REQUIRE(second.readUntil("/a").find("200 OK") != std::string::npos);
   const TimePoint answeredAt = Clock::now();
   REQUIRE(second.readAll().empty());
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -254,7 +254,8 @@
 }
 
 // Guards against an idle link whose loss nobody finds: the next request on it would be lost.
-TEST_CASE("an idle connection that goes silent is found by the side that dialed it, then by the other")
+TEST_CASE(
+  "an idle connection that goes silent is found by the side that dialed it, then by the other")
 {
   PeerHubConfig acceptor = configOf(2);
   acceptor.abandonedLimit = Millis(2000);
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -88,7 +88,8 @@
   }
 };
 
-/// What a caller may send, and how long it may take. Where one is missing, the daemon's own applies.
+/// What a caller may send, and how long it may take. Where one is missing, the daemon's own
+/// applies.
 struct CallerLimits
 {
   std::optional<std::uint64_t> headerBytes{};
