--- a/packages/fleet/testing/RangePlacementTest.cc
+++ b/packages/fleet/testing/RangePlacementTest.cc
@@ -140,7 +140,8 @@
   }
 }
 
-// Guards against a partition too heavy to move that keeps other crowded targets from being relieved.
+// Guards against a partition too heavy to move that keeps other crowded targets from being
+// relieved.
 TEST_CASE("a target that can give nothing doesn't keep others from giving")
 {
   Fixture f(60, { 1, 2, 3 });
