--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -9,6 +9,7 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "daemon/RequestPath.h"
+#include "traffic/EntryRequest.h"
 #include "traffic/TokenTimes.h"
 
 namespace camphorcleat::daemon {
@@ -31,6 +32,10 @@
 
 constexpr Millis kLoadInterval{ 100 };
 
+// A target that ends its work at the deadline answers within a round trip and a few wake-ups.
+constexpr Millis kAnswerGrace{ 0 };
+static_assert(kAnswerGrace < traffic::EntryRequest::kVerdictGrace);
+
 // Targets may close idle connections after 10 s.
 constexpr Millis kTargetIdleTimeout{ 5000 };
 
@@ -40,6 +45,7 @@
   config.maxQueued = aSettings.maxQueuedRequests;
   config.drainQueueTime = aSettings.targetDrain;
   config.refusesLate = aSettings.refusesLate;
+  config.answerGrace = kAnswerGrace;
   return config;
 }
 
@@ -483,7 +489,7 @@
   const TargetCall call{ exchange->head(),
                          mBeats.hasTarget() ? mBeats.last().announcement.instance : std::string(),
                          aDispatch.token, aDispatch.deadline - now, mView.leaseValidUntil() - now };
-  exchange->begin(*mClient, mDialect.targetHeaders(call), aDispatch.deadline);
+  exchange->begin(*mClient, mDialect.targetHeaders(call), aDispatch.cancelAt);
 }
 
 // An entry with a newer view may know keys that were granted since this one.
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -164,7 +164,7 @@
   const auto running = mRunning.find(aEvent.id);
   if (running != mRunning.end() && !running->second.isCancelled) {
     running->second.isCancelled = true;
-    mRunningDeadlines.erase({ running->second.deadline, aEvent.id });
+    mRunningEnds.erase({ running->second.cancelAt, aEvent.id });
     mOut.emplace_back(CancelAtTarget{ aEvent.id });
   }
 }
@@ -225,7 +225,7 @@
     mLoads.ran(aNow - running.startedAt, running.priority);
   }
   mRunning.erase(it);
-  mRunningDeadlines.erase({ running.deadline, aEvent.id });
+  mRunningEnds.erase({ running.cancelAt, aEvent.id });
   if (running.memoryKey && aEvent.outcome == wire::Outcome::NotRun) {
     mMemory.release(*running.memoryKey);
   } else if (running.memoryKey) {
@@ -476,9 +476,9 @@
 
 void OwnerLogic::cancelOverdue(TimePoint aNow)
 {
-  while (!mRunningDeadlines.empty() && mRunningDeadlines.begin()->first <= aNow) {
-    const RequestId id = mRunningDeadlines.begin()->second;
-    mRunningDeadlines.erase(mRunningDeadlines.begin());
+  while (!mRunningEnds.empty() && mRunningEnds.begin()->first <= aNow) {
+    const RequestId id = mRunningEnds.begin()->second;
+    mRunningEnds.erase(mRunningEnds.begin());
     mRunning.at(id).isCancelled = true;
     mOut.emplace_back(CancelAtTarget{ id });
   }
@@ -517,22 +517,24 @@
   running.isKeyed = request.isKeyed;
   running.memoryKey = memoryKeyOf(request);
   running.startedAt = aNow;
-  running.deadline = request.deadline;
+  running.cancelAt = request.deadline + mConfig.answerGrace;
+  TimePoint deadline = request.deadline;
   running.priority = request.priority;
   FencingToken token = 0;
   if (request.isKeyed) {
     token = *mView.tokenOf(request.service, request.partition);
     ++mRunningOf[running.partition];
     if (!mView.checksGrants()) {
-      running.deadline = std::min(running.deadline, mView.leaseValidUntil());
+      deadline = std::min(deadline, mView.leaseValidUntil());
+      running.cancelAt = std::min(running.cancelAt, mView.leaseValidUntil());
     }
   }
   if (!aQueued.account.empty()) {
     mTokens.spend(aNow, aQueued.account);
   }
   mGate.started(aNow);
-  mOut.emplace_back(Dispatch{ aQueued.id, token, running.deadline });
-  mRunningDeadlines.emplace(running.deadline, aQueued.id);
+  mOut.emplace_back(Dispatch{ aQueued.id, token, deadline, running.cancelAt });
+  mRunningEnds.emplace(running.cancelAt, aQueued.id);
   mRunning.emplace(aQueued.id, std::move(running));
   mWaiting.erase(aQueued.id);
   updateAccount(aNow, aQueued.account);
@@ -563,8 +565,8 @@
   };
   earliest(mTokens.nextWake());
   earliest(mQueue.nextDeadline());
-  if (!mRunningDeadlines.empty()) {
-    earliest(mRunningDeadlines.begin()->first);
+  if (!mRunningEnds.empty()) {
+    earliest(mRunningEnds.begin()->first);
   }
   if (!mWaiting.empty()) {
     earliest(mGate.nextStep(aNow));
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -35,6 +35,9 @@
   /// After a drain begins, requests already queued may start for this time, and so may requests for
   /// keys that have not left yet.
   Millis drainQueueTime{ 2'000 };
+  /// A run is cancelled so long after its deadline: a target that ends its work at the deadline
+  /// answers then, and that answer would be cut. Shorter than EntryRequest::kVerdictGrace.
+  Millis answerGrace{ 0 };
   /// Least lease left for a write to a target that doesn't check grants.
   Millis leastLease{ 150 };
   /// Whether a request that can't be answered within its objective is refused at once.
@@ -91,7 +94,7 @@
     bool isKeyed = false;
     std::optional<MemoryKey> memoryKey;
     TimePoint startedAt;
-    TimePoint deadline;
+    TimePoint cancelAt;
     bool isCancelled = false;
     std::uint32_t priority = 0;
   };
@@ -147,9 +150,9 @@
   TargetGate mGate;
   TokenCache mTokens;
   RequestMemory mMemory;
-  std::unordered_map<RequestId, Waiting> mWaiting;             // The same ids as in mQueue.
-  std::unordered_map<RequestId, Running> mRunning;             // At most the slots.
-  std::set<std::pair<TimePoint, RequestId>> mRunningDeadlines; // Of requests not cancelled.
+  std::unordered_map<RequestId, Waiting> mWaiting;        // The same ids as in mQueue.
+  std::unordered_map<RequestId, Running> mRunning;        // At most the slots.
+  std::set<std::pair<TimePoint, RequestId>> mRunningEnds; // Of requests not cancelled.
   std::map<PartitionKey, std::size_t> mRunningOf;
   std::map<PartitionKey, FencingToken> mStopped; // The token at the stop; 0 if it was gone already.
   std::set<PartitionKey> mStopping;              // Stopped with requests still running.
--- a/packages/traffic/OwnerMessages.h
+++ b/packages/traffic/OwnerMessages.h
@@ -118,7 +118,8 @@
 {
   RequestId id;
   FencingToken token = 0; ///< 0 for an unkeyed service.
-  TimePoint deadline;
+  TimePoint deadline;     ///< Told to the target.
+  TimePoint cancelAt;     ///< The answer is awaited until then.
 };
 
 /// End the request without running it. Never follows a Dispatch of the same request.
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -12,11 +12,12 @@
 {
   TimePoint now = TimePoint() + std::chrono::hours(1);
   FakeView view;
-  OwnerLogic logic{ OwnerConfig(), view, 1 };
+  OwnerLogic logic;
   std::vector<OwnerAction> actions;
   std::uint64_t counter = 0;
 
-  explicit Fixture(std::uint32_t aSlots = 2)
+  explicit Fixture(std::uint32_t aSlots = 2, const OwnerConfig& aConfig = OwnerConfig())
+    : logic(aConfig, view, 1)
   {
     step(TargetReport{ true, 1, aSlots, aSlots, Millis(0), false, false });
   }
@@ -203,6 +204,33 @@
   REQUIRE(f.find<Dispatch>() != nullptr);
 }
 
+// Guards against the loss of answers that targets make at the deadline they were told.
+TEST_CASE(
+  "the answer of a run is awaited for the grace beyond the deadline, but not beyond the lease")
+{
+  OwnerConfig config;
+  config.answerGrace = Millis(60);
+  Fixture f(1, config);
+  auto running = f.request();
+  running.deadline = f.now + Millis(50);
+  f.step(running);
+  REQUIRE(f.find<Dispatch>()->deadline == f.now + Millis(50));
+  REQUIRE(f.find<Dispatch>()->cancelAt == f.now + Millis(110));
+  f.now += Millis(109);
+  f.step(Tick{});
+  REQUIRE(f.find<CancelAtTarget>() == nullptr);
+  f.now += Millis(1);
+  f.step(Tick{});
+  REQUIRE(f.find<CancelAtTarget>() != nullptr);
+  f.step(RequestEnded{ running.id, wire::Outcome::Unknown, ErrorCode::None, std::nullopt });
+
+  f.view.leaseEnd = f.now + Millis(700);
+  auto keyed = f.request();
+  keyed.deadline = f.view.leaseEnd - Millis(10);
+  f.step(keyed);
+  REQUIRE(f.find<Dispatch>()->cancelAt == f.view.leaseEnd);
+}
+
 TEST_CASE("an unreachable target and stale configuration refuse truthfully")
 {
   Fixture f;
