Read the answers that a target wrote before its process ended

Finding the process gone, the owner cancelled all runs at it. Ruled out: the stop of the entry (SIGTERM 1.3 s before, it goes on for 2.4 s) and lost links (none at that time). Runs of an ended target with heartbeats are cancelled after 300 ms; polled targets as before, since a frozen one keeps its connections open.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -30,6 +30,10 @@
 constexpr Millis kProbeInterval{ 200 };
 constexpr Millis kProbeTimeout{ 500 };
 
+// Answers that a target had written when its process ended are read for this time: enough for a
+// window of 256 KiB over a link of 10 Mbit/s.
+constexpr Millis kLastAnswers{ 300 };
+
 constexpr Millis kLoadInterval{ 100 };
 
 // A target that ends its work at the deadline answers within a round trip and a few wake-ups.
@@ -865,6 +869,9 @@
   }
 }
 
+// A target with heartbeats is known to have ended here. The system closes the connections of an
+// ended process, so its runs end by themselves, and answers that it had written are still read.
+// One that is polled may be frozen, and its connections stay open.
 void OwnerDuty::cancelAllAtTarget()
 {
   std::vector<std::shared_ptr<OwnerExchange>> running;
@@ -873,9 +880,15 @@
       running.push_back(exchange);
     }
   }
-  for (const auto& it : running) {
-    it->cancel();
-  }
+  const Millis wait = mDialect.hasHeartbeats() ? kLastAnswers : Millis(0);
+  auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), wait);
+  timer->async_wait([timer, running](boost::system::error_code aError) {
+    for (const auto& it : running) {
+      if (!aError) {
+        it->cancel();
+      }
+    }
+  });
 }
 
 void OwnerDuty::scheduleWake()
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <future>
+#include <thread>
 
 #include <poll.h>
 
@@ -68,6 +69,23 @@
     return mAccepted.size();
   }
 
+  // Answers on the newest connection, and ends as a process does: its answer is still on the way,
+  // and nobody listens any more.
+  void answerAndEnd(std::size_t aBytes)
+  {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBytes) +
+                               "\r\n\r\n" + std::string(aBytes, 'x');
+    for (std::size_t sent = 0; sent < answer.size();) {
+      const ssize_t n =
+        ::send(mAccepted.back(), answer.data() + sent, answer.size() - sent, MSG_NOSIGNAL);
+      REQUIRE(n > 0);
+      sent += static_cast<std::size_t>(n);
+    }
+    ::close(mSocket);
+    mSocket = -1;
+    ::shutdown(mAccepted.back(), SHUT_WR);
+  }
+
 private:
   int mSocket;
   std::string mAddress;
@@ -299,6 +317,41 @@
   CHECK(f.target.accept(Millis(500)) == 5);
 }
 
+// Guards against an answer that is cut because the target's process ended after it had written it.
+TEST_CASE("an answer that a target wrote before its process ended reaches the entry whole")
+{
+  constexpr std::size_t kBytes = 400'000; // More than one window, so the owner waits for credit.
+  Fixture f;
+  f.publish(5);
+  f.beat(Millis(0));
+  f.send("intake", "", 5);
+  REQUIRE(f.target.accept(Millis(300)) == 1);
+  f.target.answerAndEnd(kBytes);
+  std::promise<void> acknowledged;
+  f.push(TargetLeaves{ "i-1", std::nullopt, [&] { acknowledged.set_value(); } });
+  REQUIRE(acknowledged.get_future().wait_for(Millis(1000)) == std::future_status::ready);
+  std::this_thread::sleep_for(Millis(100)); // For the probe that finds nobody listening.
+  std::size_t arrived = 0;
+  bool isWhole = false;
+  const TimePoint end = Clock::now() + Millis(2000);
+  while (auto message = f.rings.entry.popUntil(end)) {
+    const auto* peer = std::get_if<FromPeer>(&*message);
+    REQUIRE(peer != nullptr);
+    REQUIRE_FALSE(std::holds_alternative<wire::RequestFailed>(peer->message));
+    if (const auto* chunk = std::get_if<wire::BodyChunk>(&peer->message)) {
+      arrived += chunk->data.size();
+      isWhole = chunk->isLast;
+      f.push(FromPeer{ kLocalLink, 1,
+                       wire::Credit{ chunk->id, wire::Direction::ToCaller, chunk->data.size() } });
+    }
+    if (isWhole) {
+      break;
+    }
+  }
+  CHECK(isWhole);
+  CHECK(arrived == kBytes);
+}
+
 TEST_CASE("after a stop has begun no new work starts, whoever sends it")
 {
   Fixture f;
