--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -37,7 +37,7 @@
 constexpr Millis kLoadInterval{ 100 };
 
 // A target that ends its work at the deadline answers within a round trip and a few wake-ups.
-constexpr Millis kAnswerGrace{ 0 };
+constexpr Millis kAnswerGrace{ 60 };
 static_assert(kAnswerGrace < traffic::EntryRequest::kVerdictGrace);
 
 // Targets may close idle connections after 10 s.
