--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -16,10 +16,10 @@
 // A member that has not answered for this many renewals is given up for the next one.
 constexpr int kUnansweredRenewals = 2;
 
-// Renewal after "not leader": soon, but not so soon that an election is flooded.
 // A crowded target's load is told so often at most: queues grow within a few hundred ms.
 constexpr Millis kCrowdedRenewal{ 200 };
 
+// Renewal after "not leader": soon, but not so soon that an election is flooded.
 constexpr Millis kRetryRenewal{ 25 };
 
 // Commands are idempotent, so one without an answer is sent again.
