Log why a proposal is refused and when the control thread is late

LogNode now gives the reason of a refusal; the control duty logs it (proposal_refused), a timer that is 60 ms late or more (control_thread_late), and log or view messages that are not accepted (control_message_not_sent).

--- a/packages/agreement/LogEvents.h
+++ b/packages/agreement/LogEvents.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/EnumNames.h"
 #include "base/Ids.h"
 #include "wire/LogMessages.h"
 
@@ -139,12 +140,19 @@
   Term term = 0;
 };
 
-/// The proposal was refused and will not be appended, because this node is not an established
-/// leader, transfers its leadership, has failed or has reached a limit in LogNodeConfig.h.
+enum class ProposalRefusal
+{
+  NotLeader, ///< Not an established leader, transfers its leadership or has failed.
+  LogFull,   ///< A limit of the uncommitted or the retained log in LogNodeConfig.h is reached.
+  TooLarge,  ///< The payload exceeds kMaxPayloadBytes. Every member refuses it.
+};
+
+/// The proposal was refused and will not be appended.
 struct ProposalRefused
 {
   std::uint64_t proposal = 0;
   NodeId leaderHint = kNoNode; ///< The current or next leader; kNoNode if this node knows none.
+  ProposalRefusal reason = ProposalRefusal::NotLeader;
 };
 
 /// The read index: the state after the entry `index`, which is already applied, includes every
@@ -197,4 +205,18 @@
 
 } // namespace camphorcleat::agreement
 
+namespace camphorcleat {
+
+template<>
+struct EnumNames<agreement::ProposalRefusal>
+{
+  static constexpr EnumName<agreement::ProposalRefusal> kTable[] = {
+    { agreement::ProposalRefusal::NotLeader, "not_leader" },
+    { agreement::ProposalRefusal::LogFull, "log_full" },
+    { agreement::ProposalRefusal::TooLarge, "too_large" },
+  };
+};
+
+} // namespace camphorcleat
+
 #endif // CAMPHORCLEAT_AGREEMENT_LOGEVENTS_H_
--- a/packages/agreement/LogNodeLeader.cc
+++ b/packages/agreement/LogNodeLeader.cc
@@ -18,9 +18,13 @@
   const bool isFull = mLog.lastIndex() - mCommitIndex >= kMaxUncommittedEntries ||
                       mLog.bytesAfter(mCommitIndex) >= kMaxUncommittedBytes ||
                       mLog.bytesAfter(mLog.baseIndex()) >= kMaxLogBytes;
-  if (!mLeaderState->isEstablished || mLeaderState->transferTarget != kNoNode || isFull ||
-      aPropose.payload.size() > kMaxPayloadBytes) {
-    emit(ProposalRefused{ aPropose.proposal, mLeaderState->transferTarget });
+  if (aPropose.payload.size() > kMaxPayloadBytes) {
+    emit(ProposalRefused{ aPropose.proposal, mConfig.self, ProposalRefusal::TooLarge });
+    return;
+  }
+  if (!mLeaderState->isEstablished || mLeaderState->transferTarget != kNoNode || isFull) {
+    emit(ProposalRefused{ aPropose.proposal, mLeaderState->transferTarget,
+                          isFull ? ProposalRefusal::LogFull : ProposalRefusal::NotLeader });
     return;
   }
   const LogIndex index = appendOwn(wire::EntryKind::Command, aPropose.payload);
--- a/packages/agreement/testing/LogNodeTest.cc
+++ b/packages/agreement/testing/LogNodeTest.cc
@@ -501,9 +501,10 @@
 {
   MemberFixture fixture;
   fixture.lead();
-  CHECK(
-    actionsOf<ProposalRefused>(fixture.step(Propose{ 1, std::string(kMaxPayloadBytes + 1, 'a') }))
-      .size() == 1);
+  const auto tooLarge =
+    actionsOf<ProposalRefused>(fixture.step(Propose{ 1, std::string(kMaxPayloadBytes + 1, 'a') }));
+  REQUIRE(tooLarge.size() == 1);
+  CHECK(tooLarge[0].reason == ProposalRefusal::TooLarge);
   std::size_t appended = 0;
   std::size_t readsRefused = 0;
   for (std::size_t i = 0; i < kMaxUncommittedEntries + 10; ++i) {
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -13,6 +13,10 @@
 
 constexpr Millis kTick{ 5 };
 
+// A tick that is late by this much is logged: heartbeats, leases and views are late by as much. It
+// is a quarter of the shortest election timeout of a group with default settings.
+constexpr Millis kLateTick{ 60 };
+
 // A proposal that is not applied within this time is answered with an unknown outcome.
 constexpr Millis kProposalTimeout{ 5000 };
 
@@ -51,6 +55,18 @@
   return config;
 }
 
+// Senders repeat a message that was not accepted, so only one that is never accepted is a fault.
+// aTo is the node or the link.
+void logIfNotSent(const char* aKind, std::uint64_t aTo, transport::SendStatus aStatus)
+{
+  if (aStatus == transport::SendStatus::Full || aStatus == transport::SendStatus::TooLarge) {
+    logEvent(LogLevel::Warning, "control_message_not_sent",
+             { { "kind", aKind },
+               { "to", std::to_string(aTo) },
+               { "status", std::string(enumName(aStatus)) } });
+  }
+}
+
 } // namespace
 
 ControlDuty::ControlDuty(const Settings& aSettings, Rings& aRings, PeerRouter& aRouter,
@@ -98,6 +114,12 @@
       handle(std::move(*message));
     }
     if (mNow >= nextTick) {
+      if (mNow - nextTick >= kLateTick) {
+        logEvent(LogLevel::Warning, "control_thread_late",
+                 { { "ms", std::to_string(toMillis(mNow - nextTick)) },
+                   { "revision", std::to_string(mState.revision()) },
+                   { "leading", mLeader.isLeading() ? "yes" : "no" } });
+      }
       nextTick = mNow + kTick;
       tick();
     }
@@ -250,7 +272,9 @@
 void ControlDuty::perform(agreement::Action& aAction)
 {
   if (auto* send = std::get_if<agreement::SendMessage>(&aAction)) {
-    mRouter.send(send->to, transport::Lane::Control, wire::LogFrame{ std::move(send->message) });
+    const auto sent =
+      mRouter.send(send->to, transport::Lane::Control, wire::LogFrame{ std::move(send->message) });
+    logIfNotSent("log", send->to, sent.status);
   } else if (auto* persist = std::get_if<agreement::Persist>(&aAction)) {
     if (!mStorage.submit(std::move(*persist))) {
       stepLog(agreement::PersistFailed{});
@@ -271,6 +295,9 @@
     if (it != mUnappendedProposals.end()) {
       const CommandCallback callback = std::move(it->second);
       mUnappendedProposals.erase(it);
+      logEvent(LogLevel::Warning, "proposal_refused",
+               { { "reason", std::string(enumName(refused->reason)) },
+                 { "leader", std::to_string(refused->leaderHint) } });
       callback({ ErrorCode::NotLeader, "this member does not lead the control group", 0 },
                refused->leaderHint);
     }
@@ -401,7 +428,7 @@
       }
     });
   } else if (auto* reply = std::get_if<fleet::control::Reply>(&aAction)) {
-    mRouter.reply(reply->link, std::move(reply->message));
+    logIfNotSent("view", reply->link, mRouter.reply(reply->link, std::move(reply->message)));
   } else if (auto* proposal = std::get_if<fleet::control::Propose>(&aAction)) {
     logLostNodes(proposal->command);
     propose(std::move(proposal->command), [](const wire::CommandResult&, NodeId) {});
