Accept configurations of more than 256 KiB in the log

Cause: a log entry holds the operators' document and its parsed form with field names. At 1,400 routes that is 503,433 bytes (document 244,269), and LogNode refuses a payload above 256 KiB with the same answer as a member that doesn't lead, so it is repeated at every member for ever. Class: a limit on size whose refusal looks like a passing condition. A message between daemons had the same fault at 1 MiB: TooLarge was reported as "can't reach the leader".

Ruled out: routes that are refused as invalid (the test's document is accepted with 3 routes); a body limit of the HTTP server (8 MiB).

The limit of the hub's test is now taken from its settings, which grew.

--- a/packages/agreement/LogNodeConfig.h
+++ b/packages/agreement/LogNodeConfig.h
@@ -16,8 +16,9 @@
 constexpr std::size_t kMaxChunkBytes = 64U << 10U;
 /// Largest snapshot that a member accepts; it is buffered in memory until it is complete.
 constexpr std::size_t kMaxSnapshotBytes = 128U << 20U;
-/// Largest payload of one proposal.
-constexpr std::size_t kMaxPayloadBytes = 256U << 10U;
+/// Largest payload of one proposal. The embedder's limit of a message between members must leave
+/// room for it and the entry's header.
+constexpr std::size_t kMaxPayloadBytes = 1U << 20U;
 /// Maximum entries and bytes in one AppendRequest. A single larger entry is sent alone.
 constexpr std::size_t kMaxAppendEntries = 256;
 constexpr std::size_t kMaxAppendBytes = 256U << 10U;
--- /dev/null
+++ b/packages/base/Compression.h
@@ -0,0 +1,23 @@
+// Compression of large stored or sent values with zlib.
+
+#ifndef CAMPHORCLEAT_BASE_COMPRESSION_H_
+#define CAMPHORCLEAT_BASE_COMPRESSION_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "base/Errors.h"
+
+namespace camphorcleat {
+
+/// Returns the compressed data. aData is shorter than 1 GiB. Thread-safe.
+std::string compress(std::string_view aData);
+
+/// Returns the data that compress() was called with. Fails with DecodeError if the input is invalid
+/// or the data longer than aMaxBytes, and allocates no more than that. Thread-safe.
+Result<std::string> decompress(std::string_view aCompressed, std::size_t aMaxBytes);
+
+} // namespace camphorcleat
+
+#endif // CAMPHORCLEAT_BASE_COMPRESSION_H_
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -55,6 +55,19 @@
   return config;
 }
 
+wire::CommandResult refusalOf(agreement::ProposalRefusal aReason)
+{
+  switch (aReason) {
+    case agreement::ProposalRefusal::TooLarge:
+      return { ErrorCode::BodyTooLarge, "the command exceeds the size of a log entry", 0 };
+    case agreement::ProposalRefusal::LogFull:
+      return { ErrorCode::Overloaded, "too many entries of the log are not committed yet", 0 };
+    case agreement::ProposalRefusal::NotLeader:
+      break;
+  }
+  return { ErrorCode::NotLeader, "this member does not lead the control group", 0 };
+}
+
 // Senders repeat a message that was not accepted, so only one that is never accepted is a fault.
 // aTo is the node or the link.
 void logIfNotSent(const char* aKind, std::uint64_t aTo, transport::SendStatus aStatus)
@@ -298,8 +311,7 @@
       logEvent(LogLevel::Warning, "proposal_refused",
                { { "reason", std::string(enumName(refused->reason)) },
                  { "leader", std::to_string(refused->leaderHint) } });
-      callback({ ErrorCode::NotLeader, "this member does not lead the control group", 0 },
-               refused->leaderHint);
+      callback(refusalOf(refused->reason), refused->leaderHint);
     }
   } else if (const auto* ready = std::get_if<agreement::ReadReady>(&aAction)) {
     finishRead(ready->read, ErrorCode::None, kNoNode);
@@ -364,7 +376,7 @@
 {
   return orElse(
     [&]() -> Result<std::optional<wire::Command>> {
-      BOOST_LEAF_AUTO(command, wire::decodeCommand(aEntry.payload.data));
+      BOOST_LEAF_AUTO(command, wire::decodePayload(aEntry.payload.data));
       return std::optional<wire::Command>(std::move(command));
     },
     [&](const ErrorInfo& aInfo) -> std::optional<wire::Command> {
--- a/packages/daemon/ControlOperators.cc
+++ b/packages/daemon/ControlOperators.cc
@@ -36,7 +36,7 @@
   aCommand.issuedAtUnixMillis = unixMillis();
   const std::uint64_t proposal = ++mCounter;
   mUnappendedProposals[proposal] = std::move(aCallback);
-  stepLog(agreement::Propose{ proposal, wire::encodeCommand(aCommand) });
+  stepLog(agreement::Propose{ proposal, wire::encodePayload(aCommand) });
 }
 
 void ControlDuty::submit(wire::Command aCommand, TimePoint aDeadline, CommandCallback aCallback)
@@ -57,6 +57,10 @@
   const RequestId id{ mProcessIncarnation, ++mCounter };
   const auto sent =
     mRouter.send(leader, transport::Lane::Control, wire::CommandSubmit{ id, std::move(aCommand) });
+  if (sent.status == transport::SendStatus::TooLarge) {
+    aCallback({ ErrorCode::BodyTooLarge, "the command exceeds the size of a message", 0 }, leader);
+    return;
+  }
   if (sent.status != transport::SendStatus::Accepted) {
     aCallback(
       { ErrorCode::NotLeader, "this member can't reach the leader of the control group", 0 },
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -53,7 +53,8 @@
   Millis acceptedIdleTimeout{ 60000 };
   /// From the start of the dial, or from accepting, to the peer's Hello.
   Millis connectTimeout{ 500 };
-  std::size_t maxMessageBytes = 1U << 20U;
+  /// Room for an operator's command with the largest document, or for a log entry that contains it.
+  std::size_t maxMessageBytes = 4U << 20U;
   std::size_t maxBufferedBytes = 8U << 20U; ///< Bytes waiting to be sent on one link.
   std::size_t maxAcceptedLinks = 4096;      ///< Connections above this limit are closed.
 };
@@ -140,8 +141,8 @@
   /// Thread-safe.
   SendStatus reply(LinkId aLink, const wire::PeerMessage& aMessage);
 
-  /// Returns the bytes of the messages passed to send() and reply(), except those that are
-  /// TooLarge, for one alternative of wire::PeerMessage. aMessageIndex is its index in the variant.
+  /// Returns the bytes of the messages passed to the methods above, except those that are TooLarge,
+  /// for one alternative of wire::PeerMessage. aMessageIndex is its index in the variant.
   /// Thread-safe.
   std::uint64_t sentBytes(std::size_t aMessageIndex) const;
 
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -556,9 +556,11 @@
 
 TEST_CASE("a message longer than the limit is refused on the sending side")
 {
-  NodeFixture a(configOf(1));
+  const PeerHubConfig config = configOf(1);
+  NodeFixture a(config);
   a.hub.setAddress(2, "127.0.0.1:1");
-  REQUIRE(a.hub.send(2, Lane::Data, chunk(0, 1U << 20U)).status == SendStatus::TooLarge);
+  REQUIRE(a.hub.send(2, Lane::Data, chunk(0, config.maxMessageBytes)).status ==
+          SendStatus::TooLarge);
 }
 
 TEST_CASE("a hub whose address is in use or invalid fails to start")
--- a/packages/wire/WireCodec.cc
+++ b/packages/wire/WireCodec.cc
@@ -2,8 +2,25 @@
 
 #include "wire/WireCodec.h"
 
+#include <string_view>
+
+#include "base/Compression.h"
+
 namespace camphorcleat::wire {
 
+namespace {
+
+// First byte of a compressed payload. A command encoded as CBOR is a map and begins with another
+// byte.
+constexpr char kCompressedMark = '\0';
+
+constexpr std::size_t kMinCompressedBytes = 4U << 10U;
+
+// Larger than any command that fits into a message between daemons.
+constexpr std::size_t kMaxCommandBytes = 32U << 20U;
+
+} // namespace
+
 namespace detail {
 
 template<class... A>
@@ -39,6 +56,21 @@
   return decode<Command>(aBytes);
 }
 
+std::string encodePayload(const Command& aCommand)
+{
+  std::string out = encodeCommand(aCommand);
+  return out.size() < kMinCompressedBytes ? out : kCompressedMark + compress(out);
+}
+
+Result<Command> decodePayload(const std::string& aPayload)
+{
+  if (aPayload.empty() || aPayload.front() != kCompressedMark) {
+    return decodeCommand(aPayload);
+  }
+  BOOST_LEAF_AUTO(bytes, decompress(std::string_view(aPayload).substr(1), kMaxCommandBytes));
+  return decodeCommand(bytes);
+}
+
 std::string encodeChanges(const std::vector<Change>& aChanges)
 {
   return encode(aChanges);
