Send view changes in batches, each encoded once for all nodes

Cause: the leader sent each change to each node at once and encoded it for each node. A restart of all nodes makes some 400 changes, 33,000 messages. An update that a node hadn't acknowledged after 500 ms was sent again whole, although renewals, which acknowledge it, come every 700 ms on the platform. Class: work on the leader's thread that grows with changes times nodes and grows again when it is late.

Change: changes are sent at most every 50 ms, the first after a pause at once; nodes that lack the same changes get one message, encoded once, and so do nodes that need the whole state; a resend waits for two renewals.

Test: ControlLeaderTest, 500 changes in 500 ms for 80 nodes: at most 12 messages are encoded (before, 500 for each node; that code has another interface, so the test was not run on it).

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -440,7 +440,10 @@
       }
     });
   } else if (auto* reply = std::get_if<fleet::control::Reply>(&aAction)) {
-    logIfNotSent("view", reply->link, mRouter.reply(reply->link, std::move(reply->message)));
+    const auto statuses = mRouter.replyAll(reply->links, reply->message);
+    for (std::size_t i = 0; i < statuses.size(); ++i) {
+      logIfNotSent("view", reply->links[i], statuses[i]);
+    }
   } else if (auto* proposal = std::get_if<fleet::control::Propose>(&aAction)) {
     logLostNodes(proposal->command);
     propose(std::move(proposal->command), [](const wire::CommandResult&, NodeId) {});
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -2,6 +2,8 @@
 
 #include "daemon/PeerRouter.h"
 
+#include <algorithm>
+
 #include "base/Log.h"
 
 namespace camphorcleat::daemon {
@@ -77,6 +79,20 @@
                                                               : transport::SendStatus::Full;
 }
 
+std::vector<transport::SendStatus> PeerRouter::replyAll(
+  const std::vector<transport::LinkId>& aLinks, const wire::PeerMessage& aMessage)
+{
+  const auto local = std::find(aLinks.begin(), aLinks.end(), kLocalLink);
+  if (local == aLinks.end()) {
+    return mHub->replyAll(aLinks, aMessage);
+  }
+  std::vector<transport::LinkId> others = aLinks;
+  others.erase(others.begin() + (local - aLinks.begin()));
+  auto out = others.empty() ? std::vector<transport::SendStatus>() : replyAll(others, aMessage);
+  out.insert(out.begin() + (local - aLinks.begin()), reply(kLocalLink, aMessage));
+  return out;
+}
+
 void PeerRouter::onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane /*aLane*/,
                            wire::PeerMessage aMessage)
 {
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -34,6 +34,10 @@
   /// Sends a message on the connection of a received message.
   transport::SendStatus reply(transport::LinkId aLink, wire::PeerMessage aMessage);
 
+  /// Sends a message on the connections of several received messages. Returns the status of each.
+  std::vector<transport::SendStatus> replyAll(const std::vector<transport::LinkId>& aLinks,
+                                              const wire::PeerMessage& aMessage);
+
   // Overrides of PeerHandler. They run on the hub's thread.
   void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
                  wire::PeerMessage aMessage) override;
--- a/packages/daemon/testing/ControlCostBenchmark.cc
+++ b/packages/daemon/testing/ControlCostBenchmark.cc
@@ -4,6 +4,7 @@
 // Processor times are those of this thread. Byte counts are those of the encoded messages, without
 // the connections' framing (2 to 8 bytes per message).
 
+#include <algorithm>
 #include <cstdio>
 #include <deque>
 #include <fstream>
@@ -158,8 +159,8 @@
     for (const auto& it : aActions) {
       if (const auto* reply = std::get_if<control::Reply>(&it)) {
         const std::string bytes = wire::encodePeerMessage(reply->message);
-        mSentBytes += static_cast<double>(bytes.size());
-        if (reply->link == mNodeCount) {
+        mSentBytes += static_cast<double>(bytes.size() * reply->links.size());
+        if (std::find(reply->links.begin(), reply->links.end(), mNodeCount) != reply->links.end()) {
           mToAgent.push_back(bytes);
         }
       } else if (const auto* propose = std::get_if<control::Propose>(&it)) {
--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -2,6 +2,7 @@
 
 #include "fleet/ControlLeader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorcleat::fleet {
@@ -10,9 +11,15 @@
 
 constexpr std::size_t kMaxWaitingRenewals = 8192;
 
+// Minimum interval between two batches of view changes. The first change after a pause is sent at
+// once.
+constexpr Millis kBatchInterval{ 50 };
+
 // A view message may be lost when its connection closes or a queue is full. Changes are sent again
-// to a daemon whose applied revision hasn't advanced for this time.
-constexpr Millis kResendInterval{ 500 };
+// to a daemon whose applied revision hasn't advanced for this time and for two renewals, since only
+// a renewal reports the revision.
+constexpr Millis kMinResendInterval{ 500 };
+constexpr int kResendRenewals = 2;
 
 // Maximum interval between plans. The commands of a plan may be dropped because a queue is full.
 // Proposing them again is safe, because each body is checked against the state when it is applied.
@@ -81,8 +88,10 @@
   mLeases.recordRenewal(mNow, mModel, aEvent.renew);
   Session& session = mSessions[aEvent.renew.node];
   const bool isOtherLink = session.link != aEvent.link;
+  const Duration resendInterval =
+    std::max<Duration>(kMinResendInterval, kResendRenewals * mSettings.renewInterval);
   const bool isOverdue =
-    aEvent.renew.appliedRevision < session.sent && mNow - session.sentAt > kResendInterval;
+    aEvent.renew.appliedRevision < session.sent && mNow - session.sentAt > resendInterval;
   if (aEvent.renew.appliedRevision > session.applied) {
     session.sentAt = mNow;
   }
@@ -96,7 +105,8 @@
   if (isOtherLink || isOverdue || session.sent < session.applied) {
     session.sent = session.applied;
   }
-  sendMissingChanges(session, aOut);
+  mHasUnsentChanges = mHasUnsentChanges || session.sent < mHistory.revision();
+  sendChangesIfDue(aOut);
   mNextRound.push_back(renewal);
   startRoundIfNeeded(aOut);
 }
@@ -143,9 +153,8 @@
     --mPlanOutstanding;
   }
   if (!aEvent.changes.empty()) {
-    for (auto& [id, session] : mSessions) {
-      sendMissingChanges(session, aOut);
-    }
+    mHasUnsentChanges = true;
+    sendChangesIfDue(aOut);
     proposePlan(aOut);
   }
 }
@@ -167,6 +176,7 @@
   if (!mIsLeading) {
     return;
   }
+  sendChangesIfDue(aOut);
   proposeLosses(aOut);
   proposePlan(aOut);
 }
@@ -181,7 +191,7 @@
   message.length = mSettings.length;
   message.committedRevision = aCommitted;
   message.members = mMembers;
-  aOut.emplace_back(control::Reply{ aRenewal.link, message });
+  aOut.emplace_back(control::Reply{ { aRenewal.link }, message });
 }
 
 void ControlLeader::refuseWaiting(Actions& aOut)
@@ -204,25 +214,50 @@
   aOut.emplace_back(control::StartQuorumRound{ ++mRoundCounter });
 }
 
-void ControlLeader::sendMissingChanges(Session& aSession, Actions& aOut)
+void ControlLeader::sendChangesIfDue(Actions& aOut)
 {
-  if (aSession.sent >= mHistory.revision()) {
+  if (!mHasUnsentChanges || mNow < mNextSendAt) {
     return;
   }
-  // The resend interval starts with the first change that the daemon lacks. If each change
-  // restarted it, a daemon that lost a message would get no update that it can apply while changes
-  // continue.
-  if (aSession.sent <= aSession.applied) {
-    aSession.sentAt = mNow;
+  mHasUnsentChanges = false;
+  mNextSendAt = mNow + kBatchInterval;
+  sendMissingChanges(aOut);
+}
+
+void ControlLeader::sendMissingChanges(Actions& aOut)
+{
+  std::map<Revision, std::vector<LinkNumber>> links; // By the revision that was sent last.
+  for (auto& [id, session] : mSessions) {
+    if (session.sent >= mHistory.revision()) {
+      continue;
+    }
+    // The resend interval starts with the first change that the daemon lacks. If each change
+    // restarted it, a daemon that lost a message would get no update that it can apply while
+    // changes continue.
+    if (session.sent <= session.applied) {
+      session.sentAt = mNow;
+    }
+    links[session.sent].push_back(session.link);
+    session.sent = mHistory.revision();
+  }
+  std::vector<LinkNumber> needSnapshot;
+  for (auto& [from, receivers] : links) {
+    if (auto update = mHistory.updateSince(from)) {
+      aOut.emplace_back(control::Reply{ std::move(receivers), std::move(*update) });
+    } else {
+      needSnapshot.insert(needSnapshot.end(), receivers.begin(), receivers.end());
+    }
   }
-  if (auto update = mHistory.updateSince(aSession.sent)) {
-    aSession.sent = update->to;
-    aOut.emplace_back(control::Reply{ aSession.link, std::move(*update) });
+  sendSnapshot(needSnapshot, aOut);
+}
+
+void ControlLeader::sendSnapshot(const std::vector<LinkNumber>& aLinks, Actions& aOut) const
+{
+  if (aLinks.empty()) {
     return;
   }
-  aSession.sent = mHistory.revision();
   for (auto& part : snapshotParts(mModel, mHistory.revision())) {
-    aOut.emplace_back(control::Reply{ aSession.link, std::move(part) });
+    aOut.emplace_back(control::Reply{ aLinks, std::move(part) });
   }
 }
 
--- a/packages/fleet/ControlLeader.h
+++ b/packages/fleet/ControlLeader.h
@@ -1,9 +1,10 @@
 // The duties of the control leader besides the replicated log: leases, views and planning.
 //
 // Renewals are collected and answered after a quorum round that started later (LeaseTable.h gives
-// the reason). Changes are sent to daemons as soon as they are applied, and sent again after later
-// renewals if a message was lost. Lost nodes and plans are proposed as commands; this class never
-// changes the model directly.
+// the reason). Changes are sent to daemons in batches, and sent again after later renewals if a
+// message was lost. A batch is one message for all daemons that lack the same changes, so the
+// leader's work grows with the time and not with the number of changes times daemons. Lost nodes
+// and plans are proposed as commands; this class never changes the model directly.
 
 #ifndef CAMPHORCLEAT_FLEET_CONTROLLEADER_H_
 #define CAMPHORCLEAT_FLEET_CONTROLLEADER_H_
@@ -77,10 +78,10 @@
 {
   std::uint64_t round = 0;
 };
-/// Send a lease reply or a view message on a link.
+/// Send a lease reply on one link, or a view message on one or more links.
 struct Reply
 {
-  LinkNumber link = 0;
+  std::vector<LinkNumber> links;
   wire::PeerMessage message;
 };
 struct Propose
@@ -148,7 +149,9 @@
                       Revision aCommitted, Actions& aOut) const;
   void refuseWaiting(Actions& aOut);
   void startRoundIfNeeded(Actions& aOut);
-  void sendMissingChanges(Session& aSession, Actions& aOut);
+  void sendChangesIfDue(Actions& aOut);
+  void sendMissingChanges(Actions& aOut);
+  void sendSnapshot(const std::vector<LinkNumber>& aLinks, Actions& aOut) const;
   void proposeLosses(Actions& aOut);
   void proposePlan(Actions& aOut);
 
@@ -162,6 +165,8 @@
   bool mIsLeading = false;
   NodeId mLeaderHint = kNoNode;
   std::map<NodeId, Session> mSessions;
+  bool mHasUnsentChanges = false; // A session may lack changes that were not sent to it yet.
+  TimePoint mNextSendAt;          // Earliest time of the next batch of changes.
   std::vector<WaitingRenewal> mNextRound; // Renewals that arrived since the running round started.
   std::vector<WaitingRenewal> mRunningRound; // They get a reply when the running round ends.
   std::uint64_t mRoundCounter = 0;
--- a/packages/fleet/testing/ControlLeaderTest.cc
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -11,6 +11,7 @@
 
 constexpr LeaseSettings kSettings;
 constexpr LinkNumber kLink = 5;
+constexpr Millis kBatchInterval{ 50 }; // Minimum interval between two batches of changes.
 
 // A control member with the fleet of smallFleet(). The event BecameLeader makes it the leader.
 struct Leader
@@ -172,6 +173,7 @@
   CHECK(parts[0].revision == leader.member.state.revision());
 
   const Revision before = leader.member.state.revision();
+  leader.now += kBatchInterval;
   const auto updates = messagesOf<wire::ViewUpdate>(
     leader.apply(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::Draining }));
   REQUIRE(updates.size() == 1);
@@ -200,18 +202,85 @@
   leader.renew(1, 11, 1, kLink, applied);
   // The daemon lost the first update, so it can't apply any of the later ones.
   bool isRepaired = false;
+  const auto receive = [&](const std::vector<control::Action>& aActions) {
+    for (const auto& it : messagesOf<wire::ViewUpdate>(aActions)) {
+      isRepaired = isRepaired || it.from == applied;
+    }
+  };
   for (std::uint64_t i = 0; i < 6; ++i) {
     leader.now += Millis(200);
-    leader.apply(wire::SetNodeStatus{
+    const auto lost = leader.apply(wire::SetNodeStatus{
       2, 22, i % 2 == 0 ? wire::NodeStatus::Draining : wire::NodeStatus::Serving });
-    for (const auto& it :
-         messagesOf<wire::ViewUpdate>(leader.renew(1, 11, 2 + i, kLink, applied))) {
-      isRepaired = isRepaired || it.from == applied;
+    if (i > 0) {
+      receive(lost);
     }
+    receive(leader.renew(1, 11, 2 + i, kLink, applied));
   }
   CHECK(isRepaired);
 }
 
+// Guards against view messages whose number grows with changes times nodes: after a restart of all
+// nodes the leader was busy with them for seconds, and views, leases and heartbeats were late.
+TEST_CASE("a burst of changes reaches all nodes in one message per batch")
+{
+  constexpr NodeId kNodes = 80;
+  constexpr Millis kBurst{ 500 };
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  std::map<LinkNumber, Revision> received;
+  std::size_t encoded = 0;
+  std::size_t sent = 0;
+  const auto receive = [&](const std::vector<control::Action>& aActions) {
+    for (const auto& it : actionsOf<control::Reply>(aActions)) {
+      const auto* update = std::get_if<wire::ViewUpdate>(&it.message);
+      if (update == nullptr) {
+        continue;
+      }
+      ++encoded;
+      sent += it.links.size();
+      for (const LinkNumber link : it.links) {
+        REQUIRE(update->from <= received[link]);
+        received[link] = update->to;
+      }
+    }
+  };
+  const Revision first = leader.member.state.revision();
+  for (NodeId id = 1; id <= kNodes; ++id) {
+    received[id] = first;
+    receive(leader.renew(id, id * 11, 1, id, first));
+  }
+  for (Millis at{ 0 }; at < kBurst; at += Millis(1)) {
+    leader.now += Millis(1);
+    receive(leader.apply(wire::RegisterNode{ nodeOf(1000 + at.count(), 7) }));
+    receive(leader.step(control::Tick{}));
+  }
+  leader.now += kBatchInterval;
+  receive(leader.step(control::Tick{}));
+  for (NodeId id = 1; id <= kNodes; ++id) {
+    CHECK(received[id] == leader.member.state.revision());
+  }
+  const std::size_t batches = kBurst / kBatchInterval + 2;
+  CHECK(encoded <= batches);
+  CHECK(sent <= batches * kNodes);
+}
+
+// Guards against a batch that is kept back when no further change or renewal follows it.
+TEST_CASE("a change is sent at once after a pause and within 50 ms otherwise")
+{
+  Leader leader;
+  leader.step(control::BecameLeader{});
+  leader.renew(1, 11, 1, kLink, leader.member.state.revision());
+  leader.now += kBatchInterval;
+  const wire::SetNodeStatus draining{ 2, 22, wire::NodeStatus::Draining };
+  const wire::SetNodeStatus serving{ 2, 22, wire::NodeStatus::Serving };
+  CHECK(messagesOf<wire::ViewUpdate>(leader.apply(draining)).size() == 1);
+  CHECK(messagesOf<wire::ViewUpdate>(leader.apply(serving)).empty());
+  leader.now += kBatchInterval - Millis(1);
+  CHECK(messagesOf<wire::ViewUpdate>(leader.step(control::Tick{})).empty());
+  leader.now += Millis(1);
+  CHECK(messagesOf<wire::ViewUpdate>(leader.step(control::Tick{})).size() == 1);
+}
+
 TEST_CASE("nothing is sent on a closed link")
 {
   Leader leader;
@@ -219,6 +288,7 @@
   leader.renew(1, 11, 1, kLink, leader.member.state.revision());
   CHECK(leader.control.appliedRevision(1) == leader.member.state.revision());
   leader.step(control::LinkClosed{ kLink });
+  leader.now += kBatchInterval;
   CHECK(leader.control.appliedRevision(1) == 0);
   CHECK(messagesOf<wire::ViewUpdate>(
           leader.apply(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::Draining }))
--- a/packages/fleet/testing/LeaseScheduleTest.cc
+++ b/packages/fleet/testing/LeaseScheduleTest.cc
@@ -404,7 +404,9 @@
       if (const auto* round = std::get_if<control::StartQuorumRound>(&it)) {
         startRound(aMember, round->round);
       } else if (const auto* reply = std::get_if<control::Reply>(&it)) {
-        sendToNode(aMember, reply->link, reply->message);
+        for (const LinkNumber link : reply->links) {
+          sendToNode(aMember, link, reply->message);
+        }
       } else if (const auto* command = std::get_if<control::Propose>(&it)) {
         propose(aMember, command->command, {});
       }
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -497,13 +497,24 @@
 
 SendStatus PeerHub::reply(LinkId aLink, const wire::PeerMessage& aMessage)
 {
-  std::string bytes = wire::encodePeerMessage(aMessage);
+  return replyAll({ aLink }, aMessage).front();
+}
+
+std::vector<SendStatus> PeerHub::replyAll(const std::vector<LinkId>& aLinks,
+                                          const wire::PeerMessage& aMessage)
+{
+  const std::string bytes = wire::encodePeerMessage(aMessage);
   if (bytes.size() > mImpl->config.maxMessageBytes) {
-    return SendStatus::TooLarge;
+    return std::vector<SendStatus>(aLinks.size(), SendStatus::TooLarge);
   }
-  mImpl->sentBytes[aMessage.index()] += bytes.size();
-  return mImpl->notifyThread(
-    mImpl->links.queueForLink(aLink, std::move(bytes), requestEventOf(aMessage)));
+  mImpl->sentBytes[aMessage.index()] += bytes.size() * aLinks.size();
+  std::vector<SendStatus> out;
+  out.reserve(aLinks.size());
+  for (const LinkId it : aLinks) {
+    out.push_back(
+      mImpl->notifyThread(mImpl->links.queueForLink(it, bytes, requestEventOf(aMessage))));
+  }
+  return out;
 }
 
 std::uint64_t PeerHub::sentBytes(std::size_t aMessageIndex) const
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/EnumNames.h"
 #include "base/Errors.h"
@@ -141,6 +142,11 @@
   /// Thread-safe.
   SendStatus reply(LinkId aLink, const wire::PeerMessage& aMessage);
 
+  /// Sends a message on several such links and encodes it once. Returns the status of each link, in
+  /// the same order. Thread-safe.
+  std::vector<SendStatus> replyAll(const std::vector<LinkId>& aLinks,
+                                   const wire::PeerMessage& aMessage);
+
   /// Returns the bytes of the messages passed to the methods above, except those that are TooLarge,
   /// for one alternative of wire::PeerMessage. aMessageIndex is its index in the variant.
   /// Thread-safe.
