Send only what a new configuration changes

Cause: a configuration was one object, and two of them in one update made the leader send the whole state.

Change: a new version is sent as its difference from the one before. Accounts and routes are kept in a canonical order, so that a model that applied differences encodes like one that got the whole configuration (members are compared by that). An update names the revision of each change, and a node applies only those that it lacks: applying a change twice is no longer harmless, and a grant of a service that was dropped and restored later was reverted by it. An update without these revisions is ignored. The old test applied a change of an earlier revision again and expected its effect; it now expects that only the missing change is applied.

--- a/packages/fleet/ConfigurationRules.cc
+++ b/packages/fleet/ConfigurationRules.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "fleet/CommandRules.h"
+#include "fleet/ConfigurationDifference.h"
 
 namespace camphorcleat::fleet {
 
@@ -154,7 +155,11 @@
   if (auto verdict = checkLimits(next)) {
     return verdict;
   }
-  mOut.emplace_back(wire::ConfigurationSet{ next });
+  if (present.version == 0) {
+    mOut.emplace_back(wire::ConfigurationSet{ inCanonicalOrder(next) });
+  } else {
+    mOut.emplace_back(differenceOf(present, inCanonicalOrder(next)));
+  }
   return std::nullopt;
 }
 
--- a/packages/fleet/FleetModel.cc
+++ b/packages/fleet/FleetModel.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "base/Hash.h"
+#include "fleet/ConfigurationDifference.h"
 
 namespace camphorcleat::fleet {
 
@@ -286,6 +287,13 @@
   }
 }
 
+void FleetModel::applyOne(const wire::ConfigurationChanged& aChange)
+{
+  if (mConfiguration->version == aChange.fromVersion) {
+    applyOne(wire::ConfigurationSet{ applyDifference(*mConfiguration, aChange) });
+  }
+}
+
 void FleetModel::removeDigests(const std::string& aAccount)
 {
   const auto it = mAccounts.find(aAccount);
--- a/packages/fleet/FleetModel.h
+++ b/packages/fleet/FleetModel.h
@@ -109,6 +109,7 @@
   void applyOne(const wire::PinSet& aChange);
   void applyOne(const wire::PinRemoved& aChange);
   void applyOne(const wire::ConfigurationSet& aChange);
+  void applyOne(const wire::ConfigurationChanged& aChange);
   void removeDigests(const std::string& aAccount);
 
   std::uint32_t mPartitionCount = 0;
--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -215,16 +215,19 @@
 void NodeAgent::handle(const agent::UpdateArrived& aEvent, Actions& aOut)
 {
   const wire::ViewUpdate& update = aEvent.update;
-  // An update that starts after the view's revision would skip changes, and one that ends before it
-  // would revert changes. An update that starts earlier and ends later may be applied, because
-  // changes contain whole values.
-  if (mRevision == 0 || update.from > mRevision || update.to <= mRevision) {
+  // An update that starts after the view's revision would skip changes. One that starts earlier and
+  // ends later was sent again; its first changes are already applied.
+  if (mRevision == 0 || update.from > mRevision || update.to <= mRevision ||
+      update.revisions.size() != update.changes.size()) {
     return;
   }
-  if (!update.changes.empty()) {
+  const auto firstNew =
+    std::upper_bound(update.revisions.begin(), update.revisions.end(), mRevision);
+  if (firstNew != update.revisions.end()) {
     auto model = std::make_shared<FleetModel>(*mModel);
-    for (const auto& it : update.changes) {
-      model->apply(it);
+    for (auto i = static_cast<std::size_t>(firstNew - update.revisions.begin());
+         i < update.changes.size(); ++i) {
+      model->apply(update.changes[i]);
     }
     mModel = std::move(model);
   }
--- a/packages/fleet/ViewHistory.cc
+++ b/packages/fleet/ViewHistory.cc
@@ -12,6 +12,10 @@
 constexpr std::size_t kMaxRevisions = 4096;
 constexpr std::size_t kMaxChanges = 65536;
 
+// Accounts and routes of all configurations in one update, if there are several. An entry takes
+// about 100 bytes.
+constexpr std::size_t kMaxConfigurationEntries = 8192;
+
 // Limits of one snapshot part. Its size is counted in units: one per change, and one more per 64
 // partitions of a change. A partition number takes at most 5 bytes and most other changes less than
 // 1 KiB, so a part stays below 256 KiB unless it contains larger ones, such as a large
@@ -49,13 +53,31 @@
   return out;
 }
 
-// Several configurations in one update could exceed the size of a message. Also, if one of them
-// removes a service and the next one adds it again, the service has lost its grants in between.
-bool hasSeveralConfigurations(const std::vector<wire::Change>& aChanges)
+// Returns how many accounts and routes a change contains.
+std::size_t configurationEntries(const wire::Change& aChange)
+{
+  const wire::Configuration* configuration = nullptr;
+  if (const auto* set = std::get_if<wire::ConfigurationSet>(&aChange)) {
+    configuration = &set->configuration;
+  } else if (const auto* changed = std::get_if<wire::ConfigurationChanged>(&aChange)) {
+    configuration = &changed->next;
+  }
+  return configuration == nullptr ? 0
+                                  : configuration->accounts.size() + configuration->routes.size();
+}
+
+// Several large configurations in one update could exceed the size of a message, and the whole
+// state contains only the last of them.
+bool hasTooLargeConfigurations(const std::vector<wire::Change>& aChanges)
 {
-  return std::count_if(aChanges.begin(), aChanges.end(), [](const wire::Change& aChange) {
-           return std::holds_alternative<wire::ConfigurationSet>(aChange);
-         }) > 1;
+  std::size_t configurations = 0;
+  std::size_t entries = 0;
+  for (const auto& it : aChanges) {
+    const std::size_t n = configurationEntries(it);
+    configurations += n > 0 ? 1 : 0;
+    entries += n;
+  }
+  return configurations > 1 && entries > kMaxConfigurationEntries;
 }
 
 } // namespace
@@ -88,14 +110,15 @@
   if (aFrom < mCompleteSince || aFrom > mRevision || aFrom == 0) {
     return std::nullopt;
   }
-  wire::ViewUpdate update{ aFrom, mRevision, {} };
+  wire::ViewUpdate update{ aFrom, mRevision, {}, {} };
   const auto first =
     std::upper_bound(mItems.begin(), mItems.end(), aFrom,
                      [](Revision aValue, const auto& aItem) { return aValue < aItem.first; });
   for (auto it = first; it != mItems.end(); ++it) {
     update.changes.insert(update.changes.end(), it->second.begin(), it->second.end());
+    update.revisions.insert(update.revisions.end(), it->second.size(), it->first);
   }
-  if (hasSeveralConfigurations(update.changes)) {
+  if (hasTooLargeConfigurations(update.changes)) {
     return std::nullopt;
   }
   return update;
--- a/packages/fleet/ViewHistory.h
+++ b/packages/fleet/ViewHistory.h
@@ -27,7 +27,7 @@
 
   /// Returns the changes after aFrom, or nullopt if the whole state must be sent: if aFrom is 0,
   /// older than the history or newer than revision(), or if the changes contain several
-  /// configurations.
+  /// large configurations.
   std::optional<wire::ViewUpdate> updateSince(Revision aFrom) const;
 
   Revision revision() const { return mRevision; }
--- a/packages/fleet/testing/NodeAgentTest.cc
+++ b/packages/fleet/testing/NodeAgentTest.cc
@@ -97,8 +97,9 @@
     const Revision from = known;
     auto applied = member.system(std::move(aBody));
     known = member.state.revision();
-    return step(
-      agent::UpdateArrived{ wire::ViewUpdate{ from, known, std::move(applied.changes) } });
+    const std::vector<Revision> revisions(applied.changes.size(), known);
+    return step(agent::UpdateArrived{
+      wire::ViewUpdate{ from, known, std::move(applied.changes), revisions } });
   }
 
   // Makes the daemon registered and the owner of account partitions 0 to 3.
@@ -214,16 +215,19 @@
   const Revision before = daemon.agent.revision();
   const std::string bytes = bytesOf(*daemon.agent.model());
   const std::vector<wire::Change> out{ wire::ZoneSet{ wire::Zone{ "a", true } } };
-  daemon.step(agent::UpdateArrived{ { before + 1, before + 2, out } });
-  daemon.step(agent::UpdateArrived{ { before - 2, before, out } });
-  daemon.step(agent::UpdateArrived{ { before - 3, before - 1, out } });
+  daemon.step(agent::UpdateArrived{ { before + 1, before + 2, out, { before + 2 } } });
+  daemon.step(agent::UpdateArrived{ { before - 2, before, out, { before } } });
+  daemon.step(agent::UpdateArrived{ { before - 3, before - 1, out, { before - 1 } } });
+  daemon.step(agent::UpdateArrived{ { before, before + 1, out, {} } }); // Malformed.
   daemon.step(agent::SnapshotArrived{ { before, 0, 1, out } });
   CHECK(daemon.agent.revision() == before);
   CHECK(bytesOf(*daemon.agent.model()) == bytes);
-  // An update that starts earlier and ends later is applied, because changes contain whole values.
-  daemon.step(agent::UpdateArrived{ { before - 1, before + 1, out } });
+  // Of an update that was sent again, only the changes that are still missing are applied.
+  const std::vector<wire::Change> more{ wire::ZoneSet{ wire::Zone{ "b", true } }, out[0] };
+  daemon.step(agent::UpdateArrived{ { before - 1, before + 1, more, { before, before + 1 } } });
   CHECK(daemon.agent.revision() == before + 1);
   CHECK(daemon.agent.model()->isZoneOut("a"));
+  CHECK_FALSE(daemon.agent.model()->isZoneOut("b"));
 }
 
 TEST_CASE("a model that was returned earlier doesn't change")
@@ -240,7 +244,8 @@
 TEST_CASE("updates are ignored before the first snapshot")
 {
   Daemon daemon;
-  daemon.step(agent::UpdateArrived{ { 0, 5, { wire::ZoneSet{ wire::Zone{ "a", true } } } } });
+  daemon.step(
+    agent::UpdateArrived{ { 0, 5, { wire::ZoneSet{ wire::Zone{ "a", true } } }, { 5 } } });
   CHECK(daemon.agent.revision() == 0);
 }
 
--- a/packages/fleet/testing/ViewHistoryTest.cc
+++ b/packages/fleet/testing/ViewHistoryTest.cc
@@ -26,6 +26,23 @@
   REQUIRE(update->changes.size() == 2);
   CHECK(std::get<wire::ZoneSet>(update->changes[0]).zone.name == "b");
   CHECK(std::get<wire::ZoneSet>(update->changes[1]).zone.name == "c");
+  CHECK(update->revisions == std::vector<Revision>{ 5, 5 });
+}
+
+// Guards against an update that exceeds the size of a message and so never arrives.
+TEST_CASE("an update never contains several large configurations")
+{
+  wire::ConfigurationChanged large;
+  large.next.routes.resize(5000);
+  ViewHistory history;
+  history.add(1, { zoneChange("a") });
+  history.add(2, { large });
+  CHECK(history.updateSince(1));
+  history.add(3, { wire::ConfigurationChanged() });
+  CHECK(history.updateSince(1));
+  history.add(4, { large });
+  CHECK_FALSE(history.updateSince(1));
+  CHECK(history.updateSince(2));
 }
 
 TEST_CASE("an entry without changes advances the revision, so that daemons can be confirmed")
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -218,7 +219,7 @@
   }
 };
 
-// Changes. Each one holds the complete new value of its object.
+// Changes. Each one holds the complete new value of its object, except ConfigurationChanged.
 
 struct FleetCreated
 {
@@ -324,9 +325,43 @@
   }
 };
 
-using Change =
-  std::variant<FleetCreated, ServiceSet, ServiceRemoved, AccountSet, AccountRemoved, NodeSet,
-               NodeRemoved, ZoneSet, PartitionsSet, PinSet, PinRemoved, ConfigurationSet>;
+/// Identifies a route within a configuration.
+struct RouteId
+{
+  std::string host;
+  std::string pathPrefix;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("host", &RouteId::host),
+                           field("path_prefix", &RouteId::pathPrefix));
+  }
+  bool operator<(const RouteId& aOther) const
+  {
+    return std::tie(host, pathPrefix) < std::tie(aOther.host, aOther.pathPrefix);
+  }
+};
+
+/// Replaces the configuration by one that differs from it in some accounts and routes only. A
+/// configuration may have thousands of routes, and most new versions change a few of them.
+struct ConfigurationChanged
+{
+  static constexpr const char* kName = "configuration_changed";
+  std::uint64_t fromVersion = 0; ///< Version that is replaced.
+  Configuration next;            ///< Contains only the added and changed accounts and routes.
+  std::vector<std::string> removedAccounts;
+  std::vector<RouteId> removedRoutes;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("from_version", &ConfigurationChanged::fromVersion),
+                           field("next", &ConfigurationChanged::next),
+                           field("removed_accounts", &ConfigurationChanged::removedAccounts),
+                           field("removed_routes", &ConfigurationChanged::removedRoutes));
+  }
+};
+
+using Change = std::variant<FleetCreated, ServiceSet, ServiceRemoved, AccountSet, AccountRemoved,
+                            NodeSet, NodeRemoved, ZoneSet, PartitionsSet, PinSet, PinRemoved,
+                            ConfigurationSet, ConfigurationChanged>;
 
 // Command bodies that operators issue.
 
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -134,10 +134,12 @@
   Revision from = 0;
   Revision to = 0;
   std::vector<Change> changes;
+  std::vector<Revision> revisions; ///< Of each change, so that none is applied twice.
   static constexpr auto fields()
   {
     return std::make_tuple(field("from", &ViewUpdate::from), field("to", &ViewUpdate::to),
-                           field("changes", &ViewUpdate::changes));
+                           field("changes", &ViewUpdate::changes),
+                           field("revisions", &ViewUpdate::revisions));
   }
 };
 
--- a/packages/wire/testing/PeerMessagesTest.cc
+++ b/packages/wire/testing/PeerMessagesTest.cc
@@ -23,7 +23,7 @@
   return { Hello{ 1, 2, "lagos" },
            LogFrame{ append },
            LeaseRenew{ 1, 2, 3, 4, 5 },
-           ViewUpdate{ 1, 2, {} },
+           ViewUpdate{ 1, 2, {}, {} },
            CommandSubmit{ {}, command },
            head,
            BodyChunk{},
