Double a peer's time limits after a link to it timed out

What the logs say: peer_link_lost up to 1,900 times in 2 s (with lines dropped), of the dialing sides' losses 3,633 "connection setup timed out", 1,144 "nothing received"; control links among them, so views and lease renewals waited for new ones.

Cause: fixed limits, 500 ms for a dial and 500 ms for the response to a ping. A node with a tenth of a core is later than that when it is busy. Giving the link up costs both sides a new connection with its handshakes, which costs more processor time than the response: the limits keep the overload alive that they take for a loss. Class: a fixed timeout with a retry that is dearer than the wait.

Ruled out: lost nodes (14 of 95 lost power, from 7.23 s on; the losses begin at 4.1 s and are spread over all).

Change: each peer and lane has a factor for its limits, doubled after a timeout up to 8 and halved after a link that was open for 5 s. The first loss of a silent connection is found as fast as before. The accepting side waits 2 s for the Hello (500 ms before): it doesn't know the peer yet.

--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -53,10 +53,29 @@
   static_cast<void>(sConverted);
 }
 
-struct Backoff
+// How often a time limit of one peer and lane may be doubled.
+constexpr int kMaxTimeoutFactor = 8;
+
+// Multiplies connectTimeout on the accepting side, where the peer isn't known before its Hello.
+constexpr int kAcceptTimeoutFactor = 4;
+
+// A link that was open for this time shows that its time limits suffice.
+constexpr Millis kStableLinkTime{ 5000 };
+
+// What earlier links of one peer and lane have shown.
+struct PeerHistory
 {
-  Millis delay{ 0 };
-  TimePoint notBefore;
+  Millis dialDelay{ 0 };
+  TimePoint dialNotBefore;
+  // Multiplies the time limits. A peer that is short of processor time responds late, and closing
+  // and dialing links costs it more of that time than the responses do.
+  int timeoutFactor = 1;
+};
+
+enum class LossReason
+{
+  Closed,   ///< By the peer, by an error or by this hub.
+  TimedOut, ///< A time limit has passed without a response.
 };
 
 } // namespace
@@ -71,7 +90,7 @@
   PeerClient client;
   Ticker ticker;
   // Accessed on the hub's thread only. At most two entries per node.
-  std::map<PeerLinkTable::Key, Backoff> backoffs;
+  std::map<PeerLinkTable::Key, PeerHistory> histories;
   unsigned short port = 0;
   bool isStarted = false;
   std::array<std::atomic<std::uint64_t>, std::variant_size_v<wire::PeerMessage>> sentBytes{};
@@ -146,7 +165,7 @@
 
   void scheduleDial(const LinkPtr& aLink)
   {
-    const TimePoint due = backoffs[{ aLink->peer, aLink->lane }].notBefore;
+    const TimePoint due = histories[{ aLink->peer, aLink->lane }].dialNotBefore;
     if (due <= Clock::now()) {
       dial(aLink);
       return;
@@ -191,7 +210,7 @@
   void configureSocket(const LinkPtr& aLink, const std::shared_ptr<PeerSocket>& aSocket)
   {
     aLink->socket = aSocket;
-    aLink->handshakeDeadline = Clock::now() + config.connectTimeout;
+    aLink->handshakeDeadline = Clock::now() + handshakeTimeout(*aLink);
     aSocket->set_max_message_size(config.maxMessageBytes);
     aSocket->set_pong_timeout(0); // checkLiveness() applies receiveTimeout instead.
     aSocket->set_open_handshake_timeout(0);
@@ -216,6 +235,31 @@
     });
   }
 
+  int timeoutFactor(const PeerLink& aLink) const
+  {
+    const auto it = histories.find({ aLink.peer, aLink.lane });
+    return it == histories.end() ? 1 : it->second.timeoutFactor;
+  }
+
+  Duration handshakeTimeout(const PeerLink& aLink) const
+  {
+    return config.connectTimeout * (aLink.wasDialed ? timeoutFactor(aLink) : kAcceptTimeoutFactor);
+  }
+
+  // Doubles the peer's time limits after a timeout and halves them after a link that was stable.
+  void adaptTimeouts(const PeerLink& aLink, LossReason aReason)
+  {
+    if (aLink.peer == kNoNode) {
+      return;
+    }
+    int& factor = histories[{ aLink.peer, aLink.lane }].timeoutFactor;
+    if (aReason == LossReason::TimedOut) {
+      factor = std::min(2 * factor, kMaxTimeoutFactor);
+    } else if (aLink.isOpen && Clock::now() - aLink.openedAt >= kStableLinkTime) {
+      factor = std::max(factor / 2, 1);
+    }
+  }
+
   // Returns whether a ping is answered. If a write has been blocked for receiveTimeout, it isn't: a
   // peer that sends pings and reads nothing would otherwise grow the queue of pongs without bound.
   bool maySendPong(const PeerLink& aLink) const
@@ -285,8 +329,9 @@
       closeLink(aLink, "peer identifies itself as node " + std::to_string(aHello.node));
     } else {
       aLink->handshakeDeadline = TimePoint::max();
+      aLink->openedAt = Clock::now();
       if (aLink->wasDialed) {
-        backoffs[{ aLink->peer, aLink->lane }].delay = Millis(0);
+        histories[{ aLink->peer, aLink->lane }].dialDelay = Millis(0);
       }
       if (links.markOpen(*aLink, aHello.node)) {
         flush(aLink);
@@ -325,7 +370,7 @@
         continue;
       }
       if (aNow >= it->handshakeDeadline) {
-        closeLink(it, "connection setup timed out");
+        closeLink(it, "connection setup timed out", LossReason::TimedOut);
       } else if (it->isOpen) {
         checkLiveness(it, aNow, idleInterval);
       }
@@ -354,12 +399,14 @@
     const bool expectsBytes =
       links.hasRunningRequests(*aLink) || (aLink->wasDialed && aLink->lastSent > lastReceived);
     const bool hasUnansweredPing = aLink->firstUnansweredPing > lastReceived;
-    const bool isLost =
-      hasUnansweredPing
-        ? aNow - aLink->firstUnansweredPing >= config.receiveTimeout - config.pingInterval
-        : !aLink->wasDialed && idleTime >= config.acceptedIdleTimeout;
+    const Duration responseTimeout =
+      (config.receiveTimeout - config.pingInterval) * timeoutFactor(*aLink);
+    const bool isLost = hasUnansweredPing
+                          ? aNow - aLink->firstUnansweredPing >= responseTimeout
+                          : !aLink->wasDialed && idleTime >= config.acceptedIdleTimeout;
     if (isLost) {
-      closeLink(aLink, "nothing received for " + std::to_string(toMillis(idleTime)) + " ms");
+      closeLink(aLink, "nothing received for " + std::to_string(toMillis(idleTime)) + " ms",
+                LossReason::TimedOut);
       return;
     }
     const bool isDue = expectsBytes || (aLink->wasDialed && idleTime >= aIdleInterval);
@@ -373,19 +420,21 @@
 
   // Closes a link and reports its loss, whichever side closed the connection. Later events of the
   // connection are ignored.
-  void closeLink(const LinkPtr& aLink, const std::string& aReason)
+  void closeLink(const LinkPtr& aLink, const std::string& aReason,
+                 LossReason aKind = LossReason::Closed)
   {
     if (aLink->isLost) {
       return;
     }
     aLink->isLost = true;
+    adaptTimeouts(*aLink, aKind);
     logEvent(LogLevel::Info, "peer_link_lost",
              { { "peer", std::to_string(aLink->peer) },
                { "lane", std::string(enumName(aLink->lane)) },
                { "dialed", aLink->wasDialed ? "yes" : "no" },
                { "reason", aReason } });
     if (aLink->wasDialed) {
-      extendBackoff(*aLink);
+      delayNextDial(*aLink);
     }
     links.remove(*aLink);
     closeSocket(std::exchange(aLink->socket, nullptr));
@@ -394,11 +443,11 @@
     }
   }
 
-  void extendBackoff(const PeerLink& aLink)
+  void delayNextDial(const PeerLink& aLink)
   {
-    auto& backoff = backoffs[{ aLink.peer, aLink.lane }];
-    backoff.delay = std::clamp(backoff.delay * 2, kMinBackoff, kMaxBackoff);
-    backoff.notBefore = Clock::now() + backoff.delay;
+    PeerHistory& history = histories[{ aLink.peer, aLink.lane }];
+    history.dialDelay = std::clamp(history.dialDelay * 2, kMinBackoff, kMaxBackoff);
+    history.dialNotBefore = Clock::now() + history.dialDelay;
   }
 
   // Closes the connection without a closing handshake, which an unresponsive peer wouldn't
@@ -471,8 +520,8 @@
       for (const auto& it : old) {
         impl->closeLink(it, "address changed");
       }
-      impl->backoffs.erase({ aNode, Lane::Control });
-      impl->backoffs.erase({ aNode, Lane::Data });
+      impl->histories.erase({ aNode, Lane::Control });
+      impl->histories.erase({ aNode, Lane::Data });
     });
   }
 }
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -31,7 +31,9 @@
 namespace camphorcleat::transport {
 
 /// Configures a PeerHub. Time limits are checked at a fifth of the shortest one, but not more often
-/// than every 5 ms, so they take effect late by up to that interval.
+/// than every 5 ms, so they take effect late by up to that interval. After a link to a peer has
+/// exceeded connectTimeout or receiveTimeout, the limit of the next one is twice as long, up to
+/// eight times; it is halved after each link that was open for 5 s.
 struct PeerHubConfig
 {
   NodeId self = kNoNode;
@@ -52,7 +54,7 @@
   /// An accepted link on which nothing is received for this time is lost even if no request runs on
   /// it, since only the dialing side pings idle links.
   Millis acceptedIdleTimeout{ 60000 };
-  /// From the start of the dial, or from accepting, to the peer's Hello.
+  /// From the start of the dial to the peer's Hello. From accepting, it is four times as long.
   Millis connectTimeout{ 500 };
   /// Room for an operator's command with the largest document, or for a log entry that contains it.
   std::size_t maxMessageBytes = 4U << 20U;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -3,7 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <map>
+#include <thread>
 #include <vector>
 
 #include "TransportFakes.h"
@@ -254,6 +256,42 @@
   REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 3);
 }
 
+// Guards against a peer without processor time that is dialed again and again and never reached,
+// because each link is given up before the peer responds.
+TEST_CASE("a peer that responds only every 900 ms is reached, and its links stay open")
+{
+  NodeFixture b(configOf(2));
+  FreezingProxy proxy(b.hub.port());
+  NodeFixture a(configOf(1));
+  a.hub.setAddress(2, proxy.address());
+  std::atomic<bool> isStopping{ false };
+  std::thread slowness([&] {
+    while (!isStopping) {
+      proxy.freeze();
+      std::this_thread::sleep_for(Millis(900));
+      proxy.thaw();
+      std::this_thread::sleep_for(Millis(20));
+    }
+  });
+  const TimePoint limit = Clock::now() + std::chrono::seconds(20);
+  std::uint64_t sequence = 0;
+  while (b.handler.count() == 0 && Clock::now() < limit) {
+    a.hub.send(2, Lane::Control, numbered(++sequence));
+    std::this_thread::sleep_for(Millis(100));
+  }
+  const std::size_t reached = b.handler.count();
+  const std::size_t losses = a.handler.losses().size();
+  for (int i = 0; i < 60; ++i) {
+    a.hub.send(2, Lane::Control, numbered(++sequence));
+    std::this_thread::sleep_for(Millis(100));
+  }
+  isStopping = true;
+  slowness.join();
+  REQUIRE(reached > 0);
+  // Time limits are doubled three times at most; with fixed ones a link is lost every second.
+  REQUIRE(a.handler.losses().size() <= losses + 3);
+}
+
 // Guards against a stalled idle link that isn't detected: the next request on it would be lost.
 TEST_CASE("a stalled idle link is detected by the side that dialed it, then by the other")
 {
