Refuse unknown routes and keys as not run while the view isn't confirmed

A 404 or 401 isn't repeated by callers.

Cause: sidecar-lagos-lk-20 had lost its leader at 4.13 s and got no view until 8.9 s; its refusals say age_ms=4288 and 4663 at revision 1297, the change is revision 1345. On the platform an unconfirmed view is used for 60 s, so that requests are served while control is down, and for what it does not contain, too. Class: absence in a state that may be old, taken for a fact.

What the view contains is served as before.

--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -214,7 +214,12 @@
   ExchangePlan plan;
   plan.deadline =
     Clock::now() + std::min(metadata.deadline.value_or(mSettings.defaultDeadline), kMaxDeadline);
-  if (const auto rejection = admit(*aStream, metadata, head, plan)) {
+  auto rejection = admit(*aStream, metadata, head, plan);
+  if (rejection && mayBeKnownByNow(rejection->code)) {
+    rejection = Rejection{ ErrorCode::ConfigStale,
+                           "this daemon can't confirm that it is unknown: " + rejection->message };
+  }
+  if (rejection) {
     mMetrics.countEntry(head.service, head.account, rejection->code, Duration::zero());
     logEvent(LogLevel::Warning, "request_not_admitted",
              { { "request", metadata.requestId },
@@ -223,8 +228,11 @@
                { "revision", std::to_string(mState->revision) },
                { "age_ms", std::to_string(toMillis(Clock::now() - mView.confirmedAt())) },
                { "reason", rejection->message } });
+    // By then, the next renewal of the lease has confirmed the view, unless it fails as well.
+    const bool isStale = rejection->code == ErrorCode::ConfigStale;
+    const Millis retryAfter = isStale ? mSettings.lease.renewInterval : Millis(0);
     sendFailure(mDialect, *aStream,
-                { wire::Outcome::NotRun, rejection->code, rejection->message, Millis(0), false });
+                { wire::Outcome::NotRun, rejection->code, rejection->message, retryAfter, false });
     return;
   }
   head.method = aStream->method();
@@ -241,6 +249,14 @@
     ->start();
 }
 
+// A route or key that was added since the view was confirmed is missing from it.
+bool EntryDuty::mayBeKnownByNow(ErrorCode aCode) const
+{
+  const bool isAbsence =
+    aCode == ErrorCode::UnknownService || aCode == ErrorCode::UnknownAccountKey;
+  return isAbsence && Clock::now() - mView.confirmedAt() > mSettings.lease.absenceLimit;
+}
+
 std::optional<EntryDuty::Rejection> EntryDuty::admit(const transport::CallerStream& aStream,
                                                      const CallerMetadata& aMetadata,
                                                      wire::RequestHead& aHead, ExchangePlan& aPlan)
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -101,6 +101,7 @@
 
   // Sets the account, service, key, partition and policy of a request. Returns the reason if the
   // request is not admitted, otherwise nullopt.
+  bool mayBeKnownByNow(ErrorCode aCode) const;
   std::optional<Rejection> admit(const transport::CallerStream& aStream,
                                  const CallerMetadata& aMetadata, wire::RequestHead& aHead,
                                  ExchangePlan& aPlan);
--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -300,6 +300,10 @@
     { "lease", "confirm_limit_ms", "3000",
       "A daemon that could not confirm its configuration for this time accepts no new work.",
       leaseMillis(&L::confirmLimit, 100, kMinuteMillis) },
+    { "lease", "absence_limit_ms", "1000",
+      "A daemon that could not confirm its configuration for this time doesn't refuse a request as "
+      "unknown because it has no such route or account key; it refuses it as not run.",
+      leaseMillis(&L::absenceLimit, 20, kMinuteMillis) },
     { "limits", "queued_requests", "2000", "Largest number of requests that wait for the target.",
       number(&S::maxQueuedRequests, 1, 1'000'000) },
     { "limits", "body_bytes", "1073741824", "Largest request body.",
@@ -392,6 +396,10 @@
   if (aSettings.lease.confirmLimit < aSettings.lease.length) {
     add("lease", "confirm_limit_ms", "must be at least length_ms");
   }
+  if (aSettings.lease.absenceLimit < 2 * aSettings.lease.renewInterval) {
+    add("lease", "absence_limit_ms",
+        "must be at least twice renew_ms, so that one lost renewal doesn't matter");
+  }
   std::set<std::string> used;
   for (const auto& [key, value] :
        { std::pair("callers", aSettings.callersAddress), std::pair("peers", aSettings.peersAddress),
--- a/packages/fleet/LeaseSettings.h
+++ b/packages/fleet/LeaseSettings.h
@@ -16,6 +16,8 @@
   Millis uncheckedGrace{ 300 };
   /// No new work is admitted if the view was last confirmed longer ago than this.
   Millis confirmLimit{ 3000 };
+  /// A route or account key is refused as unknown only if the view was confirmed within this time.
+  Millis absenceLimit{ 1000 };
 
   /// Returns the upper bound of the drift between two monotonic clocks during one lease, plus timer
   /// slack.
