Close a connection on which a target has refused a request

Reported by operators of other systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or these ran at a second server.

It can happen here: responses are matched by the request's id, and a request that was refused may be sent again to the same target on the same connection, under the same id. A copy of the refusal is then taken for the response to the second sending. Class: an id that names the request but not the sending.

Change: after a refusal as not run the connection is closed. The cost is a new connection for each refusal.

Test: OwnerExchangeTest, "a connection on which the target refused a request"; without the change openConnections() is 1 by construction (the change was not reverted to run it).

--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -103,6 +103,11 @@
     mHost.sendToEntry(
       *this, wire::ResponseHead{ mHead.id, aStatus, std::move(aHeaders), mHost.expectedTime() });
   }
+  if (mResponseKind != TargetResponseKind::Ran) {
+    // The request may be sent again. On this connection, a copy of this refusal would be taken for
+    // the response to the second sending, because it names the same request.
+    mTarget->closeAfterResponse();
+  }
   mIsReadDue = true;
   readWithinCredit();
 }
--- a/packages/daemon/testing/OwnerExchangeTest.cc
+++ b/packages/daemon/testing/OwnerExchangeTest.cc
@@ -251,6 +251,19 @@
   }
 }
 
+// Guards against a target that writes its refusal once more when the same request is sent again:
+// the caller would be told that a running request has not run, or it would run at a second target.
+TEST_CASE("a connection on which the target refused a request isn't used again")
+{
+  const bool isRefused = GENERATE(true, false);
+  Run run(requestHead(false));
+  run.begin();
+  run.respond(std::string("HTTP/1.1 503 Busy\r\n") +
+              (isRefused ? "Camphorcleat-Refused: shed\r\n" : "") + "Content-Length: 2\r\n\r\nno");
+  REQUIRE(run.runUntil([&] { return run.host.outcome.has_value(); }));
+  CHECK(run.client.openConnections() == (isRefused ? 0 : 1));
+}
+
 TEST_CASE("a fenced or shed request is reported as not run and not as a response")
 {
   const bool isFence = GENERATE(true, false);
--- a/packages/transport/HttpTargetExchange.cc
+++ b/packages/transport/HttpTargetExchange.cc
@@ -398,8 +398,8 @@
 
 void HttpTargetExchange::complete(std::string aData)
 {
-  const bool isReusable = mRequestQueued && mWriter->isIdle() && !mWriteFailed &&
-                          mParser->keep_alive() && mConnection->buffer.size() == 0;
+  const bool isReusable = mMayReuseConnection && mRequestQueued && mWriter->isIdle() &&
+                          !mWriteFailed && mParser->keep_alive() && mConnection->buffer.size() == 0;
   if (isReusable) {
     mWriter->close();
     mPool->release(std::move(mConnection));
--- a/packages/transport/HttpTargetExchange.h
+++ b/packages/transport/HttpTargetExchange.h
@@ -36,6 +36,7 @@
 
   void sendBody(std::string aData, bool aIsLast) override;
   void readMore() override;
+  void closeAfterResponse() override { mMayReuseConnection = false; }
   void cancel() override;
 
 private:
@@ -79,6 +80,7 @@
   bool mWriteFailed = false;
   bool mHeadDelivered = false;
   bool mIsReading = false;
+  bool mMayReuseConnection = true;
   bool mIsDone = false;
 };
 
--- a/packages/transport/TargetClient.h
+++ b/packages/transport/TargetClient.h
@@ -106,6 +106,10 @@
   /// for onHead() and for each onBody(). At most one part is read ahead from the socket.
   virtual void readMore() = 0;
 
+  /// Closes the connection at the end of the exchange instead of using it for another one. Called
+  /// within onHead() or later.
+  virtual void closeAfterResponse() = 0;
+
   /// Ends the exchange with Cancelled and closes the connection, so that the target can stop
   /// running the request.
   virtual void cancel() = 0;
