--- a/packages/fleet/testing/ControlLeaderTest.cc
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -247,7 +247,7 @@
   const Revision first = leader.member.state.revision();
   for (NodeId id = 1; id <= kNodes; ++id) {
     received[id] = first;
-    receive(leader.renew(id, id * 11, 1, id, first));
+    receive(leader.renew(id, Incarnation{ 11 } * id, 1, id, first));
   }
   for (Millis at{ 0 }; at < kBurst; at += Millis(1)) {
     leader.now += Millis(1);
