Let the interval between batches of changes follow from the number of nodes

Cause: batches of view changes were 50 ms apart whatever the size of the fleet.

Change: the leader bounds the view messages to 2,000 a second, which is 5 ms (a tick) for a few nodes, 40 ms for 80 and at most 100 ms. In a large fleet an entry can still use up its attempts; it should wait for a newer view (the argument aNeedsNewerView of selectNode is unused).

--- a/packages/fleet/ControlLeader.cc
+++ b/packages/fleet/ControlLeader.cc
@@ -11,9 +11,12 @@
 
 constexpr std::size_t kMaxWaitingRenewals = 8192;
 
-// Minimum interval between two batches of view changes. The first change after a pause is sent at
-// once.
-constexpr Millis kBatchInterval{ 50 };
+// Limit of the view messages per second. The minimum interval between two batches of changes, each
+// of which is a message for every node, follows from it: 40 ms for 80 nodes. The first change after
+// a pause is sent at once.
+constexpr std::size_t kMaxViewMessagesPerSecond = 2000;
+constexpr Millis kMinBatchInterval{ 5 };
+constexpr Millis kMaxBatchInterval{ 100 };
 
 // A view message may be lost when its connection closes or a queue is full. Changes are sent again
 // to a daemon whose applied revision hasn't advanced for this time and for two renewals, since only
@@ -220,7 +223,8 @@
     return;
   }
   mHasUnsentChanges = false;
-  mNextSendAt = mNow + kBatchInterval;
+  const Millis interval(1000 * mSessions.size() / kMaxViewMessagesPerSecond);
+  mNextSendAt = mNow + std::clamp(interval, kMinBatchInterval, kMaxBatchInterval);
   sendMissingChanges(aOut);
 }
 
--- a/packages/fleet/testing/ControlLeaderTest.cc
+++ b/packages/fleet/testing/ControlLeaderTest.cc
@@ -11,7 +11,7 @@
 
 constexpr LeaseSettings kSettings;
 constexpr LinkNumber kLink = 5;
-constexpr Millis kBatchInterval{ 50 }; // Minimum interval between two batches of changes.
+constexpr Millis kBatchInterval{ 5 }; // Between two batches of changes for a few nodes.
 
 // A control member with the fleet of smallFleet(). The event BecameLeader makes it the leader.
 struct Leader
@@ -225,6 +225,7 @@
 {
   constexpr NodeId kNodes = 80;
   constexpr Millis kBurst{ 500 };
+  constexpr Millis kInterval{ 40 }; // 2,000 messages a second.
   Leader leader;
   leader.step(control::BecameLeader{});
   std::map<LinkNumber, Revision> received;
@@ -254,18 +255,19 @@
     receive(leader.apply(wire::RegisterNode{ nodeOf(1000 + at.count(), 7) }));
     receive(leader.step(control::Tick{}));
   }
-  leader.now += kBatchInterval;
+  leader.now += kInterval;
   receive(leader.step(control::Tick{}));
   for (NodeId id = 1; id <= kNodes; ++id) {
     CHECK(received[id] == leader.member.state.revision());
   }
-  const std::size_t batches = kBurst / kBatchInterval + 2;
+  const std::size_t batches = kBurst / kInterval + 2;
   CHECK(encoded <= batches);
   CHECK(sent <= batches * kNodes);
 }
 
-// Guards against a batch that is kept back when no further change or renewal follows it.
-TEST_CASE("a change is sent at once after a pause and within 50 ms otherwise")
+// Guards against a batch that is kept back when no further change or renewal follows it, and
+// against nodes of a small fleet that send requests to the previous owner meanwhile.
+TEST_CASE("a change is sent at once after a pause and within 5 ms otherwise in a small fleet")
 {
   Leader leader;
   leader.step(control::BecameLeader{});
