Test that a response without end ends with its exchange

TargetClientTest sends them as garbage, in a header, in a body and in a chunk extension: the exchange fails within its deadline, a head is read up to its limit only, and the connection is closed. No code changed.

--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -287,6 +287,42 @@
   REQUIRE(waitFor([&] { return hasEnded.load(); }));
 }
 
+// Guards against a faulty target that sends bytes without end in a head or a body: the exchange
+// would hold its slot and memory until the target ends.
+TEST_CASE("a response without end ends at the deadline, or at once if it is no response")
+{
+  const auto [start, isBody] = GENERATE(table<std::string, bool>(
+    { { "", false },
+      { "HTTP/1.1 200 OK\r\nX: ", false },
+      { "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n", true },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", true } }));
+  INFO("begins with '" << start << "'");
+  constexpr std::size_t kMaxHeadBytes = 8U << 20U; // Socket buffers and the limit of a head.
+  std::atomic<bool> wasClosed{ false };
+  std::atomic<std::size_t> sentBytes{ 0 };
+  {
+    ScriptedServer target([&, first = start](BlockingSocket& aSocket, int) {
+      aSocket.readUntil("\r\n\r\n");
+      aSocket.write(first);
+      const std::string bytes(4096, 'x');
+      const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+      while (!wasClosed && Clock::now() < limit) {
+        const ssize_t n = ::send(aSocket.nativeHandle(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        wasClosed = n < 0;
+        sentBytes += n > 0 ? static_cast<std::size_t>(n) : 0;
+      }
+    });
+    ClientFixture client(target.address());
+    const TimePoint startedAt = Clock::now();
+    const auto exchange = client.run("GET", "", Millis(500));
+    CHECK(exchange->failures == 1);
+    CHECK(exchange->mayHaveRun);
+    CHECK(Clock::now() - startedAt < Millis(2000));
+    CHECK(waitFor([&] { return wasClosed.load(); }));
+  }
+  CHECK((isBody || sentBytes < kMaxHeadBytes));
+}
+
 TEST_CASE("interim responses are skipped, and responses without a body end after their head")
 {
   ScriptedServer target([](BlockingSocket& aSocket, int) {
