Halve a peer's time limits while a link to it stays open

Found at the last reading: the limits that a timeout had doubled were halved only when a link closed otherwise than by a timeout. A link that stayed open for hours and then went silent was found after up to 4 s in place of 0.5 s, and its loss doubled them again: an estimate that never heals.

Change: they are halved each time a link has been open for 10 s (timeoutHalvingInterval). Entries of peers without a timeout are no longer added by closed links.

Test: PeerHubTest, "time limits that were doubled are halved"; with the limits still doubled the second loss takes 1.25 s, above its bound of 1.1 s (not run on the code before).

--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -59,9 +59,6 @@
 // Multiplies connectTimeout on the accepting side, where the peer isn't known before its Hello.
 constexpr int kAcceptTimeoutFactor = 4;
 
-// A link that was open for this time shows that its time limits suffice.
-constexpr Millis kStableLinkTime{ 5000 };
-
 // What earlier links of one peer and lane have shown.
 struct PeerHistory
 {
@@ -246,17 +243,24 @@
     return config.connectTimeout * (aLink.wasDialed ? timeoutFactor(aLink) : kAcceptTimeoutFactor);
   }
 
-  // Doubles the peer's time limits after a timeout and halves them after a link that was stable.
-  void adaptTimeouts(const PeerLink& aLink, LossReason aReason)
+  void doubleTimeouts(const PeerLink& aLink)
   {
-    if (aLink.peer == kNoNode) {
+    if (aLink.peer != kNoNode) {
+      int& factor = histories[{ aLink.peer, aLink.lane }].timeoutFactor;
+      factor = std::min(2 * factor, kMaxTimeoutFactor);
+    }
+  }
+
+  // A link that stays open shows that shorter limits may suffice again.
+  void halveTimeoutsIfStable(PeerLink& aLink, TimePoint aNow)
+  {
+    if (aNow - aLink.stableSince < config.timeoutHalvingInterval) {
       return;
     }
-    int& factor = histories[{ aLink.peer, aLink.lane }].timeoutFactor;
-    if (aReason == LossReason::TimedOut) {
-      factor = std::min(2 * factor, kMaxTimeoutFactor);
-    } else if (aLink.isOpen && Clock::now() - aLink.openedAt >= kStableLinkTime) {
-      factor = std::max(factor / 2, 1);
+    aLink.stableSince = aNow;
+    const auto it = histories.find({ aLink.peer, aLink.lane });
+    if (it != histories.end()) {
+      it->second.timeoutFactor = std::max(it->second.timeoutFactor / 2, 1);
     }
   }
 
@@ -329,7 +333,7 @@
       closeLink(aLink, "peer identifies itself as node " + std::to_string(aHello.node));
     } else {
       aLink->handshakeDeadline = TimePoint::max();
-      aLink->openedAt = Clock::now();
+      aLink->stableSince = Clock::now();
       if (aLink->wasDialed) {
         histories[{ aLink->peer, aLink->lane }].dialDelay = Millis(0);
       }
@@ -372,6 +376,7 @@
       if (aNow >= it->handshakeDeadline) {
         closeLink(it, "connection setup timed out", LossReason::TimedOut);
       } else if (it->isOpen) {
+        halveTimeoutsIfStable(*it, aNow);
         checkLiveness(it, aNow, idleInterval);
       }
     }
@@ -427,7 +432,9 @@
       return;
     }
     aLink->isLost = true;
-    adaptTimeouts(*aLink, aKind);
+    if (aKind == LossReason::TimedOut) {
+      doubleTimeouts(*aLink);
+    }
     logEvent(LogLevel::Info, "peer_link_lost",
              { { "peer", std::to_string(aLink->peer) },
                { "lane", std::string(enumName(aLink->lane)) },
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -33,7 +33,7 @@
 /// Configures a PeerHub. Time limits are checked at a fifth of the shortest one, but not more often
 /// than every 5 ms, so they take effect late by up to that interval. After a link to a peer has
 /// exceeded connectTimeout or receiveTimeout, the limit of the next one is twice as long, up to
-/// eight times; it is halved after each link that was open for 5 s.
+/// eight times; it is halved each time a link has been open for timeoutHalvingInterval.
 struct PeerHubConfig
 {
   NodeId self = kNoNode;
@@ -56,6 +56,8 @@
   Millis acceptedIdleTimeout{ 60000 };
   /// From the start of the dial to the peer's Hello. From accepting, it is four times as long.
   Millis connectTimeout{ 500 };
+  /// The doubled limits of a peer are halved each time a link to it has been open for this time.
+  Millis timeoutHalvingInterval{ 10000 };
   /// Room for an operator's command with the largest document, or for a log entry that contains it.
   std::size_t maxMessageBytes = 4U << 20U;
   std::size_t maxBufferedBytes = 8U << 20U; ///< Bytes waiting to be sent on one link.
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -61,7 +61,7 @@
   // Accessed on the hub's thread only.
   std::shared_ptr<PeerSocket> socket;
   TimePoint handshakeDeadline = TimePoint::max();
-  TimePoint openedAt; ///< Valid if isOpen.
+  TimePoint stableSince; ///< When the link opened or its time limits were last halved.
   TimePoint lastSent;
   TimePoint lastPing;
   /// Time of the first ping after bytes were last received. If none was sent since, it isn't later
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -292,6 +292,30 @@
   REQUIRE(a.handler.losses().size() <= losses + 3);
 }
 
+// Guards against time limits that stay long after a peer was late once: a link that goes silent
+// later would be found only after up to eight times as long.
+TEST_CASE("time limits that were doubled are halved while a link stays open")
+{
+  PeerHubConfig config = configOf(1);
+  config.timeoutHalvingInterval = Millis(300);
+  NodeFixture b(configOf(2));
+  FreezingProxy proxy(b.hub.port());
+  NodeFixture a(config);
+  a.hub.setAddress(2, proxy.address());
+  for (std::size_t losses = 1; losses <= 2; ++losses) {
+    const std::size_t before = b.handler.count();
+    a.hub.send(2, Lane::Control, numbered(losses));
+    REQUIRE(waitFor([&] { return b.handler.count() > before; }));
+    std::this_thread::sleep_for(Millis(800));
+    proxy.freeze();
+    const TimePoint frozenAt = Clock::now();
+    a.hub.send(2, Lane::Control, numbered(10 + losses));
+    REQUIRE(waitFor([&] { return a.handler.losses().size() == losses; }));
+    REQUIRE(Clock::now() - frozenAt < Millis(1100));
+    proxy.thaw();
+  }
+}
+
 // Guards against a stalled idle link that isn't detected: the next request on it would be lost.
 TEST_CASE("a stalled idle link is detected by the side that dialed it, then by the other")
 {
