--- a/packages/agreement/testing/FileLogStoreTest.cc
+++ b/packages/agreement/testing/FileLogStoreTest.cc
@@ -77,6 +77,31 @@
   return std::make_shared<const Snapshot>(out);
 }
 
+/// Lets each write beyond a file size fail after a part of it is written, like a full disk, until
+/// it is destroyed.
+class FullDisk
+{
+public:
+  explicit FullDisk(std::uint64_t aFileBytes)
+    : mHandler(std::signal(SIGXFSZ, SIG_IGN))
+  {
+    ::getrlimit(RLIMIT_FSIZE, &mLimit);
+    const rlimit small{ aFileBytes, mLimit.rlim_max };
+    ::setrlimit(RLIMIT_FSIZE, &small);
+  }
+  FullDisk(const FullDisk&) = delete;
+  FullDisk& operator=(const FullDisk&) = delete;
+  ~FullDisk()
+  {
+    ::setrlimit(RLIMIT_FSIZE, &mLimit);
+    std::signal(SIGXFSZ, mHandler);
+  }
+
+private:
+  void (*mHandler)(int);
+  rlimit mLimit{};
+};
+
 FileLogStore storeIn(const std::string& aFolder, std::uint64_t aSegmentBytes = 4096)
 {
   return FileLogStore(aFolder, std::mt19937_64(7), aSegmentBytes);
@@ -349,4 +374,54 @@
   CHECK(reopen(path).entries.size() == 2);
 }
 
+// Guards against a store that fails for good after its disk was full for a while.
+TEST_CASE("A write that failed at any point is complete once it is repeated")
+{
+  Persist entries = batchOf(3, 9, 2, 300U << 10U); // Several records.
+  entries.truncateFrom = 3;
+  Persist vote = batchOf(3, 2);
+  vote.term = 4;
+  Persist own = batchOf(6, 9, 2, 500);
+  own.snapshot = snapshotAt(4, 1);
+  Persist installed = batchOf(31, 33, 3);
+  installed.resetsLog = true;
+  installed.snapshot = snapshotAt(30, 2);
+  for (const auto& batch : { entries, vote, own, installed }) {
+    for (const std::uint64_t segmentBytes : { 64U, 4096U, 1U << 20U }) {
+      for (const std::uint64_t limit :
+           { 0U, 40U, 90U, 130U, 300U, 1024U, 350U << 10U, 1300U << 10U }) {
+        INFO("batch from " << batch.entries.size() << " entries, term " << batch.term << ", limit "
+                           << limit << ", segments of " << segmentBytes);
+        const TemporaryFolder folder;
+        const std::string path = folder.path("data");
+        const std::string expectedPath = folder.path("expected");
+        writeBatches(expectedPath, { batchOf(1, 5), batch, batchOf(40, 39, 9) }, segmentBytes);
+        {
+          FileLogStore store = storeIn(path, segmentBytes);
+          REQUIRE(store.open());
+          REQUIRE(store.persist(batchOf(1, 5)));
+          {
+            const FullDisk disk(limit);
+            static_cast<void>(store.persist(batch));
+            static_cast<void>(store.persist(batch));
+          }
+          REQUIRE(store.persist(batch));
+          REQUIRE(store.persist(batchOf(40, 39, 9)));
+        }
+        const StoredState expected = reopen(expectedPath);
+        const StoredState actual = reopen(path);
+        CHECK(actual.term == expected.term);
+        CHECK(actual.votedFor == expected.votedFor);
+        CHECK((actual.snapshot != nullptr) == (expected.snapshot != nullptr));
+        REQUIRE(actual.entries.size() == expected.entries.size());
+        for (std::size_t i = 0; i < actual.entries.size(); ++i) {
+          CHECK(actual.entries[i].index == expected.entries[i].index);
+          CHECK(actual.entries[i].term == expected.entries[i].term);
+          CHECK(actual.entries[i].payload.data == expected.entries[i].payload.data);
+        }
+      }
+    }
+  }
+}
+
 } // namespace camphorcleat::agreement
--- a/packages/agreement/testing/LogScheduleTest.cc
+++ b/packages/agreement/testing/LogScheduleTest.cc
@@ -18,6 +18,7 @@
   double drop = 0.05;
   Millis maxSync{ 15 };
   Faults broken = {}; ///< Only the faults that violate an assumption of the protocol.
+  bool fillsDisks = false;
 };
 
 LogNodeConfig scheduleConfig()
@@ -89,6 +90,9 @@
     if (aGroup.chance(0.20)) {
       injectFault(aGroup, aSchedule);
     }
+    if (aSchedule.fillsDisks && aGroup.chance(0.05)) {
+      aGroup.fillDisk(anyMember(aGroup, aSchedule), Millis(20 * (turn % 50)));
+    }
     aGroup.run(Millis(1 + turn % 20));
   }
 }
@@ -186,6 +190,46 @@
              "Random faults do not break a group of five");
 }
 
+TEST_CASE("Random faults and full disks do not break a group of five")
+{
+  Schedule schedule{ 5, 0.05, Millis(40) };
+  schedule.fillsDisks = true;
+  checkSeeds(4000, 300, schedule, "Random faults and full disks do not break a group of five");
+}
+
+// Guards against a member that never writes again after its disk was full: once that has happened
+// to a majority, one after another, the group has no leader although all members run.
+TEST_CASE("A group commits proposals after the disks of all members were full in turn")
+{
+  constexpr NodeId kMembers = 5;
+  constexpr Millis kFull{ 3500 };
+  constexpr Millis kPause{ 700 };
+  constexpr Millis kProposalInterval{ 100 };
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    SimulatedGroup group(seed, kMembers, scheduleConfig());
+    group.run(Millis(1500));
+    for (NodeId id = 1; id <= kMembers; ++id) {
+      INFO("disk of member " << id);
+      const LogIndex before = group.newestAcknowledged();
+      group.fillDisk(id, kFull);
+      for (Millis t{ 0 }; t < kFull + kPause; t += kProposalInterval) {
+        if (group.leader() != kNoNode) {
+          group.propose(group.leader());
+        }
+        group.run(kProposalInterval);
+      }
+      REQUIRE_THAT(group.violation(), Catch::Matchers::Equals(std::string()));
+      // At most a second of the proposals may meet an election or a transfer of the leadership.
+      CHECK(group.newestAcknowledged() >=
+            before + (kFull + kPause - Millis(1000)) / kProposalInterval);
+    }
+    for (NodeId id = 1; id <= kMembers; ++id) {
+      CHECK(group.node(id).appliedIndex() == group.newestAcknowledged());
+    }
+  }
+}
+
 TEST_CASE("The checks detect a disk that acknowledges before it syncs")
 {
   Schedule schedule;
--- a/packages/agreement/testing/SimulatedGroup.h
+++ b/packages/agreement/testing/SimulatedGroup.h
@@ -107,10 +107,15 @@
       applyBatch(machine.disk, interrupted(*machine.writing)); // Not acknowledged.
     }
     machine.writing.reset();
+    machine.isFailureReported = false;
     machine.unpersistedWrites.clear();
     machine.node.reset();
   }
 
+  /// Lets all writes to a member's disk fail for a time. The current batch is repeated, as
+  /// StorageDuty does.
+  void fillDisk(NodeId aId, Millis aTime) { mMachines[aId].diskFullUntil = mNow + aTime; }
+
   /// Suspends a member without an event, like SIGSTOP and SIGCONT.
   void pause(NodeId aId, Millis aTime) { mMachines[aId].pausedUntil = mNow + aTime; }
 
@@ -230,6 +235,7 @@
 private:
   static constexpr std::int64_t kTickMillis = 5;
   static constexpr std::int64_t kJoinRequestMillis = 400;
+  static constexpr Millis kWriteRetry{ 50 };
   static constexpr std::size_t kStateBytes = 70000; // Needs two chunks.
 
   // Delivers the join requests to the current leader, unless the connection is blocked.
@@ -252,6 +258,8 @@
     std::unique_ptr<LogNode> node;
     std::optional<Persist> writing;
     TimePoint writtenAt;
+    TimePoint diskFullUntil;
+    bool isFailureReported = false;         ///< Of the batch in `writing`.
     std::vector<Persist> unpersistedWrites; ///< Acknowledged, but not persisted.
     LogIndex applied = 0;
     std::uint64_t digest = 0;
@@ -329,7 +337,16 @@
   {
     for (auto& [id, machine] : mMachines) {
       const bool isDone = machine.writing && machine.writtenAt <= mNow;
-      if (machine.node && isDone && machine.pausedUntil <= mNow) {
+      if (!machine.node || !isDone || machine.pausedUntil > mNow) {
+        continue;
+      }
+      if (machine.diskFullUntil > mNow) {
+        machine.writtenAt = mNow + kWriteRetry;
+        if (!std::exchange(machine.isFailureReported, true)) {
+          step(id, PersistFailed{});
+        }
+      } else {
+        machine.isFailureReported = false;
         const Persist batch = *std::exchange(machine.writing, std::nullopt);
         for (const auto& it : std::exchange(machine.unpersistedWrites, {})) {
           applyBatch(machine.disk, it);
