Show that the wait for a link's set-up isn't subtracted from a deadline

TransitTimes compares a message with the fastest one of its link, so the first message of a link counts as one that hasn't waited, although it may have waited for the set-up of the link (up to 4 s).

--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -130,6 +130,85 @@
   return out;
 }
 
+/// Passes messages on to a router, and keeps its hub's thread busy for a time at a JoinRequest.
+class BusyHandler final : public transport::PeerHandler
+{
+public:
+  BusyHandler(PeerRouter& aRouter, Millis aTime)
+    : mRouter(aRouter)
+    , mTime(aTime)
+  {
+  }
+
+  void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
+                 wire::PeerMessage aMessage) override
+  {
+    if (std::holds_alternative<wire::JoinRequest>(aMessage)) {
+      mBusy.set_value();
+      std::this_thread::sleep_for(mTime);
+    } else {
+      mRouter.onMessage(aLink, aFrom, aLane, std::move(aMessage));
+    }
+  }
+
+  void onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane aLane, bool aWasDialed,
+                  bool aNeverOpened) override
+  {
+    mRouter.onLinkLost(aLink, aPeer, aLane, aWasDialed, aNeverOpened);
+  }
+
+  bool waitUntilBusy(Millis aTime)
+  {
+    return mBusy.get_future().wait_for(aTime) == std::future_status::ready;
+  }
+
+private:
+  PeerRouter& mRouter;
+  Millis mTime;
+  std::promise<void> mBusy;
+};
+
+/// Records the first failed request.
+class FailureRecorder final : public transport::PeerHandler
+{
+public:
+  void onMessage(transport::LinkId /*aLink*/, NodeId /*aFrom*/, transport::Lane /*aLane*/,
+                 wire::PeerMessage aMessage) override
+  {
+    if (const auto* failed = std::get_if<wire::RequestFailed>(&aMessage)) {
+      mFailure.set_value(*failed);
+    }
+  }
+
+  void onLinkLost(transport::LinkId /*aLink*/, NodeId /*aPeer*/, transport::Lane /*aLane*/,
+                  bool /*aWasDialed*/, bool /*aNeverOpened*/) override
+  {
+  }
+
+  std::optional<wire::RequestFailed> failure(Millis aTime)
+  {
+    auto result = mFailure.get_future();
+    return result.wait_for(aTime) == std::future_status::ready
+             ? std::optional<wire::RequestFailed>(result.get())
+             : std::nullopt;
+  }
+
+private:
+  std::promise<wire::RequestFailed> mFailure;
+};
+
+transport::PeerHubConfig hubConfig(NodeId aSelf)
+{
+  transport::PeerHubConfig config;
+  config.self = aSelf;
+  config.incarnation = 1000 + aSelf;
+  config.fleet = "fleet";
+  config.listenAddress = "127.0.0.1:0";
+  config.connectTimeout = Millis(10'000);
+  config.receiveTimeout = Millis(10'000);
+  return config;
+}
+
 template<class DialectType>
 struct FixtureOf
 {
@@ -452,6 +531,41 @@
   CHECK(expired->code == ErrorCode::DeadlineExceeded);
 }
 
+// Guards against requests that run after their caller has left, because they waited for the set-up
+// of a link between the daemons.
+TEST_CASE("the time that a request waited for its link to open is subtracted from its deadline")
+{
+  constexpr Millis kBusy{ 1500 };
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  BusyHandler ownerHandler(f.router, kBusy);
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), ownerHandler);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+  FailureRecorder entryHandler;
+  transport::PeerHub entryHub(hubConfig(2), entryHandler);
+  REQUIRE(entryHub.start());
+  entryHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
+  entryHub.send(1, transport::Lane::Control, wire::JoinRequest{});
+  REQUIRE(ownerHandler.waitUntilBusy(Millis(2000)));
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(1000);
+  head.routeRevision = 5;
+  head.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  entryHub.send(1, transport::Lane::Data, head);
+  const auto failed = entryHandler.failure(Millis(5000));
+  CHECK(f.target.accept(Millis(100)) == 0);
+  REQUIRE(failed);
+  CHECK(failed->outcome == wire::Outcome::NotRun);
+  CHECK(failed->code == ErrorCode::DeadlineExceeded);
+}
+
 // Guards against truncating a response because the target's process ended after writing it.
 TEST_CASE("a response that a target wrote before its process ended reaches the entry completely")
 {
