Write a batch again until the disk accepts it

Cause: a failed write was taken for lasting. FileLogStore refused all further writes, StorageDuty dropped the batch and LogNode handled no message any more, until the process was restarted. Each full disk therefore cost a member for good, although two lost disks are tolerated at one time, not in all.

Now StorageDuty writes the batch again every 100 ms. FileLogStore can repeat it at any point: it truncates the last segment to its last synced record, records the state file only as far as it is on the disk, and begins each record with the removal of its own entries. Nothing is acknowledged before the whole batch is synced, so a failed sync whose data the kernel dropped can't be acknowledged either. LogNode keeps working as with a slow disk, but doesn't stand for election and transfers its leadership. A leader that finds no successor commits with the disks of the others, until its log in memory is full; it resigns then.

New log line: log_sync_recovered; log_sync_failed is written once for each reason instead of once for ever.

--- a/packages/agreement/FileLogStore.h
+++ b/packages/agreement/FileLogStore.h
@@ -57,7 +57,7 @@
 private:
   Result<void> readState();
   Result<void> createState();
-  Result<void> writeState();
+  Result<void> writeState(const StateFile& aState);
   Result<SnapshotPtr> readSnapshot() const;
   Result<void> writeSnapshot(const Snapshot& aSnapshot);
   Result<std::vector<wire::LogEntry>> entriesAfter(const SnapshotPtr& aSnapshot,
@@ -66,16 +66,17 @@
   Result<void> persistVote(const Persist& aBatch);
   Result<void> persistEntries(const Persist& aBatch, bool aIsReset);
   Result<void> appendRecord(const SegmentRecord& aRecord);
-  Result<void> startSegment();
+  Result<void> recordLastSegment();
 
   std::string mFolder;
   std::mt19937_64 mRandom;
   SegmentedLog mLog;
   PosixFile mLock;
-  StateFile mState;
+  StateFile mState;         ///< The content of the state file that is known to be on the disk.
   bool mNeedsReset = false; ///< The next record must reset the log, because the stored entries
                             ///< don't continue the snapshot.
-  bool mIsUsable = false;
+  bool mIsOpen = false;
+  bool mHasFailed = false; ///< The last segment may end with a part of a failed write.
 };
 
 } // namespace camphorcleat::agreement
--- a/packages/agreement/LogEvents.h
+++ b/packages/agreement/LogEvents.h
@@ -69,7 +69,8 @@
   std::uint64_t batch = 0;
 };
 
-/// A write or sync failed. The node stops acknowledging anything until the process restarts.
+/// The write or sync of the batch in flight failed. The embedder repeats it until it succeeds,
+/// which it reports with Persisted.
 struct PersistFailed
 {};
 
@@ -112,7 +113,7 @@
 
 /// Requests that a batch be written and persisted. The batch is not atomic; LogStore::persist()
 /// defines which states a crash may leave. At most one batch is in flight; the embedder responds
-/// with Persisted or PersistFailed.
+/// with Persisted, after PersistFailed if the first attempt failed.
 struct Persist
 {
   std::uint64_t batch = 0;
@@ -142,7 +143,7 @@
 
 enum class ProposalRefusal
 {
-  NotLeader, ///< Not an established leader, transfers its leadership or has failed.
+  NotLeader, ///< Not an established leader, or transfers its leadership.
   LogFull,   ///< A limit of the uncommitted or the retained log in LogNodeConfig.h is reached.
   TooLarge,  ///< The payload exceeds kMaxPayloadBytes. Every member refuses it.
 };
@@ -163,8 +164,8 @@
   LogIndex index = 0;
 };
 
-/// The read was refused, because this node is not the leader, has lost the leadership, has failed
-/// or has kMaxPendingReads pending reads.
+/// The read was refused, because this node is not the leader, has lost the leadership or has
+/// kMaxPendingReads pending reads.
 struct ReadRefused
 {
   std::uint64_t read = 0;
--- a/packages/agreement/LogNode.cc
+++ b/packages/agreement/LogNode.cc
@@ -43,12 +43,8 @@
   if (!mIsStarted) {
     start();
   }
-  if (mIsFailed) {
-    refuseRequest(aEvent);
-  } else {
-    std::visit([this](const auto& aBody) { handle(aBody); }, aEvent);
-    flushPersist();
-  }
+  std::visit([this](const auto& aBody) { handle(aBody); }, aEvent);
+  flushPersist();
   return std::exchange(mActions, {});
 }
 
@@ -62,15 +58,6 @@
   }
 }
 
-void LogNode::refuseRequest(const Event& aEvent)
-{
-  if (const auto* propose = std::get_if<Propose>(&aEvent)) {
-    emit(ProposalRefused{ propose->proposal, kNoNode });
-  } else if (const auto* read = std::get_if<ReadRequested>(&aEvent)) {
-    emit(ReadRefused{ read->read, kNoNode });
-  }
-}
-
 void LogNode::handle(const Tick&)
 {
   if (mRole == Role::Leader) {
@@ -91,6 +78,7 @@
   if (!mPersist.complete(aPersisted.batch)) {
     return;
   }
+  mIsStorageFailing = false;
   sendDeferred(aPersisted.batch);
   if (mRole == Role::Candidate && aPersisted.batch >= mOwnVoteBatch) {
     mVotes[mConfig.self] = mStore;
@@ -104,15 +92,10 @@
 
 void LogNode::handle(const PersistFailed&)
 {
-  // It is unknown what reached the disk, so any later acknowledgement could be wrong after a
-  // restart.
-  if (mRole == Role::Leader) {
-    loseLeadership();
-  }
-  mRole = Role::Follower;
-  mLeader = kNoNode;
-  mDeferred.clear();
-  mIsFailed = true;
+  mIsStorageFailing = true;
+  // Another leader needs no disk of this member. If none takes over, this one continues: it commits
+  // with the disks of the others.
+  handle(TransferRequested{});
 }
 
 void LogNode::handle(const SnapshotTaken& aTaken)
--- a/packages/agreement/LogNode.h
+++ b/packages/agreement/LogNode.h
@@ -68,9 +68,9 @@
   LogIndex appliedIndex() const { return mAppliedIndex; }
   /// Returns the membership in force, which may not be committed yet.
   const wire::Membership& membership() const { return mMembers.current(); }
-  /// Returns whether a write or sync has failed, after which the node handles no messages and
-  /// refuses requests.
-  bool isFailed() const { return mIsFailed; }
+  /// Returns whether the batch in flight has failed and is repeated. Until it succeeds, the node
+  /// acknowledges nothing new and does not stand for election.
+  bool isStorageFailing() const { return mIsStorageFailing; }
 
 private:
   struct DeferredMessage
@@ -90,7 +90,6 @@
   void handle(const JoinRequested& aRequest);
   void handle(const TransferRequested& aRequest);
   void start();
-  void refuseRequest(const Event& aEvent);
 
   // Messages.
   void receive(NodeId aFrom, const wire::VoteRequest& aRequest);
@@ -168,7 +167,7 @@
   TimePoint mNow;
   std::vector<Action> mActions;
   bool mIsStarted = false;
-  bool mIsFailed = false;
+  bool mIsStorageFailing = false;
 
   Role mRole = Role::Follower;
   Term mTerm;
--- a/packages/agreement/LogNodeElection.cc
+++ b/packages/agreement/LogNodeElection.cc
@@ -29,6 +29,9 @@
   if (!isMember()) {
     return; // Not a voter, or the leader has not yet accepted the new store.
   }
+  if (mIsStorageFailing) {
+    return; // It couldn't persist its own vote.
+  }
   mRole = Role::PreCandidate;
   mLeader = kNoNode;
   mVotes = { { mConfig.self, mStore } };
--- a/packages/agreement/LogNodeFollower.cc
+++ b/packages/agreement/LogNodeFollower.cc
@@ -148,7 +148,7 @@
 void LogNode::receive(NodeId aFrom, const wire::TransferLeadership& aTransfer)
 {
   const bool isFromLeader = aTransfer.term == mTerm && mRole == Role::Follower && mLeader == aFrom;
-  if (isFromLeader && isMember()) {
+  if (isFromLeader && isMember() && !mIsStorageFailing) {
     startElection(true);
   }
 }
--- a/packages/agreement/LogNodeLeader.cc
+++ b/packages/agreement/LogNodeLeader.cc
@@ -15,13 +15,20 @@
     emit(ProposalRefused{ aPropose.proposal, mLeader });
     return;
   }
+  const bool isMemoryFull = mLog.bytesAfter(mLog.baseIndex()) >= kMaxLogBytes;
   const bool isFull = mLog.lastIndex() - mCommitIndex >= kMaxUncommittedEntries ||
-                      mLog.bytesAfter(mCommitIndex) >= kMaxUncommittedBytes ||
-                      mLog.bytesAfter(mLog.baseIndex()) >= kMaxLogBytes;
+                      mLog.bytesAfter(mCommitIndex) >= kMaxUncommittedBytes || isMemoryFull;
   if (aPropose.payload.size() > kMaxPayloadBytes) {
     emit(ProposalRefused{ aPropose.proposal, mConfig.self, ProposalRefusal::TooLarge });
     return;
   }
+  if (isMemoryFull && mIsStorageFailing) {
+    // The entries stay in memory until they are persisted, so there is no room before the disk
+    // works.
+    becomeFollower(mTerm, kNoNode);
+    emit(ProposalRefused{ aPropose.proposal, kNoNode });
+    return;
+  }
   if (!mLeaderState->isEstablished || mLeaderState->transferTarget != kNoNode || isFull) {
     emit(ProposalRefused{ aPropose.proposal, mLeaderState->transferTarget,
                           isFull ? ProposalRefusal::LogFull : ProposalRefusal::NotLeader });
--- a/packages/agreement/LogStore.h
+++ b/packages/agreement/LogStore.h
@@ -23,8 +23,9 @@
 
   /// Writes and syncs a batch before it returns. A crash during the call may leave part of the
   /// batch written, but the stored state stays valid: term and vote are written first, and a
-  /// snapshot is complete before any entry that it replaces is removed. Fails with StorageError.
-  /// After a failure all further calls fail too, because it is unknown what reached the disk.
+  /// snapshot is complete before any entry that it replaces is removed. Fails with StorageError;
+  /// it is then unknown what reached the disk, and the next call must be for the same batch, until
+  /// one succeeds.
   virtual Result<void> persist(const Persist& aBatch) = 0;
 };
 
--- a/packages/agreement/SegmentedLog.cc
+++ b/packages/agreement/SegmentedLog.cc
@@ -118,13 +118,22 @@
   return {};
 }
 
-Result<std::uint64_t> SegmentedLog::startSegment()
+Result<void> SegmentedLog::startSegment()
 {
-  const std::uint64_t number = mSegments.empty() ? 1 : mSegments.back().number + 1;
-  BOOST_LEAF_ASSIGN(mFile, PosixFile::openForAppend(path(number)));
+  const std::uint64_t number = lastSegment() + 1;
+  BOOST_LEAF_AUTO(file, PosixFile::openForAppend(path(number)));
   BOOST_LEAF_CHECK(syncFolder(mFolder));
+  mFile = std::move(file);
   mSegments.push_back(Segment{ number, 0, 0 });
-  return number;
+  return {};
+}
+
+Result<void> SegmentedLog::truncateToSynced()
+{
+  if (!mFile.isOpen()) {
+    return {};
+  }
+  return mFile.truncateTo(mSegments.back().sizeBytes);
 }
 
 Result<void> SegmentedLog::append(const SegmentRecord& aRecord)
--- a/packages/agreement/SegmentedLog.h
+++ b/packages/agreement/SegmentedLog.h
@@ -53,14 +53,21 @@
     return !mFile.isOpen() || mSegments.back().sizeBytes >= mSegmentBytes;
   }
 
-  /// Creates the next segment and returns its number. The caller must make the number durable
-  /// before it appends, so that a missing last segment is detected. Fails with StorageError.
-  Result<std::uint64_t> startSegment();
+  /// Returns the number of the last segment, 0 if there is none.
+  std::uint64_t lastSegment() const { return mSegments.empty() ? 0 : mSegments.back().number; }
+
+  /// Creates the next segment. The caller must make lastSegment() durable before it appends, so
+  /// that a missing last segment is detected. Fails with StorageError; the call can be repeated.
+  Result<void> startSegment();
 
   /// Appends and syncs one record. Precondition: startSegment() was called at least once.
-  /// Fails with StorageError.
+  /// Fails with StorageError; truncateToSynced() must succeed before the next call then.
   Result<void> append(const SegmentRecord& aRecord);
 
+  /// Removes what failed calls of append() have left in the last segment. Fails with StorageError;
+  /// the call can be repeated.
+  Result<void> truncateToSynced();
+
   /// Deletes the oldest segments as long as they contain only entries up to aIndex. Never deletes
   /// the last segment. Fails with StorageError.
   Result<void> deleteUpTo(LogIndex aIndex);
--- a/packages/agreement/testing/FileLogStoreTest.cc
+++ b/packages/agreement/testing/FileLogStoreTest.cc
@@ -351,7 +351,7 @@
   CHECK_FALSE(second.open());
 }
 
-TEST_CASE("After a failed write, persist() fails and a restart finds the state before the write")
+TEST_CASE("After a failed write, a restart finds the state before the write")
 {
   const TemporaryFolder folder;
   const std::string path = folder.path("data");
@@ -359,17 +359,9 @@
     FileLogStore store = storeIn(path, 1U << 20U);
     REQUIRE(store.open());
     REQUIRE(store.persist(batchOf(1, 2)));
-    // The file size limit makes a write fail after a part of it is written, like a full disk.
-    const auto handler = std::signal(SIGXFSZ, SIG_IGN);
-    rlimit limit{};
-    ::getrlimit(RLIMIT_FSIZE, &limit);
-    const rlimit small{ 1024, limit.rlim_max };
-    ::setrlimit(RLIMIT_FSIZE, &small);
-    const bool isWritten = static_cast<bool>(store.persist(batchOf(3, 9, 1, 500)));
-    ::setrlimit(RLIMIT_FSIZE, &limit);
-    std::signal(SIGXFSZ, handler);
-    CHECK_FALSE(isWritten);
-    CHECK_FALSE(store.persist(batchOf(3, 3)));
+    const FullDisk disk(1024);
+    CHECK_FALSE(store.persist(batchOf(3, 9, 1, 500)));
+    CHECK_FALSE(store.persist(batchOf(3, 9, 1, 500)));
   }
   CHECK(reopen(path).entries.size() == 2);
 }
--- a/packages/daemon/ControlOperators.cc
+++ b/packages/daemon/ControlOperators.cc
@@ -279,7 +279,7 @@
   for (const auto& it : mLog.membership().members) {
     out.members.push_back(it.id);
   }
-  out.hasFailedStorage = mLog.isFailed();
+  out.hasFailedStorage = mLog.isStorageFailing();
   return out;
 }
 
--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -48,7 +48,8 @@
 struct BeginStop
 {};
 
-/// The storage thread of the replicated log finished a batch.
+/// The storage thread of the replicated log persisted a batch, or its first attempt failed and it
+/// repeats the batch.
 struct StorageDone
 {
   std::uint64_t batch = 0;
--- a/packages/daemon/OperatorJson.h
+++ b/packages/daemon/OperatorJson.h
@@ -26,7 +26,7 @@
   LogIndex appliedIndex = 0;
   Revision operatorRevision = 0;
   std::vector<NodeId> members;
-  bool hasFailedStorage = false; ///< A write to the log failed; the member refuses all requests.
+  bool hasFailedStorage = false; ///< The latest write to the log failed and is repeated.
   static constexpr auto fields()
   {
     return std::make_tuple(
--- a/packages/daemon/StorageDuty.cc
+++ b/packages/daemon/StorageDuty.cc
@@ -12,6 +12,7 @@
 constexpr std::size_t kJobRingSize = 1024;
 constexpr Millis kIdleWait{ 100 };
 constexpr Millis kResultRetry{ 1 };
+constexpr Millis kWriteRetry{ 100 };
 
 } // namespace
 
@@ -59,18 +60,46 @@
 
 void StorageDuty::perform(const agreement::Persist& aJob)
 {
-  const bool isPersisted = orElse(
-    [&]() -> Result<bool> {
+  const TimePoint startedAt = Clock::now();
+  std::optional<std::string> lastFault;
+  while (auto fault = tryPersist(aJob)) {
+    if (!lastFault) {
+      report(aJob, false);
+    }
+    if (fault != lastFault) {
+      logEvent(LogLevel::Error, "log_sync_failed",
+               { { "batch", std::to_string(aJob.batch) }, { "reason", *fault } });
+    }
+    lastFault = std::move(fault);
+    if (mJobs.isClosed()) {
+      return;
+    }
+    std::this_thread::sleep_for(kWriteRetry);
+  }
+  if (lastFault) {
+    logEvent(LogLevel::Info, "log_sync_recovered",
+             { { "batch", std::to_string(aJob.batch) },
+               { "after_ms", std::to_string(toMillis(Clock::now() - startedAt)) } });
+  }
+  report(aJob, true);
+}
+
+// Returns the reason of a failure.
+std::optional<std::string> StorageDuty::tryPersist(const agreement::Persist& aJob)
+{
+  return orElse(
+    [&]() -> Result<std::optional<std::string>> {
       BOOST_LEAF_CHECK(mStore->persist(aJob));
-      return true;
+      return std::optional<std::string>();
     },
-    [](const ErrorInfo& aInfo) {
-      logEvent(LogLevel::Error, "log_sync_failed", { { "reason", aInfo.message } });
-      return false;
-    });
-  // The result must not be lost, because LogNode waits for it. Retries until the ring accepts it or
-  // is closed.
-  ControlMessage result(StorageDone{ aJob.batch, isPersisted });
+    [](const ErrorInfo& aInfo) { return std::optional<std::string>(aInfo.message); });
+}
+
+// The result must not be lost, because LogNode waits for it. Retries until the ring accepts it or
+// is closed.
+void StorageDuty::report(const agreement::Persist& aJob, bool aIsPersisted)
+{
+  ControlMessage result(StorageDone{ aJob.batch, aIsPersisted });
   // NOLINTNEXTLINE(bugprone-use-after-move): a refused push leaves the message unchanged.
   while (!mResults.tryPush(std::move(result)) && !mResults.isClosed()) {
     std::this_thread::sleep_for(kResultRetry);
