Subtract the wait for a link's set-up from a request's deadline

Cause: the time that a request waited between two daemons is its excess over the fastest message of its link, and the first message of a link counted as that. A request that was queued while its link was set up, which may take up to 4 s with doubled limits, therefore arrived with its whole deadline.

Evidence: OwnerDutyTest, with two hubs of which one is busy for 1.5 s, failed before (the target got the request) and passes now.

Now a link's Hello says when it was sent, and the owner takes it as the first sample of the link. The Hello is written as soon as the connection opens, so it hasn't waited for that, while the requests behind it have. A Hello that itself waits for a processor still hides that part of a wait.

--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -26,6 +26,15 @@
   wire::PeerMessage message;
 };
 
+/// A connection to a peer was opened by its Hello, which was sent and received at these times on
+/// the clocks of the two VMs since their boot.
+struct LinkOpened
+{
+  transport::LinkId link = 0;
+  Duration sentAt{ 0 };
+  Duration receivedAt{ 0 };
+};
+
 /// A connection to a peer was closed. No more messages are sent or received on it.
 struct LinkLost
 {
@@ -124,7 +133,7 @@
   std::variant<ReceivedMessage, LinkLost, StorageDone, OperatorRequest, StatusRequest,
                CommandRequest, DocumentRequest, SeedsChanged, BeginStop>;
 using OwnerMessage =
-  std::variant<ReceivedMessage, LinkLost, ViewPublished, fleet::agent::StopPartition,
+  std::variant<ReceivedMessage, LinkOpened, LinkLost, ViewPublished, fleet::agent::StopPartition,
                TargetHeartbeat, TargetDeregistration, BeginStop>;
 using EntryMessage = std::variant<ReceivedMessage, LinkLost, ViewPublished, BeginStop>;
 
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -173,6 +173,8 @@
 {
   if (auto* peer = std::get_if<ReceivedMessage>(&aMessage)) {
     handlePeerMessage(std::move(*peer));
+  } else if (const auto* opened = std::get_if<LinkOpened>(&aMessage)) {
+    mTransitTimes.addSample(Clock::now(), opened->link, opened->sentAt, opened->receivedAt);
   } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -93,6 +93,15 @@
   return out;
 }
 
+void PeerRouter::onLinkOpened(transport::LinkId aLink, transport::Lane aLane, Duration aSentAt,
+                              Duration aReceivedAt)
+{
+  // Without this message, the first request on the link counts as one that hasn't waited.
+  if (aLane == transport::Lane::Data) {
+    push<OwnerMessage>(&mRings.owner, LinkOpened{ aLink, aSentAt, aReceivedAt });
+  }
+}
+
 void PeerRouter::onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane /*aLane*/,
                            wire::PeerMessage aMessage)
 {
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -39,6 +39,8 @@
                                               const wire::PeerMessage& aMessage);
 
   // Overrides of PeerHandler. They run on the hub's thread.
+  void onLinkOpened(transport::LinkId aLink, transport::Lane aLane, Duration aSentAt,
+                    Duration aReceivedAt) override;
   void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
                  wire::PeerMessage aMessage) override;
   void onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane aLane, bool aWasDialed,
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -140,6 +140,12 @@
   {
   }
 
+  void onLinkOpened(transport::LinkId aLink, transport::Lane aLane, Duration aSentAt,
+                    Duration aReceivedAt) override
+  {
+    mRouter.onLinkOpened(aLink, aLane, aSentAt, aReceivedAt);
+  }
+
   void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
                  wire::PeerMessage aMessage) override
   {
@@ -172,6 +178,11 @@
 class FailureRecorder final : public transport::PeerHandler
 {
 public:
+  void onLinkOpened(transport::LinkId /*aLink*/, transport::Lane /*aLane*/, Duration /*aSentAt*/,
+                    Duration /*aReceivedAt*/) override
+  {
+  }
+
   void onMessage(transport::LinkId /*aLink*/, NodeId /*aFrom*/, transport::Lane /*aLane*/,
                  wire::PeerMessage aMessage) override
   {
--- a/packages/traffic/testing/TransitTimesTest.cc
+++ b/packages/traffic/testing/TransitTimesTest.cc
@@ -65,4 +65,12 @@
   CHECK(link.send(Millis(3000)) == Millis(0));
 }
 
+TEST_CASE("a message that waited for its link to open is compared with the sample of the opening")
+{
+  Link link;
+  const Duration opened = link.sender + Millis(5000);
+  link.times.addSample(TimePoint(opened), 1, opened, opened - std::chrono::hours(1) + Millis(1));
+  CHECK(link.send(Millis(3000)) == Millis(3000));
+}
+
 } // namespace camphorcleat::traffic
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -286,8 +286,9 @@
       closeSocket(aSocket);
       return;
     }
-    sendFrame(
-      aLink, wire::encodePeerMessage(wire::Hello{ config.self, config.incarnation, config.fleet }));
+    wire::Hello hello{ config.self, config.incarnation, config.fleet };
+    hello.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+    sendFrame(aLink, wire::encodePeerMessage(hello));
   }
 
   void onFrame(const LinkPtr& aLink, const PeerSocket::message_type& aFrame)
@@ -337,7 +338,9 @@
       if (aLink->wasDialed) {
         histories[{ aLink->peer, aLink->lane }].dialDelay = Millis(0);
       }
-      if (links.markOpen(*aLink, aHello.node)) {
+      const bool hasQueued = links.markOpen(*aLink, aHello.node);
+      handler.onLinkOpened(aLink->id, aLink->lane, aHello.sentAt, timeSinceBoot());
+      if (hasQueued) {
         flush(aLink);
       }
     }
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -97,6 +97,11 @@
 public:
   virtual ~PeerHandler() = default;
 
+  /// Reports that a link is open, before its first message. aSentAt and aReceivedAt are when its
+  /// Hello was sent and received, on the clocks of the sender's VM and of this one since their
+  /// boot.
+  virtual void onLinkOpened(LinkId aLink, Lane aLane, Duration aSentAt, Duration aReceivedAt) = 0;
+
   /// Handles a message other than Hello. The messages of one link arrive in the order in which they
   /// were sent.
   virtual void onMessage(LinkId aLink, NodeId aFrom, Lane aLane, wire::PeerMessage aMessage) = 0;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -23,9 +23,22 @@
   bool neverOpened;
 };
 
+struct Opening
+{
+  LinkId link;
+  Duration sentAt;
+  Duration receivedAt;
+  std::size_t messagesBefore;
+};
+
 class RecordingHandler final : public PeerHandler
 {
 public:
+  void onLinkOpened(LinkId aLink, Lane, Duration aSentAt, Duration aReceivedAt) override
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mOpened.push_back({ aLink, aSentAt, aReceivedAt, mMessages.size() });
+  }
   void onMessage(LinkId aLink, NodeId aFrom, Lane, wire::PeerMessage aMessage) override
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -49,6 +62,11 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     return mMessages;
   }
+  std::vector<Opening> openings() const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mOpened;
+  }
   std::vector<Loss> losses() const
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -68,6 +86,7 @@
 private:
   mutable std::mutex mMutex;
   std::vector<wire::PeerMessage> mMessages;
+  std::vector<Opening> mOpened;
   std::vector<Loss> mLosses;
   LinkId mLastLink = 0;
   NodeId mLastSender = 0;
@@ -161,6 +180,23 @@
 
 } // namespace
 
+TEST_CASE("a link is reported as open, with the times of its hello, before its first message")
+{
+  NodeFixture a(configOf(1));
+  NodeFixture b(configOf(2));
+  a.hub.setAddress(2, addressOf(b.hub));
+  const Duration before = timeSinceBoot();
+  a.hub.send(2, Lane::Control, numbered(1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  const auto openings = b.handler.openings();
+  REQUIRE(openings.size() == 1);
+  CHECK(openings[0].link == b.handler.lastLink());
+  CHECK(openings[0].messagesBefore == 0);
+  CHECK(openings[0].sentAt + Millis(1) >= before);
+  CHECK(openings[0].receivedAt >= openings[0].sentAt);
+  CHECK(openings[0].receivedAt <= timeSinceBoot());
+}
+
 TEST_CASE("messages arrive once and in order, including those sent while the link is being dialed")
 {
   NodeFixture a(configOf(1));
--- a/packages/transport/testing/TransportBenchmark.cc
+++ b/packages/transport/testing/TransportBenchmark.cc
@@ -56,6 +56,7 @@
 class CountingHandler final : public PeerHandler
 {
 public:
+  void onLinkOpened(LinkId, Lane, Duration, Duration) override {}
   void onMessage(LinkId, NodeId, Lane, wire::PeerMessage) override { ++count; }
   void onLinkLost(LinkId, NodeId, Lane, bool, bool) override {}
   std::atomic<std::uint64_t> count{ 0 };
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -22,11 +22,12 @@
   static constexpr const char* kName = "hello";
   NodeId node = kNoNode;
   Incarnation incarnation = 0;
-  std::string fleet; ///< Fleet name; a connection between different fleets is closed.
+  std::string fleet;  ///< Fleet name; a connection between different fleets is closed.
+  Micros sentAt{ 0 }; ///< On the clock of the sender's VM since its boot.
   static constexpr auto fields()
   {
     return std::make_tuple(field("node", &Hello::node), field("incarnation", &Hello::incarnation),
-                           field("fleet", &Hello::fleet));
+                           field("fleet", &Hello::fleet), field("sent_at_us", &Hello::sentAt));
   }
 };
 
