Apply committed entries in slices between the events of the control thread

Cause: a restarted member learns at once that its whole log is committed, and applied it in one step. Here that took 0.6 to 1.0 s on 0.3 core, longer than the election timeout, so each new leader was silent until it had lost its leadership, and followers fell silent as well. It ended when all members had applied the log.

ControlDutyTest failed before: longest answer 811 ms, while applying the log alone took 761 ms.

Now actions on the applied state wait in a backlog, in the log's order, and are worked off in slices of 10 ms. Messages to other members, writes and timers don't wait for them. Reads, lease replies and results of commands are actions on the applied state, so what they promise doesn't change.

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -1,4 +1,9 @@
 // The event loop of a control member and its handling of the replicated log.
+//
+// After a restart a member learns that its whole log is committed in one step, and applying it may
+// take longer than an election timeout. Actions on the applied state therefore wait in mBacklog,
+// which is worked off in slices between the events. Messages to other members and writes don't
+// depend on that state and don't wait.
 
 #include "daemon/ControlDuty.h"
 
@@ -17,6 +22,12 @@
 // is a quarter of the shortest election timeout of a group with default settings.
 constexpr Millis kLateTick{ 60 };
 
+// Time for messages, and for the backlog, before the other one continues.
+constexpr Millis kSlice{ 10 };
+
+// Beyond this, the backlog is worked off before any other event, so that it doesn't grow.
+constexpr std::size_t kMaxBacklogEntries = 8192;
+
 // A proposal that is not applied within this time is answered with an unknown outcome.
 constexpr Millis kProposalTimeout{ 5000 };
 
@@ -121,10 +132,14 @@
   mNow = Clock::now();
   TimePoint nextTick = mNow;
   while (!mRings.control->isClosed()) {
-    auto message = mRings.control->popUntil(nextTick);
+    const bool hasBacklog = !mBacklog.empty();
+    auto message = mRings.control->popUntil(hasBacklog ? mNow : nextTick);
     mNow = Clock::now();
-    if (message) {
+    const TimePoint sliceEnd = std::min(mNow + kSlice, nextTick);
+    while (message) {
       handle(std::move(*message));
+      mNow = Clock::now();
+      message = hasBacklog && mNow < sliceEnd ? mRings.control->tryPop() : std::nullopt;
     }
     if (mNow >= nextTick) {
       if (mNow - nextTick >= kLateTick) {
@@ -136,6 +151,7 @@
       nextTick = mNow + kTick;
       tick();
     }
+    runBacklog(mNow + kSlice);
   }
 }
 
@@ -268,6 +284,30 @@
   }
 }
 
+// Works off the backlog until it is empty or the time has passed.
+void ControlDuty::runBacklog(TimePoint aUntil)
+{
+  while (!mBacklog.empty() && (mNow < aUntil || mBacklogEntries > kMaxBacklogEntries)) {
+    if (const auto* apply = std::get_if<agreement::ApplyEntries>(&mBacklog.front())) {
+      // The reference stays valid while further actions are appended.
+      const std::vector<wire::LogEntry>& entries = apply->entries;
+      if (mNextEntry < entries.size()) {
+        --mBacklogEntries;
+        applyEntry(entries[mNextEntry++]);
+      }
+      if (mNextEntry >= entries.size()) {
+        mNextEntry = 0;
+        mBacklog.pop_front();
+      }
+    } else {
+      agreement::Action action = std::move(mBacklog.front());
+      mBacklog.pop_front();
+      perform(action);
+    }
+    mNow = Clock::now();
+  }
+}
+
 // An action may cause further log events. They are queued, so that actions are performed in order.
 void ControlDuty::drainLogEvents()
 {
@@ -276,7 +316,14 @@
     const agreement::Event event = std::move(mLogEvents.front());
     mLogEvents.pop_front();
     for (auto& it : mLog.step(mNow, event)) {
-      perform(it);
+      if (std::holds_alternative<agreement::SendMessage>(it) ||
+          std::holds_alternative<agreement::Persist>(it)) {
+        perform(it);
+      } else {
+        const auto* apply = std::get_if<agreement::ApplyEntries>(&it);
+        mBacklogEntries += apply == nullptr ? 0 : apply->entries.size();
+        mBacklog.push_back(std::move(it));
+      }
     }
   }
   mIsDrainingLogEvents = false;
@@ -292,10 +339,6 @@
     if (!mStorage.submit(std::move(*persist))) {
       stepLog(agreement::PersistFailed{});
     }
-  } else if (const auto* apply = std::get_if<agreement::ApplyEntries>(&aAction)) {
-    for (const auto& it : apply->entries) {
-      applyEntry(it);
-    }
   } else if (const auto* appended = std::get_if<agreement::ProposalAppended>(&aAction)) {
     const auto it = mUnappendedProposals.find(appended->proposal);
     if (it != mUnappendedProposals.end()) {
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -81,6 +81,7 @@
   void stepLog(const agreement::Event& aEvent);
   void drainLogEvents();
   void perform(agreement::Action& aAction);
+  void runBacklog(TimePoint aUntil);
   void applyEntry(const wire::LogEntry& aEntry);
   void applyCommand(const wire::LogEntry& aEntry);
   void restore(const agreement::RestoreSnapshot& aAction);
@@ -125,8 +126,11 @@
 
   TimePoint mNow; // Time of the current event.
   std::deque<agreement::Event> mLogEvents;
-  bool mIsDrainingLogEvents = false; // drainLogEvents() is running.
-  std::uint64_t mCounter = 0;        // Last number used for a proposal, read or forwarded request.
+  bool mIsDrainingLogEvents = false;      // drainLogEvents() is running.
+  std::deque<agreement::Action> mBacklog; // Actions on the applied state, in the log's order.
+  std::size_t mBacklogEntries = 0;        // Entries in mBacklog that are not applied yet.
+  std::size_t mNextEntry = 0;             // Next entry of the ApplyEntries at its front.
+  std::uint64_t mCounter = 0; // Last number used for a proposal, read or forwarded request.
   LogIndex mAppliedIndex = 0;
   std::vector<NodeId> mKnownMembers; // Control daemons that may accept a JoinRequest.
   std::size_t mNextJoinMember = 0;
