Bound the buffer of fetches from targets

It can happen here: the daemon fetches a target's health, and sends it orders, with a parser that limits head and body, but neither chunk extensions nor trailers, and with a buffer that has no limit. A target that sends an extension or a trailer without end fills the memory until the time limit of the fetch. Requests of callers aren't affected: their buffer had a limit.

The test of callers' requests now has a trailer without end as well (passed before).

--- a/packages/transport/TargetFetch.cc
+++ b/packages/transport/TargetFetch.cc
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxBodyBytes = 64U << 10U;
+// Limits chunk extensions and trailers, to which the parser's limits don't apply.
+constexpr std::size_t kMaxBufferBytes = 128U << 10U;
 constexpr unsigned kHttp11 = 11;
 
 class Fetch : public std::enable_shared_from_this<Fetch>
@@ -101,7 +103,7 @@
   beast::tcp_stream mStream;
   http::request<http::string_body> mRequest;
   http::response_parser<http::string_body> mParser;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxBufferBytes };
   FetchResult mResult;
   std::function<void(FetchResult)> mCallback;
 };
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -4,8 +4,10 @@
 #include <catch2/catch.hpp>
 
 #include "TransportFakes.h"
+#include "transport/Endpoint.h"
 #include "transport/HttpFrontend.h"
 #include "transport/TargetClient.h"
+#include "transport/TargetFetch.h"
 
 namespace camphorcleat::transport::testing {
 namespace {
@@ -295,7 +297,8 @@
     { { "", false },
       { "HTTP/1.1 200 OK\r\nX: ", false },
       { "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n", true },
-      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", true } }));
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", true },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", true } }));
   INFO("begins with '" << start << "'");
   constexpr std::size_t kMaxHeadBytes = 8U << 20U; // Socket buffers and the limit of a head.
   std::atomic<bool> wasClosed{ false };
@@ -323,6 +326,51 @@
   CHECK((isBody || sentBytes < kMaxHeadBytes));
 }
 
+// Guards against a faulty target that sends bytes without end in response to a health request or an
+// order: keeping them would use up the memory of the daemon.
+TEST_CASE("a fetch reads a bounded part of a response without end")
+{
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string start = GENERATE_COPY(
+    std::string(), std::string("HTTP/1.1 200 OK\r\nX: "), std::string("HTTP/1.1 200 OK\r\n\r\n"),
+    std::string("HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n"), chunked + "ffffff\r\n",
+    chunked + "1;x=", chunked + "0\r\nX: ");
+  INFO("begins with '" << start << "'");
+  constexpr std::size_t kMaxSentBytes = 16U << 20U; // Socket buffers and the limit of a response.
+  std::atomic<bool> wasClosed{ false };
+  std::atomic<std::size_t> sentBytes{ 0 };
+  {
+    ScriptedServer target([&](BlockingSocket& aSocket, int) {
+      aSocket.readUntil("\r\n\r\n");
+      aSocket.write(start);
+      const std::string bytes(65536, 'x');
+      const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+      while (!wasClosed && Clock::now() < limit) {
+        const ssize_t n = ::send(aSocket.nativeHandle(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        wasClosed = n < 0;
+        sentBytes += n > 0 ? static_cast<std::size_t>(n) : 0;
+      }
+    });
+    DutyThread thread("fetch");
+    thread.start();
+    std::promise<FetchResult> result;
+    FetchRequest request;
+    request.address = target.address();
+    request.method = "GET";
+    request.path = "/health";
+    request.timeout = Millis(1000);
+    const auto endpoint = parseEndpoint(request.address);
+    REQUIRE(endpoint);
+    startFetch(thread.context(), *endpoint, request,
+               [&](FetchResult aResult) { result.set_value(std::move(aResult)); });
+    auto done = result.get_future();
+    REQUIRE(done.wait_for(std::chrono::seconds(3)) == std::future_status::ready);
+    CHECK_FALSE(done.get().ok);
+    CHECK(waitFor([&] { return wasClosed.load(); }));
+  }
+  CHECK(sentBytes < kMaxSentBytes);
+}
+
 TEST_CASE("interim responses are skipped, and responses without a body end after their head")
 {
   ScriptedServer target([](BlockingSocket& aSocket, int) {
