Write audit records again that the disk refused

Operators who looked for a change in that member's trail didn't find it.

Evidence: AuditTrailTest, 'records that could not be written are written once the disk has room', failed before ({ 1, 4, 4 } in place of { 1, 2, 3, 4, 4 }).

Now the trail keeps them, at most 4,096, and the control member writes them with the next record or after a second. audit_write_failed is logged once instead of for each change; audit_write_recovered is new.

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -31,6 +31,9 @@
 // A proposal that is not applied within this time is answered with an unknown outcome.
 constexpr Millis kProposalTimeout{ 5000 };
 
+// Interval at which records that could not be written to the audit trail are written again.
+constexpr Millis kAuditRetry{ 1000 };
+
 // A node that is not a member requests to join at once. A member does so if it has known no leader
 // for this time, because it may have been removed; see requestJoinIfNeeded().
 constexpr Millis kLeaderlessTimeout{ 1500 };
@@ -162,6 +165,7 @@
   stepLeader(fleet::control::Tick{});
   expirePending();
   requestJoinIfNeeded();
+  writeAudit({});
 }
 
 std::vector<NodeId> ControlDuty::memberIds() const
@@ -520,16 +524,27 @@
 
 void ControlDuty::writeAudit(const std::vector<fleet::AuditRecord>& aRecords)
 {
-  if (aRecords.empty()) {
+  const bool wasPending = mAudit.hasPending();
+  if (wasPending ? mNow < mAuditRetryAt : aRecords.empty()) {
+    mAudit.addPending(aRecords);
     return;
   }
+  mAuditRetryAt = mNow + kAuditRetry;
+  const std::size_t dropped = mAudit.droppedRecords();
   orElse(
     [&]() -> Result<bool> {
       BOOST_LEAF_CHECK(mAudit.append(aRecords));
+      if (wasPending) {
+        logEvent(LogLevel::Info, "audit_write_recovered");
+      }
       return true;
     },
-    [](const ErrorInfo& aInfo) {
-      logEvent(LogLevel::Error, "audit_write_failed", { { "reason", aInfo.message } });
+    [&](const ErrorInfo& aInfo) {
+      if (!wasPending || mAudit.droppedRecords() != dropped) {
+        logEvent(
+          LogLevel::Error, "audit_write_failed",
+          { { "reason", aInfo.message }, { "dropped", std::to_string(mAudit.droppedRecords()) } });
+      }
       return false;
     });
 }
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -123,6 +123,7 @@
   fleet::FleetState mState;
   fleet::ControlLeader mLeader;
   fleet::AuditTrail mAudit;
+  TimePoint mAuditRetryAt; // Of records that could not be written.
 
   TimePoint mNow; // Time of the current event.
   std::deque<agreement::Event> mLogEvents;
--- a/packages/fleet/AuditTrail.cc
+++ b/packages/fleet/AuditTrail.cc
@@ -119,6 +119,8 @@
   std::swap(mSizeBytes, aOther.mSizeBytes);
   std::swap(mLastRevision, aOther.mLastRevision);
   std::swap(mLastCount, aOther.mLastCount);
+  std::swap(mPending, aOther.mPending);
+  std::swap(mDroppedRecords, aOther.mDroppedRecords);
   return *this;
 }
 
@@ -169,28 +171,46 @@
 
 Result<void> AuditTrail::append(const std::vector<AuditRecord>& aRecords)
 {
-  std::string lines;
-  Revision lastRevision = mLastRevision;
-  std::size_t lastCount = mLastCount;
+  addPending(aRecords);
+  return writePending();
+}
+
+void AuditTrail::addPending(const std::vector<AuditRecord>& aRecords)
+{
   std::size_t toSkip = mLastCount; // Records of mLastRevision that are already stored.
   for (const auto& it : aRecords) {
     if (it.revision < mLastRevision || (it.revision == mLastRevision && toSkip > 0)) {
       toSkip -= it.revision == mLastRevision ? 1 : 0;
       continue;
     }
+    mPending.push_back(it);
+  }
+  while (mPending.size() > kMaxPendingRecords) {
+    mPending.pop_front();
+    ++mDroppedRecords;
+  }
+}
+
+Result<void> AuditTrail::writePending()
+{
+  if (mPending.empty()) {
+    return {};
+  }
+  std::string lines;
+  Revision lastRevision = mLastRevision;
+  std::size_t lastCount = mLastCount;
+  for (const auto& it : mPending) {
     lines += toJson(it) + "\n";
     lastCount = it.revision == lastRevision ? lastCount + 1 : 1;
     lastRevision = it.revision;
   }
-  if (lines.empty()) {
-    return {};
-  }
   if (mSizeBytes > 0 && mSizeBytes + lines.size() > mMaxBytes / 2) {
     BOOST_LEAF_CHECK(rotate());
   }
   BOOST_LEAF_CHECK(write(lines));
   mLastRevision = lastRevision;
   mLastCount = lastCount;
+  mPending.clear();
   return {};
 }
 
--- a/packages/fleet/AuditTrail.h
+++ b/packages/fleet/AuditTrail.h
@@ -9,6 +9,7 @@
 #ifndef CAMPHORCLEAT_FLEET_AUDITTRAIL_H_
 #define CAMPHORCLEAT_FLEET_AUDITTRAIL_H_
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,9 +47,21 @@
 
   /// Appends the records of one or more applied commands, in order, and syncs them. Records that
   /// are already in the trail are skipped. Fails with StorageError; the trail then contains none of
-  /// the records, and the call can be retried.
+  /// the records, and the next call writes them. Of the records that wait for that, only the latest
+  /// kMaxPendingRecords are kept.
   Result<void> append(const std::vector<AuditRecord>& aRecords);
 
+  /// Keeps records for the next call of append().
+  void addPending(const std::vector<AuditRecord>& aRecords);
+
+  /// Returns whether records wait to be written.
+  bool hasPending() const { return !mPending.empty(); }
+
+  /// Returns the number of records that were dropped because too many waited.
+  std::size_t droppedRecords() const { return mDroppedRecords; }
+
+  static constexpr std::size_t kMaxPendingRecords = 4096;
+
   /// Returns the latest records that pass the filter, at most its maxRecords, oldest first. Fails
   /// with StorageError or LogDamagedError.
   Result<std::vector<AuditRecord>> search(const AuditFilter& aFilter) const;
@@ -58,6 +71,7 @@
   Result<void> openFile();
   Result<void> scanFiles();
   Result<void> rotate();
+  Result<void> writePending();
   Result<void> write(const std::string& aLines);
   void closeFile();
 
@@ -66,7 +80,9 @@
   int mFile = -1;
   std::size_t mSizeBytes = 0;
   Revision mLastRevision = 0;
-  std::size_t mLastCount = 0; ///< Number of records of mLastRevision in the trail.
+  std::size_t mLastCount = 0;       ///< Number of records of mLastRevision in the trail.
+  std::deque<AuditRecord> mPending; ///< Accepted by append() and not written yet.
+  std::size_t mDroppedRecords = 0;
 };
 
 } // namespace camphorcleat::fleet
--- a/packages/fleet/testing/AuditTrailTest.cc
+++ b/packages/fleet/testing/AuditTrailTest.cc
@@ -1,9 +1,11 @@
 // Guards against audit records that are lost, duplicated by a replay of the log, or unreadable
 // after a crash, and against a trail that grows without bound.
 
+#include <csignal>
 #include <fstream>
 
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 
 #include <QTemporaryDir>
 
@@ -99,6 +101,30 @@
           std::vector<Revision>{ 1998, 1999, 2000 });
 }
 
+// Guards against a gap in the trail after the disk was full.
+TEST_CASE("records that could not be written are written once the disk has room")
+{
+  TrailFolder folder;
+  AuditTrail trail = folder.open();
+  REQUIRE(trail.append({ recordOf(1, "zone/a") }));
+  const auto handler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit limit{};
+  ::getrlimit(RLIMIT_FSIZE, &limit);
+  const rlimit small{ folder.sizeOf("") + 10, limit.rlim_max };
+  ::setrlimit(RLIMIT_FSIZE, &small);
+  const bool isSecondWritten = static_cast<bool>(trail.append({ recordOf(2, "zone/b") }));
+  const bool isThirdWritten = static_cast<bool>(trail.append({ recordOf(3, "zone/c") }));
+  ::setrlimit(RLIMIT_FSIZE, &limit);
+  std::signal(SIGXFSZ, handler);
+  CHECK_FALSE(isSecondWritten);
+  CHECK_FALSE(isThirdWritten);
+  CHECK(trail.append({ recordOf(4, "zone/d"), recordOf(4, "zone/e") }));
+  CHECK(revisionsOf(trail) == std::vector<Revision>{ 1, 2, 3, 4, 4 });
+  AuditTrail reopened = folder.open();
+  CHECK(reopened.append({ recordOf(4, "zone/d"), recordOf(4, "zone/e"), recordOf(4, "zone/f") }));
+  CHECK(revisionsOf(reopened) == std::vector<Revision>{ 1, 2, 3, 4, 4, 4 });
+}
+
 TEST_CASE("corrupt records and missing directories give typed errors")
 {
   TrailFolder folder;
