Wait at the start until a full disk has room

A supervisor restarts it again and again, and a member without a disk's room counts as a process that ends by itself.

Now the store and the audit trail are opened before the daemon listens, and opening is repeated every 250 ms while it fails with ENOSPC, EDQUOT or EIO, until it succeeds or the process is told to stop. Other errors, such as a store that another process has open, end the start as before.

--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -3,6 +3,7 @@
 #include "daemon/Daemon.h"
 
 #include <atomic>
+#include <optional>
 #include <random>
 
 #include <QDir>
@@ -18,6 +19,7 @@
 #include "daemon/OperatorServer.h"
 #include "daemon/OwnerDuty.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/StorageRetry.h"
 #include "wire/WireCodec.h"
 
 namespace camphorcleat::daemon {
@@ -40,7 +42,8 @@
 {
   Impl(Settings aSettings, const DialectFactory& aFactory);
 
-  Result<void> startControl();
+  Result<void> openStore();
+  void startControl();
   void createServingDuties();
   Result<void> startServingDuties();
   transport::PeerHubConfig hubConfig();
@@ -59,6 +62,9 @@
   DaemonApi api;
   std::unique_ptr<DialectServer> dialectServer;
   std::unique_ptr<transport::PeerHub> hub;
+  std::unique_ptr<agreement::LogStore> store; // Until startControl().
+  agreement::StoredState stored;
+  std::optional<fleet::AuditTrail> audit;
   std::unique_ptr<StorageDuty> storage;
   std::unique_ptr<ControlDuty> control;
   std::unique_ptr<OwnerDuty> owner;
@@ -117,20 +123,25 @@
   }
 }
 
-Result<void> Daemon::Impl::startControl()
+Result<void> Daemon::Impl::openStore()
 {
   QDir().mkpath(QString::fromStdString(settings.dataFolder));
-  auto store =
-    std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
-  BOOST_LEAF_AUTO(stored, store->open());
+  store.reset(); // Releases the lock of an earlier attempt.
+  store = std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
+  BOOST_LEAF_ASSIGN(stored, store->open());
   BOOST_LEAF_AUTO(
-    audit, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
+    trail, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
+  audit.emplace(std::move(trail));
+  return {};
+}
+
+void Daemon::Impl::startControl()
+{
   storage = std::make_unique<StorageDuty>(std::move(store), *rings.control);
-  control =
-    std::make_unique<ControlDuty>(settings, rings, router, *storage, stored, std::move(audit));
+  control = std::make_unique<ControlDuty>(settings, rings, router, *storage,
+                                          std::exchange(stored, {}), std::move(*audit));
   storage->start();
   control->start();
-  return {};
 }
 
 void Daemon::Impl::addGauges()
@@ -194,9 +205,12 @@
   return {};
 }
 
-Result<void> Daemon::start()
+Result<void> Daemon::start(const std::function<bool()>& aIsStopRequested)
 {
   Impl& impl = *mImpl;
+  if (impl.settings.isControlMember()) {
+    BOOST_LEAF_CHECK(retryWhileDiskFails([&impl] { return impl.openStore(); }, aIsStopRequested));
+  }
   impl.hub = std::make_unique<transport::PeerHub>(impl.hubConfig(), impl.router);
   impl.router.setHub(impl.hub.get());
   impl.setFixedAddresses();
@@ -212,7 +226,7 @@
   BOOST_LEAF_CHECK(impl.charts.start());
   BOOST_LEAF_CHECK(impl.hub->start());
   if (impl.settings.isControlMember()) {
-    BOOST_LEAF_CHECK(impl.startControl());
+    impl.startControl();
   }
   if (impl.settings.takesCallers()) {
     BOOST_LEAF_CHECK(impl.startServingDuties());
--- a/packages/daemon/Daemon.h
+++ b/packages/daemon/Daemon.h
@@ -23,8 +23,9 @@
   Daemon& operator=(const Daemon&) = delete;
 
   /// Opens the log store, starts to listen and starts all threads. Requires a QCoreApplication.
-  /// After an error, some threads may be running; call stop().
-  Result<void> start();
+  /// While the disk is full, it waits until the store can be opened or aIsStopRequested returns
+  /// true. After an error, some threads may be running; call stop().
+  Result<void> start(const std::function<bool()>& aIsStopRequested);
 
   /// Begins a planned stop, which hands over partitions and finishes running requests. Idempotent.
   void beginStop();
--- a/packages/daemon/DaemonMain.cc
+++ b/packages/daemon/DaemonMain.cc
@@ -94,7 +94,7 @@
   daemon::Daemon server(std::move(aSettings), *factory);
   const bool isStarted = orElse(
     [&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(server.start());
+      BOOST_LEAF_CHECK(server.start([] { return sStopRequested != 0; }));
       return true;
     },
     [](const ErrorInfo& aInfo) {
