--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -251,7 +251,8 @@
   event.partition = event.isKeyed && model.partitionCount() > 0
                       ? model.partitionOf(aHead.service, aHead.key)
                       : aHead.partition;
-  const TimePoint sentAt = Clock::now() - waitingTime(aLink, aHead);
+  const Duration waited = waitingTime(aLink, aHead);
+  const TimePoint sentAt = Clock::now() - waited;
   event.objective = aHead.objective > Millis(0) ? sentAt + aHead.objective : TimePoint::max();
   event.isIdempotent = aHead.isIdempotent;
   event.priority = aHead.priority;
@@ -261,7 +262,9 @@
   event.deadline = sentAt + aHead.deadline;
   event.isResend = aHead.isResend;
   aHead.partition = event.partition;
-  mExchanges.emplace(id, std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead)));
+  const auto exchange = std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead));
+  exchange->setWaitingTime(waited);
+  mExchanges.emplace(id, exchange);
   mOpenRequests = mExchanges.size();
   step(event);
 }
@@ -556,6 +559,7 @@
              { "partition", std::to_string(it->second->head().partition) },
              { "queued", std::to_string(mLogic.queuedCount()) },
              { "running", std::to_string(mLogic.inFlightCount()) },
+             { "waited_ms", std::to_string(toMillis(it->second->waitingTime())) },
              { "revision", std::to_string(mView.state().revision) },
              { "lease_left_ms", std::to_string(toMillis(mView.leaseValidUntil() - Clock::now())) },
              { "reason", aRefuse.message } });
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -71,6 +71,10 @@
   const wire::RequestHead& head() const { return mHead; }
   transport::LinkId link() const { return mLink; }
 
+  /// Returns how long the request waited on its way from the entry, as set by setWaitingTime().
+  Duration waitingTime() const { return mWaitingTime; }
+  void setWaitingTime(Duration aTime) { mWaitingTime = aTime; }
+
   /// Adds a chunk of the request body. Returns false if it is out of order, exceeds the credit or
   /// has a wrong total.
   bool addBody(wire::BodyChunk aChunk);
@@ -105,6 +109,7 @@
 
   OwnerExchangeHost& mHost;
   transport::LinkId mLink;
+  Duration mWaitingTime{ 0 };
   wire::RequestHead mHead;
   std::shared_ptr<transport::TargetExchange> mTarget;
   bool mHasBegun = false;
