Don't take a target for ended while it runs a request

Callers could have had two targets at work on one key.

Cause: a target that drained refused new connections 0.3 s before it had finished its last request, and its daemon took the refusal for the end of the process, with which all grants end. The keys were passed on at 9.960 s; the earlier target ran a request for them until 10.041 s and held them until 10.213 s.

OwnerDutyTest, 'a target that refuses connections has not ended while it runs a request', failed before.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -900,30 +900,35 @@
   }
 }
 
-// Checks whether the target's process has ended, in which case its address refuses connections.
+// Checks whether the target's process has ended, in which case its address refuses connections and
+// its open connections are closed. A target that drains may refuse connections while it still runs
+// requests.
 void OwnerDuty::probeTarget()
 {
   if (!mDialect.hasHeartbeats() || !mHeartbeats.hasTarget() || mIsProbing) {
     return;
   }
   mIsProbing = true;
-  mClient->probe(
-    kProbeTimeout, [this, process = mHeartbeats.processNumber()](transport::ProbeResult aResult) {
-      mIsProbing = false;
-      if (process != mHeartbeats.processNumber() || !mHeartbeats.hasTarget()) {
-        return;
-      }
-      if (aResult == transport::ProbeResult::Refused) {
-        handleTargetEnd();
-      } else if (mHeartbeats.isLeaving()) {
-        auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), kProbeInterval);
-        timer->async_wait([this, timer](boost::system::error_code aError) {
-          if (!aError) {
-            probeTarget();
-          }
-        });
-      }
-    });
+  mClient->probe(kProbeTimeout, [this, process = mHeartbeats.processNumber()](
+                                  transport::ProbeResult aResult) {
+    mIsProbing = false;
+    if (process != mHeartbeats.processNumber() || !mHeartbeats.hasTarget()) {
+      return;
+    }
+    const bool isRefused = aResult == transport::ProbeResult::Refused;
+    const bool hasRunning = std::any_of(mExchanges.begin(), mExchanges.end(),
+                                        [](const auto& aItem) { return aItem.second->hasBegun(); });
+    if (isRefused && !hasRunning) {
+      handleTargetEnd();
+    } else if (isRefused || mHeartbeats.isLeaving()) {
+      auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), kProbeInterval);
+      timer->async_wait([this, timer](boost::system::error_code aError) {
+        if (!aError) {
+          probeTarget();
+        }
+      });
+    }
+  });
 }
 
 void OwnerDuty::handleTargetEnd()
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -94,6 +94,21 @@
             static_cast<ssize_t>(aBytes.size()));
   }
 
+  // Refuses further connections, as a target that drains may do.
+  void closeListener()
+  {
+    ::close(mSocket);
+    mSocket = -1;
+  }
+
+  void closeConnections()
+  {
+    for (const int it : mAccepted) {
+      ::close(it);
+    }
+    mAccepted.clear();
+  }
+
   // Simulates the end of the process: writes a response on the newest connection, then closes the
   // listener and the sending side while the response is still in transit.
   void respondAndEnd(std::size_t aBytes)
@@ -377,6 +392,19 @@
     return std::nullopt;
   }
 
+  // Returns whether the owner reports the end of the target's process within a time.
+  bool waitForTargetEnd(Millis aTime)
+  {
+    const TimePoint end = Clock::now() + aTime;
+    while (auto message = rings.agent.popUntil(end)) {
+      const auto* changed = std::get_if<fleet::agent::TargetChanged>(&*message);
+      if (changed != nullptr && changed->hasEnded) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void push(OwnerMessage aMessage)
   {
     const bool isQueued = rings.owner.tryPush(std::move(aMessage));
@@ -577,6 +605,22 @@
   CHECK(failed->code == ErrorCode::DeadlineExceeded);
 }
 
+// Guards against keys that are passed on while a draining target, which accepts no connections any
+// more, still runs a request for them.
+TEST_CASE("a target that refuses connections has not ended while it runs a request")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  f.sendRequest("intake", "", 5);
+  REQUIRE(f.target.accept(Millis(300)) == 1);
+  f.target.closeListener();
+  f.push(TargetDeregistration{ "i-1", std::nullopt, [] {} });
+  CHECK_FALSE(f.waitForTargetEnd(Millis(700)));
+  f.target.closeConnections();
+  CHECK(f.waitForTargetEnd(Millis(1000)));
+}
+
 // Guards against truncating a response because the target's process ended after writing it.
 TEST_CASE("a response that a target wrote before its process ended reaches the entry completely")
 {
