Log with the recovery of the audit trail how many records were dropped

Records that were dropped between two attempts were logged by neither event. audit_write_failed is now written once, and audit_write_recovered has the count. Found by reading the change again; daemon_test, format and linter pass on it.

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -340,6 +340,7 @@
       mRouter.send(send->to, transport::Lane::Control, wire::LogFrame{ std::move(send->message) });
     logIfNotSent("log", send->to, sent.status);
   } else if (auto* persist = std::get_if<agreement::Persist>(&aAction)) {
+    // The ring has room for more than the one batch in flight and is closed after this duty ended.
     if (!mStorage.submit(std::move(*persist))) {
       stepLog(agreement::PersistFailed{});
     }
@@ -530,20 +531,18 @@
     return;
   }
   mAuditRetryAt = mNow + kAuditRetry;
-  const std::size_t dropped = mAudit.droppedRecords();
   orElse(
     [&]() -> Result<bool> {
       BOOST_LEAF_CHECK(mAudit.append(aRecords));
       if (wasPending) {
-        logEvent(LogLevel::Info, "audit_write_recovered");
+        logEvent(LogLevel::Info, "audit_write_recovered",
+                 { { "dropped", std::to_string(mAudit.droppedRecords()) } });
       }
       return true;
     },
     [&](const ErrorInfo& aInfo) {
-      if (!wasPending || mAudit.droppedRecords() != dropped) {
-        logEvent(
-          LogLevel::Error, "audit_write_failed",
-          { { "reason", aInfo.message }, { "dropped", std::to_string(mAudit.droppedRecords()) } });
+      if (!wasPending) {
+        logEvent(LogLevel::Error, "audit_write_failed", { { "reason", aInfo.message } });
       }
       return false;
     });
