Keep the known rate of a partition when it moves

Callers saw requests refused while keys moved without end, also under constant load.

Cause: the leader placed by the rates that the present owners reported. An owner measures only what arrives at it, so a partition that had just moved had no rate: its receiver looked idle and was given more, and was then the busiest. Each further move made the figures worse. Besides, a window of 1.5 s counts some 5 requests a partition, so the rates vary by chance.

PartitionRates adds the rate known before the move to the report of the new owner, with a share that decays as fast as the owner's window fills; during a handover the rate stays as it was.

--- a/packages/fleet/Planner.cc
+++ b/packages/fleet/Planner.cc
@@ -4,6 +4,7 @@
 #include "fleet/Planner.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "fleet/BalancedPlacement.h"
 #include "fleet/RangePlacement.h"
@@ -44,46 +45,22 @@
   return it != aModel.services().end() && it->second.isRanged;
 }
 
-// Sets the weight of each partition to its request rate, and that of each target to its capacity: a
-// target with longer run times handles fewer requests per second with the same slots. Every
-// partition gets some weight, because the load of any partition may rise.
-void setWeightsByLoad(const FleetModel& aModel, PlacementInput& aInput)
+// Sets the weight of each target to its capacity: a target with longer run times handles fewer
+// requests per second with the same slots.
+void setCapacities(const FleetModel& aModel, PlacementInput& aInput)
 {
-  // Fraction of the total load that is spread evenly over all partitions.
-  constexpr double kUniformFraction = 0.25;
-  double total = 0;
   double runSeconds = 0;
   std::size_t known = 0;
   for (const auto& it : aInput.candidates) {
     const auto load = aInput.loads.find(it.node);
-    if (load == aInput.loads.end()) {
-      continue;
-    }
-    for (const auto& partition : load->second.partitionLoads) {
-      total += partition.requestsPerSecond;
-    }
-    if (load->second.meanRun > Duration::zero()) {
+    if (load != aInput.loads.end() && load->second.meanRun > Duration::zero()) {
       runSeconds += toSeconds(load->second.meanRun);
       ++known;
     }
   }
-  if (total <= 0) {
-    return;
-  }
-  aInput.partitionWeights.assign(
-    aInput.grants->size(), kUniformFraction * total / static_cast<double>(aInput.grants->size()));
   for (auto& it : aInput.candidates) {
     const auto load = aInput.loads.find(it.node);
-    if (load == aInput.loads.end()) {
-      continue;
-    }
-    for (const auto& partition : load->second.partitionLoads) {
-      if (partition.partition < aInput.partitionWeights.size() &&
-          (*aInput.grants)[partition.partition].owner == it.node) {
-        aInput.partitionWeights[partition.partition] += partition.requestsPerSecond;
-      }
-    }
-    if (load->second.meanRun > Duration::zero()) {
+    if (load != aInput.loads.end() && load->second.meanRun > Duration::zero()) {
       const double mean = runSeconds / static_cast<double>(known);
       it.weight = aModel.node(it.node)->target.slots * mean / toSeconds(load->second.meanRun);
     }
@@ -118,6 +95,9 @@
     return out;
   }
   Budget budget = budgetOf(aModel);
+  for (auto it = mRates.begin(); it != mRates.end();) {
+    it = isRanged(aModel, it->first) ? std::next(it) : mRates.erase(it);
+  }
   for (const auto& service : servicesInOrder(aModel)) {
     PlacementInput input;
     input.service = service;
@@ -129,10 +109,10 @@
     input.partitions = partitionsInUse(aModel, service);
     input.partitionCount = aModel.partitionCount();
     input.loads = aLoads;
-    if (isRanged(aModel, service)) {
-      setWeightsByLoad(aModel, input);
-    }
     const bool ranged = isRanged(aModel, service);
+    if (ranged) {
+      setLoads(aNow, aModel, input);
+    }
     if (!ranged || isReadyToPlace(aNow, input)) {
       planService(aModel, ranged ? *mRangePlacement : *mPlacement, input, budget, out);
     }
@@ -140,6 +120,27 @@
   return out;
 }
 
+// Sets the weight of each partition to its request rate. Every partition gets some weight, because
+// the load of any partition may rise.
+void Planner::setLoads(TimePoint aNow, const FleetModel& aModel, PlacementInput& aInput)
+{
+  // Fraction of the total load that is spread evenly over all partitions.
+  constexpr double kUniformFraction = 0.25;
+  PartitionRates& rates = mRates[aInput.service];
+  rates.update(aNow, *aInput.grants, aInput.loads);
+  const std::vector<double>& perSecond = rates.perSecond();
+  const double total = std::accumulate(perSecond.begin(), perSecond.end(), 0.0);
+  if (total <= 0) {
+    return;
+  }
+  aInput.partitionWeights.assign(perSecond.size(),
+                                 kUniformFraction * total / static_cast<double>(perSecond.size()));
+  for (PartitionId i = 0; i < perSecond.size(); ++i) {
+    aInput.partitionWeights[i] += perSecond[i];
+  }
+  setCapacities(aModel, aInput);
+}
+
 std::optional<TimePoint> Planner::nextDeadline(TimePoint aNow) const
 {
   std::optional<TimePoint> out;
--- a/packages/fleet/Planner.h
+++ b/packages/fleet/Planner.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/Time.h"
+#include "fleet/PartitionRates.h"
 #include "fleet/Placement.h"
 
 namespace camphorcleat::fleet {
@@ -81,12 +82,14 @@
                                       const std::string& aService) const;
   Budget budgetOf(const FleetModel& aModel) const;
   bool takeFromBudget(const PlannedMove& aMove, Budget& aBudget) const;
+  void setLoads(TimePoint aNow, const FleetModel& aModel, PlacementInput& aInput);
   void planService(const FleetModel& aModel, const Placement& aPlacement, PlacementInput& aInput,
                    Budget& aBudget, std::vector<wire::CommandBody>& aOut) const;
 
   PlannerSettings mSettings;
   std::unique_ptr<Placement> mPlacement;
   std::unique_ptr<Placement> mRangePlacement;
+  std::map<std::string, PartitionRates> mRates;    ///< Of the ranged services.
   std::map<std::string, TimePoint> mUnplacedSince; ///< Ranged services that never had owners.
   std::map<NodeId, History> mHistory;
 };
--- a/packages/traffic/PartitionLoads.h
+++ b/packages/traffic/PartitionLoads.h
@@ -13,6 +13,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "wire/PeerMessages.h"
+#include "wire/RateWindow.h"
 
 namespace camphorcleat::traffic {
 
@@ -20,8 +21,7 @@
 class PartitionLoads
 {
 public:
-  /// After this time without requests, a rate has fallen to 37 %.
-  static constexpr Millis kTimeConstant{ 1500 };
+  static constexpr Millis kTimeConstant = wire::kRateWindow;
 
   /// Records the arrival of a request for a partition.
   void recordArrival(TimePoint aNow, PartitionId aPartition);
