Move keys only for load differences that chance doesn't explain

Callers saw a quarter of all keys out of service at once after the start of traffic and after each change of load.

Cause: the most and the least loaded of n targets were compared with a fixed tolerance. Their difference grows with n by chance alone (some 3 standard deviations on each side with 63 targets), so on a large fleet it always exceeded the tolerance; the moves then evened out noise. 256 moves could be in flight, and a partition could move again before its new owner had measured it.

A difference must now also exceed what chance causes among n targets, and only the certain part of it is moved. At most 3 % of a service's load is in handover for balance at a time, and a partition stays at a new owner for 3 s.

Without the term for chance, the new RangePlacementTest fails with 63 and 229 targets.

--- a/packages/fleet/PartitionRates.cc
+++ b/packages/fleet/PartitionRates.cc
@@ -45,6 +45,7 @@
     const wire::PartitionGrant& grant = aGrants[i];
     Record& record = mRecords[i];
     if (grant.token != record.token) {
+      record.hasMoved = record.token != 0;
       record.carried = record.recent;
       record.ownedSince = aNow;
       record.token = grant.token;
@@ -74,4 +75,15 @@
   return std::clamp<Duration>(elapsed, wire::kRateWindow, kAveragingTime);
 }
 
+double PartitionRates::countedSeconds() const
+{
+  return secondsCounted(averagingTime());
+}
+
+bool PartitionRates::hasMovedWithin(Duration aTime, PartitionId aPartition) const
+{
+  return aPartition < mRecords.size() && mRecords[aPartition].hasMoved &&
+         mNow - mRecords[aPartition].ownedSince < aTime;
+}
+
 } // namespace camphorcleat::fleet
--- a/packages/fleet/PartitionRates.h
+++ b/packages/fleet/PartitionRates.h
@@ -29,6 +29,14 @@
   /// Returns the estimated requests per second, by partition, as of the last update.
   const std::vector<double>& perSecond() const { return mRates; }
 
+  /// Returns for how many seconds requests were counted, which decides how much the rates vary by
+  /// chance.
+  double countedSeconds() const;
+
+  /// Returns whether the partition got its present owner less than aTime before the last update.
+  /// Its first owner doesn't count.
+  bool hasMovedWithin(Duration aTime, PartitionId aPartition) const;
+
 private:
   struct Record
   {
@@ -36,6 +44,7 @@
     TimePoint ownedSince;
     double recent = 0;  ///< Of the latest window.
     double carried = 0; ///< The recent rate when the present owner got the partition.
+    bool hasMoved = false;
   };
 
   void average(PartitionId aPartition, double aSeconds);
--- a/packages/fleet/Placement.h
+++ b/packages/fleet/Placement.h
@@ -46,6 +46,11 @@
   std::vector<Candidate> candidates; ///< In ascending order of node.
   std::map<NodeId, NodeLoad> loads;
   std::vector<double> partitionWeights; ///< Indexed by partition; empty if all weights are equal.
+  /// Number of counted requests that a weight of 1 stands for, which decides how much weights vary
+  /// by chance; 0 if they are exact.
+  double samplesPerWeight = 0;
+  /// Indexed by partition: whether it gets no balancing move now. Empty if none is excluded.
+  std::vector<bool> staysAtOwner;
 };
 
 /// One partition that should get another owner.
--- a/packages/fleet/Planner.cc
+++ b/packages/fleet/Planner.cc
@@ -135,9 +135,12 @@
   }
   aInput.partitionWeights.assign(perSecond.size(),
                                  kUniformFraction * total / static_cast<double>(perSecond.size()));
+  aInput.staysAtOwner.resize(perSecond.size());
   for (PartitionId i = 0; i < perSecond.size(); ++i) {
     aInput.partitionWeights[i] += perSecond[i];
+    aInput.staysAtOwner[i] = rates.hasMovedWithin(mSettings.minResidence, i);
   }
+  aInput.samplesPerWeight = rates.countedSeconds();
   setCapacities(aModel, aInput);
 }
 
@@ -251,7 +254,28 @@
   return out;
 }
 
-bool Planner::takeFromBudget(const PlannedMove& aMove, Budget& aBudget) const
+// Limits the load of the balancing moves of one ranged service.
+void Planner::limitMovingLoad(const FleetModel& aModel, const PlacementInput& aInput,
+                              Budget& aBudget) const
+{
+  aBudget.load = 0;
+  aBudget.maxLoad.reset();
+  if (aInput.partitionWeights.empty()) {
+    return;
+  }
+  double total = 0;
+  for (const PartitionId it : aInput.partitions) {
+    const wire::PartitionGrant& grant = (*aInput.grants)[it];
+    const wire::Node* owner = aModel.node(grant.owner);
+    total += weightOf(aInput, it);
+    if (grant.movingTo != kNoNode && owner != nullptr && aModel.mayOwn(*owner, aInput.service)) {
+      aBudget.load += weightOf(aInput, it);
+    }
+  }
+  aBudget.maxLoad = mSettings.maxMovingLoadShare * total;
+}
+
+bool Planner::takeFromBudget(const PlannedMove& aMove, double aLoad, Budget& aBudget) const
 {
   if (aMove.isUrgent) {
     if (aBudget.urgent >= mSettings.maxUrgentMovesInFlight) {
@@ -261,10 +285,13 @@
     return true;
   }
   std::size_t& received = aBudget.perReceiver[aMove.to];
+  const bool exceedsLoad =
+    aBudget.maxLoad && aBudget.load > 0 && aBudget.load + aLoad > *aBudget.maxLoad;
   if (aBudget.balancing >= mSettings.maxMovesInFlight ||
-      received >= mSettings.maxMovesInFlightPerNode) {
+      received >= mSettings.maxMovesInFlightPerNode || exceedsLoad) {
     return false;
   }
+  aBudget.load += aLoad;
   aBudget.balancing += 1;
   received += 1;
   return true;
@@ -276,6 +303,7 @@
 {
   std::map<NodeId, wire::AssignPartitions> assigns;
   std::map<NodeId, wire::BeginPartitionMove> moves;
+  limitMovingLoad(aModel, aInput, aBudget);
   for (const auto& it : aPlacement.place(aInput)) {
     if (it.from == kNoNode) {
       wire::AssignPartitions& assign = assigns[it.to];
@@ -283,7 +311,7 @@
       assign.node = it.to;
       assign.incarnation = aModel.node(it.to)->incarnation;
       assign.partitions.push_back(it.partition);
-    } else if (takeFromBudget(it, aBudget)) {
+    } else if (takeFromBudget(it, weightOf(aInput, it.partition), aBudget)) {
       wire::BeginPartitionMove& move = moves[it.to];
       move.service = aInput.service;
       move.to = it.to;
--- a/packages/fleet/Planner.h
+++ b/packages/fleet/Planner.h
@@ -18,6 +18,7 @@
 #include "base/Time.h"
 #include "fleet/PartitionRates.h"
 #include "fleet/Placement.h"
+#include "wire/RateWindow.h"
 
 namespace camphorcleat::fleet {
 
@@ -25,6 +26,12 @@
 {
   std::size_t maxMovesInFlightPerNode = 32; ///< Balancing moves to one receiver.
   std::size_t maxMovesInFlight = 256;       ///< Balancing moves to all receivers.
+  /// Share of the load of a ranged service whose partitions may be in balancing moves at a time,
+  /// because they are not served until their handover ends. One partition may always move.
+  double maxMovingLoadShare = 0.03;
+  /// A partition gets no further balancing move for this time after a move, until its new owner has
+  /// measured its load.
+  Millis minResidence{ 2 * wire::kRateWindow };
   /// Urgent moves to all receivers. The keys of a zone (4,096 partitions of a service in 4 zones)
   /// are moved in 4 rounds, well within 5 s.
   std::size_t maxUrgentMovesInFlight = 1024;
@@ -71,6 +78,8 @@
     std::size_t balancing = 0;
     std::size_t urgent = 0;
     std::map<NodeId, std::size_t> perReceiver;
+    double load = 0;                              ///< Of the balancing moves of a ranged service.
+    std::optional<double> maxLoad = std::nullopt; ///< Set for a ranged service with known loads.
   };
 
   void recordRegistrations(TimePoint aNow, const FleetModel& aModel);
@@ -81,7 +90,9 @@
   std::vector<Candidate> candidatesOf(TimePoint aNow, const FleetModel& aModel,
                                       const std::string& aService) const;
   Budget budgetOf(const FleetModel& aModel) const;
-  bool takeFromBudget(const PlannedMove& aMove, Budget& aBudget) const;
+  bool takeFromBudget(const PlannedMove& aMove, double aLoad, Budget& aBudget) const;
+  void limitMovingLoad(const FleetModel& aModel, const PlacementInput& aInput,
+                       Budget& aBudget) const;
   void setLoads(TimePoint aNow, const FleetModel& aModel, PlacementInput& aInput);
   void planService(const FleetModel& aModel, const Placement& aPlacement, PlacementInput& aInput,
                    Budget& aBudget, std::vector<wire::CommandBody>& aOut) const;
--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -3,6 +3,7 @@
 #include "fleet/RangePlacement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -171,26 +172,48 @@
       const bool isNeeded = donor->isSaturated || ratio(*receiver) < RangePlacement::kMinShareRatio;
       const double tolerance =
         isNeeded ? RangePlacement::kSaturatedTolerance : RangePlacement::kUnsaturatedTolerance;
-      if (ratio(*donor) - ratio(*receiver) <= tolerance) {
+      const double difference = ratio(*donor) - ratio(*receiver);
+      const double byChance = differenceByChance(*donor, *receiver);
+      if (difference <= tolerance || difference <= byChance) {
         return;
       }
-      donor->isExhausted = !shift(
-        *donor, *receiver, std::min(donor->assigned - donor->fairWeight, receiver->deficit()));
+      const double certain = 1 - byChance / difference;
+      donor->isExhausted =
+        !shift(*donor, *receiver,
+               std::min(donor->assigned - donor->fairWeight, receiver->deficit()), certain);
     }
   }
 
-  // Moves partitions with a total weight of at most aWeight, starting at the end of the donor's
-  // ranges. A partition that is too heavy stays at the donor, and lighter ones are moved instead.
-  // Returns false if none could be moved.
-  bool shift(NodeState& aFrom, NodeState& aTo, double aWeight)
+  // Returns the largest difference between the ratios of two targets that chance alone may cause in
+  // kTrials measurements: the largest of n normal deviations is about sqrt(2 ln n) standard
+  // deviations. Weights are counts of requests, whose variance is their mean.
+  double differenceByChance(const NodeState& aDonor, const NodeState& aReceiver) const
+  {
+    if (mInput.samplesPerWeight <= 0 || aDonor.fairWeight <= 0 || aReceiver.fairWeight <= 0) {
+      return 0;
+    }
+    constexpr double kTrials = 20;
+    const auto variance = [&](const NodeState& aState) {
+      return aState.assigned / (aState.fairWeight * aState.fairWeight * mInput.samplesPerWeight);
+    };
+    const double deviations =
+      std::sqrt(2 * std::log(kTrials * static_cast<double>(mStates.size())));
+    return deviations * std::sqrt(variance(aDonor) + variance(aReceiver));
+  }
+
+  // Moves partitions with a total weight of at most aShare of aWeight, or one partition of at most
+  // aWeight, starting at the end of the donor's ranges. A partition that is too heavy stays at the
+  // donor, and lighter ones are moved instead. Returns false if none could be moved.
+  bool shift(NodeState& aFrom, NodeState& aTo, double aWeight, double aShare)
   {
     double moved = 0;
     for (auto it = mInput.partitions.rbegin(); it != mInput.partitions.rend(); ++it) {
       const wire::PartitionGrant& grant = (*mInput.grants)[*it];
       const bool isMovable = grant.owner == aFrom.candidate.node && grant.movingTo == kNoNode &&
-                             *it < mInput.partitionCount && mPlanned.count(*it) == 0;
+                             *it < mInput.partitionCount && mPlanned.count(*it) == 0 &&
+                             (mInput.staysAtOwner.empty() || !mInput.staysAtOwner[*it]);
       const double weight = weightOf(mInput, *it);
-      if (!isMovable || moved + weight > aWeight) {
+      if (!isMovable || moved + weight > (moved > 0 ? aShare : 1) * aWeight) {
         continue;
       }
       moved += weight;
--- a/packages/fleet/RangePlacement.h
+++ b/packages/fleet/RangePlacement.h
@@ -4,7 +4,9 @@
 // target. Grants list a target's keys as ranges, so many short ranges would make long messages.
 // Partitions without an owner are therefore assigned in pieces of a sixteenth of a target's share,
 // each to the candidate with the least load for its weight. Balancing moves take partitions from
-// the end of the most loaded target's ranges, and only if the imbalance exceeds a tolerance.
+// the end of the most loaded target's ranges, and only if the imbalance exceeds both a tolerance
+// and what chance explains: the more targets there are, the further apart are the most and the
+// least loaded one by chance.
 
 #ifndef CAMPHORCLEAT_FLEET_RANGEPLACEMENT_H_
 #define CAMPHORCLEAT_FLEET_RANGEPLACEMENT_H_
--- a/packages/fleet/testing/PlacementStabilityTest.cc
+++ b/packages/fleet/testing/PlacementStabilityTest.cc
@@ -78,6 +78,9 @@
   /// Returns the number of partitions for which a move was begun since the last call.
   std::size_t takeMoves() { return std::exchange(mMoves, 0); }
 
+  /// Returns the largest share of the load that was in handover at a time.
+  double largestMovingShare() const { return mLargestMovingShare; }
+
   /// Returns the load of the busiest target, relative to its capacity.
   double highestUtilization() const
   {
@@ -166,6 +169,13 @@
       }
       mMember.system(it);
     }
+    double moving = 0;
+    double total = 0;
+    for (PartitionId i = 0; i < kPartitions; ++i) {
+      moving += table()[i].movingTo != kNoNode ? mRates[i] : 0;
+      total += mRates[i];
+    }
+    mLargestMovingShare = std::max(mLargestMovingShare, moving / total);
   }
 
   void endHandovers()
@@ -198,6 +208,7 @@
   std::map<NodeId, NodeLoad> mLoads;
   std::multimap<TimePoint, PartitionId> mHandoverEnds;
   std::size_t mMoves = 0;
+  double mLargestMovingShare = 0;
 };
 
 } // namespace
@@ -224,4 +235,14 @@
   CHECK(fleet.highestUtilization() < kUtilizationWithEqualShares);
 }
 
+// Guards against a balancing that takes a quarter of all keys out of service at once.
+TEST_CASE("balancing moves leave nearly all load in service")
+{
+  LoadedFleet fleet(63, 30, 1);
+  fleet.run(kSettlingTime);
+  CHECK(fleet.takeMoves() > 0);
+  // The leader limits estimated loads, which differ from the true ones.
+  CHECK(fleet.largestMovingShare() <= 2 * PlannerSettings().maxMovingLoadShare);
+}
+
 } // namespace camphorcleat::fleet
--- a/packages/fleet/testing/RangePlacementTest.cc
+++ b/packages/fleet/testing/RangePlacementTest.cc
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <numeric>
+#include <random>
 #include <set>
 
 #include "fleet/RangePlacement.h"
@@ -183,6 +186,46 @@
   CHECK_FALSE(f.place().empty());
 }
 
+// Guards against moves because the busiest of many targets seems to have far more load than the
+// idlest one, although all have the same.
+TEST_CASE("differences that chance explains cause no moves, whatever the number of targets")
+{
+  const NodeId targets = GENERATE(7, 63, 229);
+  std::vector<NodeId> nodes(targets);
+  std::iota(nodes.begin(), nodes.end(), 1);
+  Fixture f(1024, nodes);
+  f.applyMoves(f.place());
+  std::mt19937 random(1);
+  constexpr double kSeconds = 3;
+  constexpr double kRequestsPerSecond = 2;
+  for (PartitionId i = 0; i < 1024; ++i) {
+    std::poisson_distribution<int> arrivals(kRequestsPerSecond * kSeconds);
+    f.input.partitionWeights.push_back(arrivals(random) / kSeconds);
+  }
+  for (std::size_t i = 0; i < targets; ++i) {
+    const auto held = std::count_if(f.grants.begin(), f.grants.end(),
+                                    [&](const auto& aGrant) { return aGrant.owner == nodes[i]; });
+    f.input.candidates[i].weight = static_cast<double>(held);
+    f.input.loads[nodes[i]].isSaturated = true;
+  }
+  f.input.samplesPerWeight = kSeconds;
+  CHECK(f.place().empty());
+  f.input.partitionWeights[0] = 100; // A real difference.
+  CHECK_FALSE(f.place().empty());
+}
+
+TEST_CASE("a partition that stays at its owner gets no balancing move")
+{
+  Fixture f(40, { 1, 2 });
+  f.applyMoves(f.place());
+  f.input.partitionWeights.assign(40, 1.0);
+  f.input.partitionWeights[3] = 30;
+  f.input.staysAtOwner.assign(40, true);
+  CHECK(f.place().empty());
+  f.input.staysAtOwner.assign(40, false);
+  CHECK_FALSE(f.place().empty());
+}
+
 TEST_CASE("a new target gets its share even if no target is saturated")
 {
   Fixture f(40, { 1, 2 });
