Don't balance by loads that the leader doesn't know

A node whose connection was reset looked idle and was given more keys; after a change of leader, the targets that hadn't reported yet looked idle, or, with no report at all, all partitions were balanced by count without the limits.

Balancing waits until three quarters of the targets have reported. A handover older than 2 s doesn't hold up other moves, new moves begin in groups, and an empty target gets its share whatever chance explains.

--- a/packages/fleet/PartitionRates.cc
+++ b/packages/fleet/PartitionRates.cc
@@ -14,6 +14,15 @@
 // Time constant of the average.
 constexpr Duration kAveragingTime = 4 * wire::kRateWindow;
 
+// Without an update for this time, the records are outdated.
+constexpr Duration kMaxUpdateInterval = 2 * wire::kRateWindow;
+
+// A new owner counts requests from its first report that names the partition, or after this time.
+constexpr Millis kMaxStartOfCounting{ 1000 };
+
+// Lower rates are treated as zero, so that those of an idle service end.
+constexpr double kMinRate = 0.1;
+
 // A rate has changed if its recent value differs from the average by more standard deviations.
 constexpr double kMaxDeviations = 5;
 
@@ -28,7 +37,11 @@
 void PartitionRates::update(TimePoint aNow, const GrantTable& aGrants,
                             const std::map<NodeId, NodeLoad>& aLoads)
 {
-  const double seconds = mFirstReportAt ? toSeconds(aNow - mNow) : 0;
+  if (aNow - mNow > kMaxUpdateInterval) {
+    *this = PartitionRates();
+    mNow = aNow;
+  }
+  const double seconds = toSeconds(aNow - mNow);
   mNow = aNow;
   mRecords.resize(aGrants.size());
   mRates.resize(aGrants.size());
@@ -43,21 +56,50 @@
   }
   for (PartitionId i = 0; i < aGrants.size(); ++i) {
     const wire::PartitionGrant& grant = aGrants[i];
-    Record& record = mRecords[i];
-    if (grant.token != record.token) {
-      record.hasMoved = record.token != 0;
-      record.carried = record.recent;
-      record.ownedSince = aNow;
-      record.token = grant.token;
-    }
-    if (grant.owner != kNoNode && grant.movingTo == kNoNode) {
-      const double age = toSeconds(aNow - record.ownedSince) / toSeconds(wire::kRateWindow);
-      record.recent = reported[i] + record.carried * std::exp(-age);
-      average(i, seconds);
+    followGrant(i, grant);
+    if (grant.movingTo == kNoNode && aLoads.count(grant.owner) > 0) {
+      addReport(i, reported[i], seconds);
     }
   }
 }
 
+void PartitionRates::followGrant(PartitionId aPartition, const wire::PartitionGrant& aGrant)
+{
+  Record& record = mRecords[aPartition];
+  if (aGrant.token != record.token) {
+    record.hasMoved = record.token != 0;
+    record.carried = record.recent;
+    record.ownedSince = mNow;
+    record.countedSince.reset();
+    record.token = aGrant.token;
+  }
+  if (aGrant.movingTo == kNoNode) {
+    record.movingSince.reset();
+  } else if (!record.movingSince) {
+    record.movingSince = mNow;
+  }
+}
+
+void PartitionRates::addReport(PartitionId aPartition, double aRate, double aSeconds)
+{
+  Record& record = mRecords[aPartition];
+  if (!record.countedSince && (aRate > 0 || mNow - record.ownedSince >= kMaxStartOfCounting)) {
+    record.countedSince = mNow;
+  }
+  const Duration counted = record.countedSince ? mNow - *record.countedSince : Duration::zero();
+  record.recent =
+    aRate + record.carried * std::exp(-toSeconds(counted) / toSeconds(wire::kRateWindow));
+  if (record.recent < kMinRate) {
+    record.recent = 0;
+  }
+  if (!record.isKnown) {
+    record.isKnown = true;
+    mRates[aPartition] = record.recent;
+  } else {
+    average(aPartition, aSeconds);
+  }
+}
+
 // The average begins with the first report and then covers the time since, up to kAveragingTime.
 void PartitionRates::average(PartitionId aPartition, double aSeconds)
 {
@@ -67,6 +109,9 @@
   const bool hasChanged = std::abs(recent - rate) > kMaxDeviations * std::sqrt(variance);
   rate = hasChanged ? recent
                     : rate + (recent - rate) * std::min(1.0, aSeconds / toSeconds(averagingTime()));
+  if (rate < kMinRate && recent < kMinRate) {
+    rate = 0;
+  }
 }
 
 Duration PartitionRates::averagingTime() const
@@ -86,4 +131,10 @@
          mNow - mRecords[aPartition].ownedSince < aTime;
 }
 
+Duration PartitionRates::handoverTime(PartitionId aPartition) const
+{
+  const bool isMoving = aPartition < mRecords.size() && mRecords[aPartition].movingSince;
+  return isMoving ? mNow - *mRecords[aPartition].movingSince : Duration::zero();
+}
+
 } // namespace camphorcleat::fleet
--- a/packages/fleet/PartitionRates.h
+++ b/packages/fleet/PartitionRates.h
@@ -2,8 +2,8 @@
 //
 // An owner measures only what arrives at it, so for a partition that has just moved, its report
 // begins at zero and grows while its window fills. The estimate adds the rate that was known at the
-// handover, with a share that decays as quickly. During a handover no requests are counted, so the
-// estimate stays as it was.
+// handover, with a share that decays as quickly. During a handover no requests are counted, and an
+// owner whose connection was lost reports nothing; the estimate then stays as it was.
 //
 // Short windows vary by chance, and moves interrupt service. The rates are therefore averaged over
 // several windows, except that of a partition whose rate has certainly changed.
@@ -23,7 +23,9 @@
 class PartitionRates
 {
 public:
-  /// Updates the estimates. aNow must not decrease between calls.
+  /// Updates the estimates; aLoads has an entry for each node that has reported to this leader.
+  /// aNow must not decrease between calls. After an interval of some seconds without calls, in
+  /// which another member may have led, it starts anew.
   void update(TimePoint aNow, const GrantTable& aGrants, const std::map<NodeId, NodeLoad>& aLoads);
 
   /// Returns the estimated requests per second, by partition, as of the last update.
@@ -37,16 +39,24 @@
   /// Its first owner doesn't count.
   bool hasMovedWithin(Duration aTime, PartitionId aPartition) const;
 
+  /// Returns how long the partition has been in handover; zero if it isn't.
+  Duration handoverTime(PartitionId aPartition) const;
+
 private:
   struct Record
   {
     FencingToken token = 0;
     TimePoint ownedSince;
+    std::optional<TimePoint> countedSince; ///< When the owner began to count requests.
+    std::optional<TimePoint> movingSince;
     double recent = 0;  ///< Of the latest window.
     double carried = 0; ///< The recent rate when the present owner got the partition.
     bool hasMoved = false;
+    bool isKnown = false; ///< An owner has reported since the start.
   };
 
+  void followGrant(PartitionId aPartition, const wire::PartitionGrant& aGrant);
+  void addReport(PartitionId aPartition, double aRate, double aSeconds);
   void average(PartitionId aPartition, double aSeconds);
   Duration averagingTime() const;
 
--- a/packages/fleet/Planner.cc
+++ b/packages/fleet/Planner.cc
@@ -67,6 +67,15 @@
   }
 }
 
+// Whether at least three quarters of the candidates have reported to this leader.
+bool hasMostLoads(const PlacementInput& aInput)
+{
+  const auto reported = std::count_if(
+    aInput.candidates.begin(), aInput.candidates.end(),
+    [&](const Candidate& aCandidate) { return aInput.loads.count(aCandidate.node) > 0; });
+  return 4 * static_cast<std::size_t>(reported) >= 3 * aInput.candidates.size();
+}
+
 double weightFor(const wire::Node& aNode, const std::string& aService)
 {
   return aService == kAccountService ? 1.0 : static_cast<double>(aNode.target.slots);
@@ -254,12 +263,20 @@
   return out;
 }
 
-// Limits the load of the balancing moves of one ranged service.
-void Planner::limitMovingLoad(const FleetModel& aModel, const PlacementInput& aInput,
-                              Budget& aBudget) const
+// Limits the balancing moves of one service. For a ranged one, they are made by load, so they wait
+// until most targets have reported theirs to this leader. New moves begin when half of the load
+// that may move has arrived, so that they are proposed in groups.
+void Planner::limitBalancing(const FleetModel& aModel, const PlacementInput& aInput,
+                             Budget& aBudget) const
 {
+  aBudget.mayBalance = true;
   aBudget.load = 0;
   aBudget.maxLoad.reset();
+  const auto rates = mRates.find(aInput.service);
+  if (rates == mRates.end()) {
+    return;
+  }
+  aBudget.mayBalance = hasMostLoads(aInput);
   if (aInput.partitionWeights.empty()) {
     return;
   }
@@ -268,11 +285,14 @@
     const wire::PartitionGrant& grant = (*aInput.grants)[it];
     const wire::Node* owner = aModel.node(grant.owner);
     total += weightOf(aInput, it);
-    if (grant.movingTo != kNoNode && owner != nullptr && aModel.mayOwn(*owner, aInput.service)) {
+    if (grant.movingTo != kNoNode && owner != nullptr && aModel.mayOwn(*owner, aInput.service) &&
+        rates->second.handoverTime(it) < mSettings.maxCountedHandover) {
       aBudget.load += weightOf(aInput, it);
     }
   }
-  aBudget.maxLoad = mSettings.maxMovingLoadShare * total;
+  const double targetShare = 1 / static_cast<double>(aInput.candidates.size());
+  aBudget.maxLoad = std::max(mSettings.maxMovingLoadShare, targetShare / 2) * total;
+  aBudget.mayBalance = aBudget.mayBalance && aBudget.load <= *aBudget.maxLoad / 2;
 }
 
 bool Planner::takeFromBudget(const PlannedMove& aMove, double aLoad, Budget& aBudget) const
@@ -287,7 +307,7 @@
   std::size_t& received = aBudget.perReceiver[aMove.to];
   const bool exceedsLoad =
     aBudget.maxLoad && aBudget.load > 0 && aBudget.load + aLoad > *aBudget.maxLoad;
-  if (aBudget.balancing >= mSettings.maxMovesInFlight ||
+  if (!aBudget.mayBalance || aBudget.balancing >= mSettings.maxMovesInFlight ||
       received >= mSettings.maxMovesInFlightPerNode || exceedsLoad) {
     return false;
   }
@@ -303,7 +323,7 @@
 {
   std::map<NodeId, wire::AssignPartitions> assigns;
   std::map<NodeId, wire::BeginPartitionMove> moves;
-  limitMovingLoad(aModel, aInput, aBudget);
+  limitBalancing(aModel, aInput, aBudget);
   for (const auto& it : aPlacement.place(aInput)) {
     if (it.from == kNoNode) {
       wire::AssignPartitions& assign = assigns[it.to];
--- a/packages/fleet/Planner.h
+++ b/packages/fleet/Planner.h
@@ -27,8 +27,11 @@
   std::size_t maxMovesInFlightPerNode = 32; ///< Balancing moves to one receiver.
   std::size_t maxMovesInFlight = 256;       ///< Balancing moves to all receivers.
   /// Share of the load of a ranged service whose partitions may be in balancing moves at a time,
-  /// because they are not served until their handover ends. One partition may always move.
+  /// because they are not served until their handover ends. It is at least half of one target's
+  /// share. One partition may always move.
   double maxMovingLoadShare = 0.03;
+  /// A longer handover waits for a target that hangs, and doesn't hold up other moves.
+  Millis maxCountedHandover{ 2000 };
   /// A partition gets no further balancing move for this time after a move, until its new owner has
   /// measured its load.
   Millis minResidence{ 2 * wire::kRateWindow };
@@ -44,7 +47,7 @@
   Millis flapCooldown{ 30000 }; ///< A flapping node gets no moves for this time.
 };
 
-/// Not thread-safe. Exists while its process is the control leader.
+/// Not thread-safe. Exists as long as its process, which may lead the control group several times.
 class Planner
 {
 public:
@@ -78,6 +81,7 @@
     std::size_t balancing = 0;
     std::size_t urgent = 0;
     std::map<NodeId, std::size_t> perReceiver;
+    bool mayBalance = true;
     double load = 0;                              ///< Of the balancing moves of a ranged service.
     std::optional<double> maxLoad = std::nullopt; ///< Set for a ranged service with known loads.
   };
@@ -91,8 +95,8 @@
                                       const std::string& aService) const;
   Budget budgetOf(const FleetModel& aModel) const;
   bool takeFromBudget(const PlannedMove& aMove, double aLoad, Budget& aBudget) const;
-  void limitMovingLoad(const FleetModel& aModel, const PlacementInput& aInput,
-                       Budget& aBudget) const;
+  void limitBalancing(const FleetModel& aModel, const PlacementInput& aInput,
+                      Budget& aBudget) const;
   void setLoads(TimePoint aNow, const FleetModel& aModel, PlacementInput& aInput);
   void planService(const FleetModel& aModel, const Placement& aPlacement, PlacementInput& aInput,
                    Budget& aBudget, std::vector<wire::CommandBody>& aOut) const;
--- a/packages/fleet/RangePlacement.cc
+++ b/packages/fleet/RangePlacement.cc
@@ -189,7 +189,9 @@
   // deviations. Weights are counts of requests, whose variance is their mean.
   double differenceByChance(const NodeState& aDonor, const NodeState& aReceiver) const
   {
-    if (mInput.samplesPerWeight <= 0 || aDonor.fairWeight <= 0 || aReceiver.fairWeight <= 0) {
+    const bool isEmpty = aReceiver.assigned <= 0; // That is certain.
+    if (isEmpty || mInput.samplesPerWeight <= 0 || aDonor.fairWeight <= 0 ||
+        aReceiver.fairWeight <= 0) {
       return 0;
     }
     constexpr double kTrials = 20;
--- a/packages/fleet/testing/PartitionRatesTest.cc
+++ b/packages/fleet/testing/PartitionRatesTest.cc
@@ -59,6 +59,54 @@
   }
 }
 
+// Guards against keys placed on a node, or taken from it, because its connection was lost.
+TEST_CASE("the rates of an owner that doesn't report stay as they were")
+{
+  Fixture f;
+  for (int i = 0; i < 100; ++i) {
+    f.report(1, 40);
+  }
+  f.loads.clear();
+  for (int i = 0; i < 50; ++i) {
+    f.now += kStep;
+    f.rates.update(f.now, f.grants, f.loads);
+  }
+  CHECK(f.rate() == Approx(40));
+}
+
+TEST_CASE("the first report to a leader counts in full")
+{
+  Fixture f;
+  f.report(1, 2);
+  CHECK(f.rate() == Approx(2));
+}
+
+// Guards against rates of an earlier term that are added to what the next owner has measured since.
+TEST_CASE("records are forgotten after a time without updates")
+{
+  Fixture f;
+  for (int i = 0; i < 100; ++i) {
+    f.report(1, 40);
+  }
+  f.now += std::chrono::seconds(60);
+  f.grants[0] = wire::PartitionGrant{ 2, 22, 9, kNoNode, {} };
+  f.report(2, 40);
+  CHECK(f.rate() == Approx(40));
+}
+
+// Guards against remnants of rates that keep a service without requests from being balanced.
+TEST_CASE("the rate of an idle partition becomes zero")
+{
+  Fixture f;
+  for (int i = 0; i < 100; ++i) {
+    f.report(1, 40);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    f.report(1, 0);
+  }
+  CHECK(f.rate() == 0);
+}
+
 TEST_CASE("a partition that turns hot shows most of its rate within two windows")
 {
   Fixture f;
--- a/packages/fleet/testing/PlacementStabilityTest.cc
+++ b/packages/fleet/testing/PlacementStabilityTest.cc
@@ -2,6 +2,8 @@
 // estimates: they vary by chance, and those of a key that has just moved are unknown to its owner.
 
 #include <cmath>
+#include <limits>
+#include <memory>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -75,6 +77,14 @@
     }
   }
 
+  /// Continues with a planner that knows nothing yet. Only aReporting targets report to it.
+  void changeLeader(NodeId aReporting)
+  {
+    mPlanner = std::make_unique<Planner>();
+    mLoads.clear();
+    mReporting = aReporting;
+  }
+
   /// Returns the number of partitions for which a move was begun since the last call.
   std::size_t takeMoves() { return std::exchange(mMoves, 0); }
 
@@ -143,6 +153,9 @@
   void report()
   {
     for (auto& [node, target] : mTargets) {
+      if (node > mReporting) {
+        continue;
+      }
       NodeLoad& load = mLoads[node];
       load.partitionLoads.clear();
       for (const auto& [partition, rate] : target.rates) {
@@ -157,7 +170,7 @@
 
   void plan()
   {
-    for (const auto& it : mPlanner.plan(mNow, mMember.state.model(), mLoads)) {
+    for (const auto& it : mPlanner->plan(mNow, mMember.state.model(), mLoads)) {
       if (const auto* move = std::get_if<wire::BeginPartitionMove>(&it)) {
         if (move->service != "lookup") {
           continue;
@@ -199,13 +212,14 @@
 
   std::mt19937 mRandom;
   Member mMember;
-  Planner mPlanner;
+  std::unique_ptr<Planner> mPlanner = std::make_unique<Planner>();
   TimePoint mNow{ std::chrono::hours(1) };
   TimePoint mNextReport;
   std::vector<double> mRates; // Requests per second, by partition.
   double mSlots = 0;
   std::map<NodeId, Target> mTargets;
   std::map<NodeId, NodeLoad> mLoads;
+  NodeId mReporting = std::numeric_limits<NodeId>::max();
   std::multimap<TimePoint, PartitionId> mHandoverEnds;
   std::size_t mMoves = 0;
   double mLargestMovingShare = 0;
@@ -235,6 +249,17 @@
   CHECK(fleet.highestUtilization() < kUtilizationWithEqualShares);
 }
 
+// Guards against a new leader that takes targets for idle because it has no report from them yet.
+TEST_CASE("a new leader balances only when most targets have reported")
+{
+  LoadedFleet fleet(63, 30, 1);
+  fleet.run(kSettlingTime);
+  fleet.takeMoves();
+  fleet.changeLeader(GENERATE(0, 32));
+  fleet.run(Millis(2'000));
+  CHECK(fleet.takeMoves() == 0);
+}
+
 // Guards against a balancing that takes a quarter of all keys out of service at once.
 TEST_CASE("balancing moves leave nearly all load in service")
 {
