--- a/packages/fleet/testing/AuditTrailTest.cc
+++ b/packages/fleet/testing/AuditTrailTest.cc
@@ -2,6 +2,7 @@
 // after a crash, and against a trail that grows without bound.
 
 #include <csignal>
+#include <ctime>
 #include <fstream>
 
 #include <catch2/catch.hpp>
@@ -40,6 +41,31 @@
   void append(const std::string& aText) const { std::ofstream(path, std::ios::app) << aText; }
 };
 
+Duration processorTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+// Writes records of successive revisions until the file has this size. Returns the next revision.
+Revision writeRecords(const std::string& aPath, Revision aFirst, std::size_t aBytes)
+{
+  std::ofstream file(aPath, std::ios::binary);
+  const std::string first = toJson(recordOf(1, "partitions/lookup/node/1"));
+  const std::string number = "\"revision\":1";
+  const std::size_t at = first.find(number);
+  REQUIRE(at != std::string::npos);
+  Revision revision = aFirst;
+  for (std::size_t n = 0; n < aBytes; ++revision) {
+    const std::string line = first.substr(0, at) + "\"revision\":" + std::to_string(revision) +
+                             first.substr(at + number.size()) + "\n";
+    file << line;
+    n += line.size();
+  }
+  return revision;
+}
+
 std::vector<Revision> revisionsOf(const AuditTrail& aTrail, const AuditFilter& aFilter = {})
 {
   std::vector<Revision> out;
@@ -125,6 +151,26 @@
   CHECK(revisionsOf(reopened) == std::vector<Revision>{ 1, 2, 3, 4, 4, 4 });
 }
 
+// Guards against control members that answer nothing for seconds after a restart (CONFIG), because
+// they read their whole trail before they start.
+TEST_CASE("a trail at its size limit is opened in a part of the time in which a group answers")
+{
+  // A group answers within contact_s. The smallest control members have 0.3 of a core.
+  constexpr Millis kContact{ 3000 };
+  constexpr double kCoreShare = 0.3;
+  TrailFolder folder;
+  folder.maxBytes = 64U << 20U; // The default of audit_max_bytes.
+  const Revision middle = writeRecords(folder.path + ".1", 1, folder.maxBytes / 2 - 1024);
+  const Revision end = writeRecords(folder.path, middle, folder.maxBytes / 2 - 1024);
+  const Duration before = processorTime();
+  AuditTrail trail = folder.open();
+  const Duration used = processorTime() - before;
+  CHECK(trail.append({ recordOf(end - 1, "zone/a"), recordOf(end, "zone/b") }));
+  CHECK(revisionsOf(trail, { "zone/", 0, 10 }) == std::vector<Revision>{ end });
+  INFO("processor time " << toMillis(used) << " ms for " << end << " records");
+  CHECK(used < kCoreShare * kContact);
+}
+
 TEST_CASE("corrupt records and missing directories give typed errors")
 {
   TrailFolder folder;
