--- a/packages/daemon/testing/ControlDutyTest.cc
+++ b/packages/daemon/testing/ControlDutyTest.cc
@@ -9,6 +9,9 @@
 #include <future>
 #include <thread>
 
+#include <ctime>
+
+#include "agreement/FileLogStore.h"
 #include "base/Hash.h"
 #include "daemon/ControlDuty.h"
 #include "wire/WireCodec.h"
@@ -44,7 +47,7 @@
   std::string mPath;
 };
 
-wire::Command configurationCommand(std::uint64_t aVersion)
+wire::Command configurationCommand(std::uint64_t aVersion, int aRoutes = kRoutes)
 {
   wire::ReplaceConfiguration body;
   body.baseVersion = aVersion - 1;
@@ -55,7 +58,7 @@
   service.name = "lookup";
   service.isRanged = true;
   body.configuration.services = { service };
-  for (int i = 0; i < kRoutes; ++i) {
+  for (int i = 0; i < aRoutes; ++i) {
     wire::Route route;
     route.name = "r" + std::to_string(i);
     route.host = "h.example";
@@ -109,6 +112,150 @@
   return Clock::now() - before;
 }
 
+/// Writes the files of a control member as a day of many moves leaves them.
+class DayWriter
+{
+public:
+  explicit DayWriter(const std::string& aFolder)
+    : mStore(aFolder + "/log", std::mt19937_64(1))
+    , mTrail(fleet::AuditTrail::open(aFolder + "/audit.jsonl", kAuditBytes).value())
+    , mStoreId(mStore.open().value().store)
+  {
+  }
+
+  void write(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes)
+  {
+    append(systemCommand(wire::CreateFleet{ kPartitions }));
+    append(configurationCommand(++mVersion, aRoutes));
+    registerNodes();
+    while (mState.revision() < aEntries) {
+      if (mState.revision() / aEntriesPerConfiguration >= mVersion) {
+        append(configurationCommand(++mVersion, aRoutes));
+      }
+      movePartition();
+    }
+    flush();
+  }
+
+  std::uint64_t version() const { return mVersion; }
+
+private:
+  static constexpr NodeId kNodes = 78;
+  static constexpr PartitionId kPartitions = 2048;
+  static constexpr std::size_t kBatchEntries = 256;
+  static constexpr std::size_t kAuditBytes = 64U << 20U;
+
+  static wire::Command systemCommand(wire::CommandBody aBody)
+  {
+    wire::Command out;
+    out.issuer = wire::kSystemIssuer;
+    out.bodies.push_back(std::move(aBody));
+    return out;
+  }
+
+  void registerNodes()
+  {
+    for (NodeId id = 1; id <= kNodes; ++id) {
+      wire::Node node;
+      node.id = id;
+      node.incarnation = id;
+      node.zone = "a";
+      node.peerAddress = "127.0.0.1:1";
+      node.target = wire::Announcement{ "lookup", 20, 2, Millis(100), true };
+      append(systemCommand(wire::RegisterNode{ node }));
+      wire::AssignPartitions assign{ "lookup", id, id, {} };
+      for (auto it = static_cast<PartitionId>(id - 1); it < kPartitions; it += kNodes) {
+        assign.partitions.push_back(it);
+      }
+      append(systemCommand(assign));
+    }
+  }
+
+  void movePartition()
+  {
+    const PartitionId partition = mNextPartition++ % kPartitions;
+    const wire::PartitionGrant grant = *mState.model().grant("lookup", partition);
+    append(
+      systemCommand(wire::BeginPartitionMove{ "lookup", grant.owner % kNodes + 1, { partition } }));
+    append(systemCommand(wire::ReleasePartitions{
+      "lookup", grant.owner, grant.incarnation, { { partition, grant.token, "" } } }));
+  }
+
+  void append(const wire::Command& aCommand)
+  {
+    wire::LogEntry entry;
+    entry.index = mState.revision() + 1;
+    entry.term = 1;
+    entry.kind = wire::EntryKind::Command;
+    entry.payload = Bytes(wire::encodePayload(aCommand));
+    auto applied = mState.apply(entry.index, aCommand);
+    REQUIRE(applied.result.code == ErrorCode::None);
+    std::move(applied.audit.begin(), applied.audit.end(), std::back_inserter(mAudit));
+    mEntries.push_back(std::move(entry));
+    if (mEntries.size() >= kBatchEntries) {
+      flush();
+    }
+  }
+
+  void flush()
+  {
+    REQUIRE(mTrail.append(std::exchange(mAudit, {})));
+    agreement::Persist batch;
+    batch.term = 1;
+    batch.votedFor = 1;
+    batch.entries = std::exchange(mEntries, {});
+    if (mState.revision() - mSnapshotAt >= agreement::LogNodeConfig().snapshotEntries) {
+      mSnapshotAt = mState.revision();
+      batch.snapshot = std::make_shared<agreement::Snapshot>(
+        agreement::Snapshot{ mSnapshotAt, 1, { { { 1, mStoreId } } }, mState.encodeSnapshot() });
+    }
+    REQUIRE(mStore.persist(batch));
+  }
+
+  agreement::FileLogStore mStore;
+  fleet::AuditTrail mTrail;
+  wire::StoreId mStoreId;
+  fleet::FleetState mState;
+  std::vector<wire::LogEntry> mEntries;
+  std::vector<fleet::AuditRecord> mAudit;
+  LogIndex mSnapshotAt = 0;
+  std::uint64_t mVersion = 0;
+  PartitionId mNextPartition = 0;
+};
+
+Duration processorTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+/// Processor time of a restarted member until it answers a read.
+struct StartTimes
+{
+  Duration store{ 0 };
+  Duration audit{ 0 };
+  Duration control{ 0 };
+  std::string document;
+};
+
+std::string readDocument(Ring<ControlMessage>& aRing)
+{
+  const TimePoint end = Clock::now() + std::chrono::seconds(60);
+  for (;;) {
+    const auto promise = std::make_shared<std::promise<DocumentResponse>>();
+    REQUIRE(aRing.tryPush(DocumentRequest{
+      end, [promise](const DocumentResponse& aResponse) { promise->set_value(aResponse); } }));
+    auto result = promise->get_future();
+    REQUIRE(result.wait_until(end) == std::future_status::ready);
+    const DocumentResponse response = result.get();
+    if (response.code == ErrorCode::None) {
+      return response.document;
+    }
+    std::this_thread::sleep_for(Millis(5));
+  }
+}
+
 Settings settingsOf(const std::string& aFolder)
 {
   Settings out;
@@ -122,6 +269,34 @@
   return out;
 }
 
+StartTimes restart(const std::string& aFolder)
+{
+  StartTimes out;
+  const Settings settings = settingsOf(aFolder);
+  const Duration begin = processorTime();
+  auto store = std::make_unique<agreement::FileLogStore>(aFolder + "/log", std::mt19937_64(2));
+  auto stored = store->open();
+  REQUIRE(stored);
+  const Duration storeDone = processorTime();
+  auto audit = fleet::AuditTrail::open(aFolder + "/audit.jsonl", 64U << 20U);
+  REQUIRE(audit);
+  const Duration auditDone = processorTime();
+  Rings rings;
+  rings.control = std::make_unique<Ring<ControlMessage>>(kControlRingSize);
+  PeerRouter router(settings.id, rings);
+  StorageDuty storage(std::move(store), *rings.control);
+  ControlDuty control(settings, rings, router, storage, *stored, std::move(*audit));
+  storage.start();
+  control.start();
+  out.document = readDocument(*rings.control);
+  out.control = processorTime() - auditDone;
+  out.audit = auditDone - storeDone;
+  out.store = storeDone - begin;
+  control.stop();
+  storage.stop();
+  return out;
+}
+
 // Sends as many requests as a large fleet does within a moment, and returns the answer to the last.
 ControlStatus statusOf(Ring<ControlMessage>& aRing)
 {
@@ -172,4 +347,38 @@
   CHECK(longest < applyTime / 4);
 }
 
+void checkRestart(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes)
+{
+  // A group answers within contact_s. The smallest control members have 0.3 of a core.
+  constexpr Millis kContact{ 3000 };
+  constexpr double kCoreShare = 0.3;
+  const TemporaryFolder folder;
+  std::uint64_t version = 0;
+  {
+    DayWriter day(folder.path());
+    day.write(aEntries, aEntriesPerConfiguration, aRoutes);
+    version = day.version();
+  }
+  const StartTimes times = restart(folder.path());
+  CHECK(times.document == std::to_string(version));
+  INFO("processor time: log " << toMillis(times.store) << " ms, audit trail "
+                              << toMillis(times.audit) << " ms, until the read "
+                              << toMillis(times.control) << " ms");
+  CHECK(times.store + times.audit + times.control < kCoreShare * kContact);
+}
+
+// Guards against a control group that can't say which configuration is in force for seconds after
+// all of its members restarted (CONFIG), because a start costs more the longer the day was.
+TEST_CASE("a control member answers a read in time after a restart late in the day")
+{
+  checkRestart(36'720, 1360, 10);
+}
+
+// Guards against the same after a series of configurations: each of them is applied in full,
+// although the next one replaces it.
+TEST_CASE("a control member answers a read in time after a restart in a series of configurations")
+{
+  checkRestart(4080, 112, 1400);
+}
+
 } // namespace camphorcleat::daemon
