--- a/packages/fleet/AuditTrail.h
+++ b/packages/fleet/AuditTrail.h
@@ -36,7 +36,7 @@
 public:
   /// Opens or creates the trail at a path; the older file is at that path plus ".1". The two files
   /// together have at most aMaxBytes, unless a single append() exceeds half of that. Fails
-  /// with StorageError or LogDamagedError.
+  /// with StorageError, or with LogDamagedError if the end of a file is corrupt.
   static Result<AuditTrail> open(const std::string& aPath, std::size_t aMaxBytes);
 
   AuditTrail(AuditTrail&& aOther) noexcept;
--- a/packages/fleet/testing/AuditTrailTest.cc
+++ b/packages/fleet/testing/AuditTrailTest.cc
@@ -171,6 +171,20 @@
   CHECK(used < kCoreShare * kContact);
 }
 
+// Guards against records of one command that are written twice or not at all, if they exceed what a
+// start reads first.
+TEST_CASE("a replay of a command with many records completes them")
+{
+  TrailFolder folder;
+  folder.maxBytes = 8U << 20U;
+  const std::vector<AuditRecord> records(2000, recordOf(2, "zone/b"));
+  REQUIRE(folder.open().append({ recordOf(1, "zone/a") }));
+  REQUIRE(folder.open().append({ records.begin(), records.end() - 1 }));
+  AuditTrail trail = folder.open();
+  REQUIRE(trail.append(records));
+  REQUIRE(revisionsOf(trail, { "zone/b", 0, 10000 }).size() == records.size());
+}
+
 TEST_CASE("corrupt records and missing directories give typed errors")
 {
   TrailFolder folder;
