Failing test: a request is started although its caller left before it was read

A busy entry reads a request whose caller has already closed the connection, and passes it to the handler. The close is noticed only by the next poll. Fails on for a new connection, a kept one and a request with a body (handler.requests() is one too many in each).

--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -359,6 +359,43 @@
   REQUIRE(server.frontend->openRequests() == 0);
 }
 
+// Guards against work for a caller that has left (GONE): its request lay unread while the frontend's
+// thread was busy.
+TEST_CASE("a request whose caller closed the connection before it was read isn't started")
+{
+  ServerFixture server;
+  auto caller = std::make_unique<BlockingSocket>(server.frontend->port());
+  std::string request = kGet;
+  int served = 0;
+  SECTION("on a new connection")
+  {
+    caller.reset();
+  }
+  SECTION("on a kept connection")
+  {
+    caller->write(kGet);
+    REQUIRE(caller->readUntil("/a").find("200 OK") != std::string::npos);
+    served = 1;
+  }
+  SECTION("with a body")
+  {
+    request = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+  }
+  std::promise<void> release;
+  server.thread.post([&] { release.get_future().wait(); });
+  if (!caller) { // Stays in the accept queue until the thread is free.
+    caller = std::make_unique<BlockingSocket>(server.frontend->port());
+  }
+  caller->write(request);
+  caller->close();
+  release.set_value();
+  BlockingSocket next(server.frontend->port());
+  next.write("GET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(next.readUntil("/next").find("200 OK") != std::string::npos);
+  REQUIRE(waitFor([&] { return server.frontend->openConnections() == 1; }));
+  CHECK(server.handler.requests() == served + 1);
+}
+
 TEST_CASE("a caller that stops reading blocks the handler, and its connection is closed")
 {
   HttpLimits limits;
