Failing test: a request is sent to the target after its deadline

On a thread that was busy, a completed connect is handled before the timer that checks the deadline. Fails on: the target gets the request, 150 ms after the deadline.

--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -471,4 +471,23 @@
   REQUIRE(client.client->openConnections() == 0);
 }
 
+// Guards against work for a caller that has left (GONE): the deadline passed while the client's
+// thread was busy and the connection to the target was being set up.
+TEST_CASE("a request whose deadline passes while its connection is set up isn't sent")
+{
+  std::promise<std::string> got;
+  ScriptedServer target([&](BlockingSocket& aSocket, int) { got.set_value(aSocket.readSome()); });
+  ClientFixture client(target.address());
+  const auto handler = std::make_shared<RecordingTargetHandler>();
+  runOn(client.thread, [&] {
+    handler->exchange = client.client->start(TargetRequest{ "GET", "/x", {}, 0 }, handler,
+                                             Clock::now() + Millis(50));
+    client.thread.post([] { std::this_thread::sleep_for(Millis(200)); });
+  });
+  REQUIRE(waitFor([&] { return handler->isDone(); }));
+  CHECK(handler->code == ErrorCode::DeadlineExceeded);
+  CHECK_FALSE(handler->mayHaveRun);
+  CHECK(got.get_future().get().empty());
+}
+
 } // namespace camphorcleat::transport::testing
