Failing test: a cancelled request that still waits for its link is sent

The request and its cancellation wait together until the link opens; both are then sent. Fails on: the peer gets both requests instead of one.

--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <thread>
@@ -234,6 +235,33 @@
   REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 2);
 }
 
+// Guards against work for a caller that has left (GONE): the owner would start the request before it
+// reads the cancellation.
+TEST_CASE("a request that is cancelled while it waits for its link isn't sent")
+{
+  NodeFixture b(configOf(2));
+  NodeFixture a(configOf(1));
+  a.hub.setAddress(2, addressOf(b.hub));
+  const auto sent = a.hub.send(2, Lane::Data, request(1));
+  REQUIRE(a.hub.reply(sent.link, wire::CancelRequest{ { 1, 1 } }) == SendStatus::Accepted);
+  REQUIRE(a.hub.reply(sent.link, request(2)) == SendStatus::Accepted);
+  REQUIRE(a.hub.reply(sent.link, numbered(1)) == SendStatus::Accepted);
+  const auto isLast = [](const wire::PeerMessage& aMessage) {
+    return std::holds_alternative<wire::LeaseRenew>(aMessage);
+  };
+  REQUIRE(waitFor([&] {
+    const auto got = b.handler.messages();
+    return std::any_of(got.begin(), got.end(), isLast);
+  }));
+  std::vector<RequestId> started;
+  for (const auto& it : b.handler.messages()) {
+    if (const auto* head = std::get_if<wire::RequestHead>(&it)) {
+      started.push_back(head->id);
+    }
+  }
+  CHECK(started == std::vector<RequestId>{ { 1, 2 } });
+}
+
 TEST_CASE("the messages of each of several concurrent senders arrive in order")
 {
   NodeFixture a(configOf(1));
