Failing test: a request is sent to the target although its cancellation waits behind it

The owner's thread handles 256 messages at a time and starts the requests among them before the next ones. Fails on: the target gets the request on a kept connection, though the cancellation was in the ring before the thread handled the request.

--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -94,6 +94,26 @@
             static_cast<ssize_t>(aBytes.size()));
   }
 
+  // Returns the bytes that arrive on the newest connection within a time.
+  std::string read(Millis aTime)
+  {
+    std::string out;
+    const TimePoint end = Clock::now() + aTime;
+    while (Clock::now() < end) {
+      pollfd ready{ mAccepted.back(), POLLIN, 0 };
+      if (::poll(&ready, 1, 10) <= 0) {
+        continue;
+      }
+      std::string buf(4096, '\0');
+      const ssize_t n = ::recv(mAccepted.back(), buf.data(), buf.size(), 0);
+      if (n <= 0) {
+        break;
+      }
+      out.append(buf, 0, static_cast<std::size_t>(n));
+    }
+    return out;
+  }
+
   // Refuses further connections, as a target that drains may do.
   void closeListener()
   {
@@ -360,6 +380,13 @@
     push(ReceivedMessage{ kLocalLink, 1, head });
   }
 
+  // Passes a message of the entry of this daemon to the owner, as the router does.
+  void send(wire::PeerMessage aMessage)
+  {
+    const auto sent = router.send(settings.id, transport::Lane::Data, std::move(aMessage));
+    REQUIRE(sent.status == transport::SendStatus::Accepted);
+  }
+
   // Returns the body of the next complete response, or nothing if none is complete in time.
   std::optional<std::string> responseBody(Millis aTime)
   {
@@ -605,6 +632,37 @@
   CHECK(failed->code == ErrorCode::DeadlineExceeded);
 }
 
+// Guards against work for a caller that has left (GONE): the cancellation already waits behind the
+// request when the owner's thread handles the request.
+TEST_CASE("a request whose cancellation arrived before it was handled isn't sent to the target")
+{
+  constexpr std::uint64_t kMessagesBetween = 1000;
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  f.sendRequest("intake", "", 5);
+  REQUIRE(f.target.accept(Millis(300)) == 1);
+  REQUIRE(f.target.read(Millis(50)).find("GET / ") == 0);
+  f.target.write(responseTo("9-" + std::to_string(f.counter), "first"));
+  REQUIRE(f.responseBody(Millis(2000)) == "first"); // The connection is kept.
+  std::promise<void> isBusy;
+  std::promise<void> release;
+  f.push(TargetDeregistration{ "other", std::nullopt, [&] {
+                                isBusy.set_value();
+                                release.get_future().wait();
+                              } });
+  REQUIRE(isBusy.get_future().wait_for(Millis(2000)) == std::future_status::ready);
+  f.sendRequest("intake", "", 5);
+  const RequestId id{ 9, f.counter };
+  for (std::uint64_t i = 0; i < kMessagesBetween; ++i) {
+    f.push(ReceivedMessage{ kLocalLink, 1, wire::Credit{ { 8, i }, wire::Direction::ToCaller, 1 } });
+  }
+  f.send(wire::CancelRequest{ id });
+  release.set_value();
+  CHECK(f.target.read(Millis(300)).empty());
+  CHECK(f.target.accept(Millis(50)) == 1);
+}
+
 // Guards against keys that are passed on while a draining target, which accepts no connections any
 // more, still runs a request for them.
 TEST_CASE("a target that refuses connections has not ended while it runs a request")
