Failing test: the wait that a request shares with the Hello of its link isn't counted

The Hello is the first sample of the link's clocks. If it lies unread as long as the request behind it, that wait is the minimum. Fails on: a request with a deadline of 1 s that waited 1.5 s is started at the target.

--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -16,6 +16,8 @@
 #include "base/Hash.h"
 #include "daemon/NativeDialect.h"
 #include "daemon/OwnerDuty.h"
+#include "transport/testing/TransportFakes.h"
+#include "wire/WireCodec.h"
 
 namespace camphorcleat::daemon {
 namespace {
@@ -243,6 +245,20 @@
   std::promise<wire::RequestFailed> mFailure;
 };
 
+// Returns a binary WebSocket frame with a mask of zero.
+std::string clientFrame(const std::string& aPayload)
+{
+  // RFC 6455 requires the shortest encoding of the length.
+  const std::size_t n = aPayload.size();
+  std::string out = "\x82";
+  if (n < 126) {
+    out += static_cast<char>(0x80U | n);
+  } else {
+    out += { '\xFE', static_cast<char>(n >> 8U), static_cast<char>(n & 0xFFU) };
+  }
+  return out + std::string(4, '\0') + aPayload;
+}
+
 transport::PeerHubConfig hubConfig(NodeId aSelf)
 {
   transport::PeerHubConfig config;
@@ -663,6 +679,48 @@
   CHECK(f.target.accept(Millis(50)) == 1);
 }
 
+// Guards against work for a caller that has left (GONE): the Hello of a new link, which is the
+// first sample of its clocks, waited as long as the request behind it.
+TEST_CASE("the time that a request waited together with the hello of its link is subtracted")
+{
+  using transport::testing::BlockingSocket;
+  constexpr Millis kBusy{ 1500 };
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  BusyHandler ownerHandler(f.router, kBusy);
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), ownerHandler);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+  FailureRecorder otherHandler;
+  transport::PeerHub otherHub(hubConfig(3), otherHandler);
+  REQUIRE(otherHub.start());
+  otherHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
+
+  BlockingSocket entry(ownerHub->port());
+  entry.write("GET /camphorcleat/data HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+              "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n");
+  REQUIRE(entry.readUntil("fleet").find("101") != std::string::npos); // Up to the owner's Hello.
+  otherHub.send(1, transport::Lane::Control, wire::JoinRequest{});
+  REQUIRE(ownerHandler.waitUntilBusy(Millis(2000)));
+  wire::Hello hello{ 2, 1002, "fleet" };
+  hello.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(1000);
+  head.routeRevision = 5;
+  head.sentAt = hello.sentAt;
+  entry.write(clientFrame(wire::encodePeerMessage(hello)) +
+              clientFrame(wire::encodePeerMessage(head)));
+  CHECK(f.target.accept(kBusy + Millis(500)) == 0);
+  CHECK(entry.readUntil("deadline").find("deadline") != std::string::npos);
+}
+
 // Guards against keys that are passed on while a draining target, which accepts no connections any
 // more, still runs a request for them.
 TEST_CASE("a target that refuses connections has not ended while it runs a request")
