Proposal: don't start a request whose caller closed the connection before it was read

Callers left while a busy entry had not read their requests, and their requests ran. The close was noticed by a poll every 50 ms, after the request was passed on: after a stall, asio handles ready sockets before expired timers. startRequest now checks for the close itself.

--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <poll.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -275,8 +277,18 @@
   return "";
 }
 
+bool HttpSession::hasCallerClosed()
+{
+  pollfd fd{ nativeSocket(), POLLRDHUP, 0 };
+  return ::poll(&fd, 1, 0) > 0;
+}
+
 void HttpSession::startRequest()
 {
+  if (hasCallerClosed()) { // While its request waited to be read.
+    close(false);
+    return;
+  }
   const auto& request = mParser->get();
   mPhase = Phase::Running;
   ++mRequestNumber;
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -64,6 +64,9 @@
   /// Returns the file descriptor, to be polled for a close by the caller.
   int nativeSocket() { return mSocket.native_handle(); }
 
+  /// Returns whether the caller has closed its connection, in either direction.
+  bool hasCallerClosed();
+
   /// Closes the connection and calls the function set with onDisconnect(). For a connection that
   /// the caller closed or that exceeded a time limit.
   void handleDisconnect();
