Proposal: check the deadline when the connection to the target is set up

A completed connect was handled before the expired timer that checks the deadline, so the target got the request after its deadline. The test 'a request whose deadline passes while its connection is set up isn't sent' failed before and passes (5 of 5 runs).

--- a/packages/transport/HttpTargetExchange.cc
+++ b/packages/transport/HttpTargetExchange.cc
@@ -118,6 +118,11 @@
 void HttpTargetExchange::onConnected()
 {
   mConnectDeadline = TimePoint::max();
+  // On a thread that was busy, this runs before the timer that checks the time limits.
+  checkTimeouts(Clock::now());
+  if (mIsDone) {
+    return;
+  }
   boost::system::error_code ec;
   mConnection->socket.set_option(asio::ip::tcp::no_delay(true), ec);
   sendRequest();
