Proposal: drop a cancelled request that was not passed to its connection yet

A request and its cancellation that waited for their link were both sent, and the owner may start the request before it reads the cancellation.

--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -352,7 +352,7 @@
       return;
     }
     for (auto& it : links.takeOutbox(*aLink)) {
-      if (!sendFrame(aLink, it)) {
+      if (!sendFrame(aLink, it.bytes)) {
         return;
       }
     }
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -2,6 +2,7 @@
 
 #include "transport/PeerLink.h"
 
+#include <algorithm>
 #include <atomic>
 
 #include "transport/NodeAddress.h"
@@ -32,7 +33,7 @@
     return { Kind::Ended, failed->id };
   }
   if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage)) {
-    return { Kind::Ended, cancel->id };
+    return { Kind::Cancelled, cancel->id };
   }
   const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage);
   const bool isEnd =
@@ -80,7 +81,7 @@
 {
   if (aEvent.kind == RequestEvent::Kind::Started) {
     aLink.running.insert(aEvent.request);
-  } else if (aEvent.kind == RequestEvent::Kind::Ended) {
+  } else if (aEvent.kind != RequestEvent::Kind::None) {
     aLink.running.erase(aEvent.request);
   }
 }
@@ -103,6 +104,12 @@
 {
   QueueResult out;
   out.link = aLink;
+  if (aEvent.kind == RequestEvent::Kind::Cancelled &&
+      removeWaitingLocked(*aLink, aEvent.request)) {
+    recordLocked(*aLink, aEvent);
+    out.result = { SendStatus::Accepted, aLink->id };
+    return out;
+  }
   const std::size_t bytes = aBytes.size() + kBytesPerMessage;
   const std::size_t waiting = aLink->outboxBytes + aLink->socketBytes;
   // A message longer than the limit is accepted if nothing else waits.
@@ -110,7 +117,7 @@
     out.result.status = SendStatus::Full;
     return out;
   }
-  aLink->outbox.push_back(std::move(aBytes));
+  aLink->outbox.push_back({ std::move(aBytes), aEvent });
   aLink->outboxBytes += bytes;
   recordLocked(*aLink, aEvent);
   out.result = { SendStatus::Accepted, aLink->id };
@@ -119,7 +126,21 @@
   return out;
 }
 
-std::vector<std::string> PeerLinkTable::takeOutbox(PeerLink& aLink)
+// Removes a request that was not passed to the connection yet. The peer ignores parts of its body.
+bool PeerLinkTable::removeWaitingLocked(PeerLink& aLink, const RequestId& aRequest)
+{
+  const auto it = std::find_if(aLink.outbox.begin(), aLink.outbox.end(), [&](const auto& aItem) {
+    return aItem.event.kind == RequestEvent::Kind::Started && aItem.event.request == aRequest;
+  });
+  if (it == aLink.outbox.end()) {
+    return false;
+  }
+  aLink.outboxBytes -= it->bytes.size() + kBytesPerMessage;
+  aLink.outbox.erase(it);
+  return true;
+}
+
+std::vector<WaitingMessage> PeerLinkTable::takeOutbox(PeerLink& aLink)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   aLink.isFlushPosted = false;
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -26,6 +26,7 @@
     None,
     Started,
     Ended,
+    Cancelled,
   };
   Kind kind = Kind::None;
   RequestId request{};
@@ -35,6 +36,13 @@
 /// fails. Thread-safe.
 RequestEvent requestEventOf(const wire::PeerMessage& aMessage);
 
+/// An encoded message that waits for its link.
+struct WaitingMessage
+{
+  std::string bytes;
+  RequestEvent event;
+};
+
 /// One link: its state, its queue and, while there is one, its connection.
 struct PeerLink
 {
@@ -53,7 +61,7 @@
   Lane lane = Lane::Control;
   bool isOpen = false; ///< The peer's Hello has been accepted.
   bool isFlushPosted = false;
-  std::vector<std::string> outbox;
+  std::vector<WaitingMessage> outbox;
   std::size_t outboxBytes = 0;
   std::size_t socketBytes = 0;           ///< Passed to the connection and not written yet.
   std::unordered_set<RequestId> running; ///< Requests whose end hasn't been sent or received yet.
@@ -113,7 +121,7 @@
 
   /// Removes and returns all messages that wait on an open link, and counts their bytes as passed
   /// to the connection.
-  std::vector<std::string> takeOutbox(PeerLink& aLink);
+  std::vector<WaitingMessage> takeOutbox(PeerLink& aLink);
 
   /// Sets how many bytes the connection has not written yet.
   void setSocketBytes(PeerLink& aLink, std::size_t aBytes);
@@ -152,6 +160,7 @@
 private:
   QueueResult queueLocked(const std::shared_ptr<PeerLink>& aLink, std::string aBytes,
                           const RequestEvent& aEvent);
+  static bool removeWaitingLocked(PeerLink& aLink, const RequestId& aRequest);
   static void recordLocked(PeerLink& aLink, const RequestEvent& aEvent);
 
   const std::size_t mMaxBufferedBytes;
