--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -16,6 +16,8 @@
 #include "base/Hash.h"
 #include "daemon/NativeDialect.h"
 #include "daemon/OwnerDuty.h"
+#include "transport/testing/TransportFakes.h"
+#include "wire/WireCodec.h"
 
 namespace camphorcleat::daemon {
 namespace {
@@ -94,6 +96,26 @@
             static_cast<ssize_t>(aBytes.size()));
   }
 
+  // Returns the bytes that arrive on the newest connection within a time.
+  std::string read(Millis aTime)
+  {
+    std::string out;
+    const TimePoint end = Clock::now() + aTime;
+    while (Clock::now() < end) {
+      pollfd ready{ mAccepted.back(), POLLIN, 0 };
+      if (::poll(&ready, 1, 10) <= 0) {
+        continue;
+      }
+      std::string buf(4096, '\0');
+      const ssize_t n = ::recv(mAccepted.back(), buf.data(), buf.size(), 0);
+      if (n <= 0) {
+        break;
+      }
+      out.append(buf, 0, static_cast<std::size_t>(n));
+    }
+    return out;
+  }
+
   // Refuses further connections, as a target that drains may do.
   void closeListener()
   {
@@ -223,6 +245,20 @@
   std::promise<wire::RequestFailed> mFailure;
 };
 
+// Returns a binary WebSocket frame with a mask of zero.
+std::string clientFrame(const std::string& aPayload)
+{
+  // RFC 6455 requires the shortest encoding of the length.
+  const std::size_t n = aPayload.size();
+  std::string out = "\x82";
+  if (n < 126) {
+    out += static_cast<char>(0x80U | n);
+  } else {
+    out += { '\xFE', static_cast<char>(n >> 8U), static_cast<char>(n & 0xFFU) };
+  }
+  return out + std::string(4, '\0') + aPayload;
+}
+
 transport::PeerHubConfig hubConfig(NodeId aSelf)
 {
   transport::PeerHubConfig config;
@@ -360,6 +396,13 @@
     push(ReceivedMessage{ kLocalLink, 1, head });
   }
 
+  // Passes a message of the entry of this daemon to the owner, as the router does.
+  void send(wire::PeerMessage aMessage)
+  {
+    const auto sent = router.send(settings.id, transport::Lane::Data, std::move(aMessage));
+    REQUIRE(sent.status == transport::SendStatus::Accepted);
+  }
+
   // Returns the body of the next complete response, or nothing if none is complete in time.
   std::optional<std::string> responseBody(Millis aTime)
   {
@@ -605,6 +648,79 @@
   CHECK(failed->code == ErrorCode::DeadlineExceeded);
 }
 
+// Guards against work for a caller that has left (GONE): the cancellation already waits behind the
+// request when the owner's thread handles the request.
+TEST_CASE("a request whose cancellation arrived before it was handled isn't sent to the target")
+{
+  constexpr std::uint64_t kMessagesBetween = 1000;
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  f.sendRequest("intake", "", 5);
+  REQUIRE(f.target.accept(Millis(300)) == 1);
+  REQUIRE(f.target.read(Millis(50)).find("GET / ") == 0);
+  f.target.write(responseTo("9-" + std::to_string(f.counter), "first"));
+  REQUIRE(f.responseBody(Millis(2000)) == "first"); // The connection is kept.
+  std::promise<void> isBusy;
+  std::promise<void> release;
+  f.push(TargetDeregistration{ "other", std::nullopt, [&] {
+                                isBusy.set_value();
+                                release.get_future().wait();
+                              } });
+  REQUIRE(isBusy.get_future().wait_for(Millis(2000)) == std::future_status::ready);
+  f.sendRequest("intake", "", 5);
+  const RequestId id{ 9, f.counter };
+  for (std::uint64_t i = 0; i < kMessagesBetween; ++i) {
+    f.push(ReceivedMessage{ kLocalLink, 1, wire::Credit{ { 8, i }, wire::Direction::ToCaller, 1 } });
+  }
+  f.send(wire::CancelRequest{ id });
+  release.set_value();
+  CHECK(f.target.read(Millis(300)).empty());
+  CHECK(f.target.accept(Millis(50)) == 1);
+}
+
+// Guards against work for a caller that has left (GONE): the Hello of a new link, which is the
+// first sample of its clocks, waited as long as the request behind it.
+TEST_CASE("the time that a request waited together with the hello of its link is subtracted")
+{
+  using transport::testing::BlockingSocket;
+  constexpr Millis kBusy{ 1500 };
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  BusyHandler ownerHandler(f.router, kBusy);
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), ownerHandler);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+  FailureRecorder otherHandler;
+  transport::PeerHub otherHub(hubConfig(3), otherHandler);
+  REQUIRE(otherHub.start());
+  otherHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
+
+  BlockingSocket entry(ownerHub->port());
+  entry.write("GET /camphorcleat/data HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+              "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n");
+  REQUIRE(entry.readUntil("fleet").find("101") != std::string::npos); // Up to the owner's Hello.
+  otherHub.send(1, transport::Lane::Control, wire::JoinRequest{});
+  REQUIRE(ownerHandler.waitUntilBusy(Millis(2000)));
+  wire::Hello hello{ 2, 1002, "fleet" };
+  hello.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(1000);
+  head.routeRevision = 5;
+  head.sentAt = hello.sentAt;
+  entry.write(clientFrame(wire::encodePeerMessage(hello)) +
+              clientFrame(wire::encodePeerMessage(head)));
+  CHECK(f.target.accept(kBusy + Millis(500)) == 0);
+  CHECK(entry.readUntil("deadline").find("deadline") != std::string::npos);
+}
+
 // Guards against keys that are passed on while a draining target, which accepts no connections any
 // more, still runs a request for them.
 TEST_CASE("a target that refuses connections has not ended while it runs a request")
