A request whose route was unknown is looked up again in time (proposal)

EntryRequest asked to look a route up and then set a timer. If the look-up is answered while it is carried out (EntryExchange), the answering step sets the timer of the next retry, and the outer step then replaced it by the deadline. A request without a known owner, or whose first send failed at once, so waited until its deadline. The timer is now the first action of a step.

--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -159,8 +159,9 @@
   std::shared_ptr<EntryExchange> exchange;
 
   explicit Run(const std::string& aMethod, std::optional<std::uint64_t> aLength = 0,
-               Millis aDeadline = Millis(10000))
+               Millis aDeadline = Millis(10000), NodeId aOwner = 2)
   {
+    host.owner = aOwner;
     caller->length = aLength;
     wire::RequestHead head;
     head.service = "lookup";
@@ -176,6 +177,11 @@
     exchange->start();
   }
 
+  void runFor(Millis aTime)
+  {
+    io.restart();
+    io.run_for(aTime);
+  }
   // Runs timers until the request has ended; returns false after two seconds.
   bool runToEnd()
   {
@@ -360,6 +366,16 @@
   CHECK(run.caller->status == 503);
 }
 
+// Guards against a request that waits until its deadline although its key got an owner before.
+TEST_CASE("a route that was unknown at first is looked up again before the deadline")
+{
+  Run run("GET", 0, Millis(10'000), kNoNode);
+  CHECK(run.host.heads.empty());
+  run.runFor(Millis(20));
+  run.host.owner = 2;
+  CHECK(run.runUntilAttempts(1));
+}
+
 TEST_CASE("beyond the buffer, the request body is read only within the owner's credit")
 {
   Run run("PUT", std::nullopt);
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -305,7 +305,9 @@
   }
   if (mTimer != at) {
     mTimer = at;
-    mActions.emplace_back(SetTimer{ at });
+    // A LookUpRoute or StartAttempt may be answered while it is carried out. The timer that is set
+    // by that step must replace this one.
+    mActions.insert(mActions.begin(), SetTimer{ at });
   }
 }
 
