An entry waits for a newer view before it asks a previous owner again (proposal)

Cause: after not_owner, EntryRequest asked the same owner from the same view after 2 to 100 ms, and a new view didn't start the attempt earlier. RequestFailed.revision was ignored. The route now carries the grant's token, the view's revision and whether the key is moving; EntryDuty passes changes of the view to the requests that wait for one. All waits end at bridgeUntil.

The effect on the users' site is not measured.

--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -157,6 +157,11 @@
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
     mState = mView.state();
     mFrontend->setLimits(callerLimits());
+    for (const auto& it : std::exchange(mAwaitingView, {})) {
+      if (const auto waiting = it.lock()) {
+        waiting->viewChanged();
+      }
+    }
   } else if (std::holds_alternative<BeginStop>(aMessage)) {
     mFrontend->beginDrain();
   }
@@ -356,23 +361,32 @@
   return std::nullopt;
 }
 
-NodeId EntryDuty::selectNode(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded,
-                             bool /*aNeedsNewerView*/)
+traffic::RouteKnown EntryDuty::selectRoute(const EntryExchange& aExchange,
+                                           const std::vector<NodeId>& aExcluded,
+                                           bool /*aNeedsNewerView*/)
 {
   mState = mView.state();
-  return aExchange.isKeyed() ? ownerOf(aExchange) : chooseTarget(aExchange, aExcluded);
+  return aExchange.isKeyed() ? routeOf(aExchange)
+                             : traffic::RouteKnown{ chooseTarget(aExchange, aExcluded) };
+}
+
+void EntryDuty::awaitView(const std::shared_ptr<EntryExchange>& aExchange)
+{
+  mAwaitingView.push_back(aExchange);
 }
 
-NodeId EntryDuty::ownerOf(const EntryExchange& aExchange) const
+traffic::RouteKnown EntryDuty::routeOf(const EntryExchange& aExchange) const
 {
   const fleet::FleetModel& model = *mState->model;
   const std::string& service = aExchange.head().service;
   if (model.partitionCount() == 0) {
-    return kNoNode;
+    return {};
   }
   const wire::PartitionGrant* grant =
     model.grant(service, model.partitionOf(service, aExchange.head().key));
-  return grant == nullptr ? kNoNode : grant->owner;
+  return grant == nullptr ? traffic::RouteKnown()
+                          : traffic::RouteKnown{ grant->owner, grant->token, mState->revision,
+                                                 grant->movingTo != kNoNode };
 }
 
 NodeId EntryDuty::chooseTarget(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded)
@@ -458,7 +472,7 @@
              { "code", std::string(enumName(aCode)) },
              { "service", aExchange.head().service },
              { "partition", std::to_string(aExchange.head().partition) },
-             { "owner", std::to_string(ownerOf(aExchange)) },
+             { "owner", std::to_string(routeOf(aExchange).node) },
              { "revision", std::to_string(mState->revision) },
              { "after_ms", std::to_string(toMillis(Clock::now() - aExchange.startedAt())) } });
   mMetrics.countEntry(aExchange.head().service, aExchange.head().account, aCode,
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -52,8 +52,10 @@
 
   // Overrides of HttpHandler and EntryExchangeHost. They run on the entry thread.
   void onRequest(std::shared_ptr<transport::CallerStream> aStream) override;
-  NodeId selectNode(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded,
-                    bool aNeedsNewerView) override;
+  traffic::RouteKnown selectRoute(const EntryExchange& aExchange,
+                                  const std::vector<NodeId>& aExcluded,
+                                  bool aNeedsNewerView) override;
+  void awaitView(const std::shared_ptr<EntryExchange>& aExchange) override;
   RequestId newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode) override;
   transport::SendResult sendTo(NodeId aNode, wire::PeerMessage aMessage) override;
   transport::SendStatus replyTo(transport::LinkId aLink, wire::PeerMessage aMessage) override;
@@ -112,7 +114,7 @@
   std::optional<Rejection> resolvePath(const transport::CallerStream& aStream,
                                        wire::RequestHead& aHead, ExchangePlan& aPlan,
                                        bool& aIsOpen);
-  NodeId ownerOf(const EntryExchange& aExchange) const;
+  traffic::RouteKnown routeOf(const EntryExchange& aExchange) const;
   NodeId chooseTarget(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded);
 
   const Settings& mSettings;
@@ -132,6 +134,7 @@
   std::unique_ptr<traffic::LoadBalancingPolicy> mLoadBalancingPolicy;
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, RunningAttempt> mAttempts;
+  std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
   std::map<NodeId, NodeStats> mStats;
 };
 
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -111,6 +111,8 @@
 {
   if (const auto* lookUp = std::get_if<traffic::LookUpRoute>(&aAction)) {
     lookUpRoute(*lookUp);
+  } else if (std::holds_alternative<traffic::AwaitView>(aAction)) {
+    mHost.awaitView(shared_from_this());
   } else if (const auto* start = std::get_if<traffic::StartAttempt>(&aAction)) {
     startAttempt(*start);
   } else if (const auto* cancel = std::get_if<traffic::CancelAttempt>(&aAction)) {
@@ -126,11 +128,11 @@
 
 void EntryExchange::lookUpRoute(const traffic::LookUpRoute& aLookUp)
 {
-  const NodeId node = mHost.selectNode(*this, aLookUp.exclude, aLookUp.mustBeNewer);
-  if (node == kNoNode) {
+  const traffic::RouteKnown route = mHost.selectRoute(*this, aLookUp.exclude, aLookUp.mustBeNewer);
+  if (route.node == kNoNode) {
     step(traffic::RouteUnknown{});
   } else {
-    step(traffic::RouteKnown{ node });
+    step(route);
   }
 }
 
@@ -366,7 +368,7 @@
   mHost.attemptEnded(aId, false);
   mMayHaveRun = mMayHaveRun || aFailed.outcome == wire::Outcome::Unknown;
   step(traffic::AttemptFailed{ number, aFailed.outcome, aFailed.code, aFailed.message,
-                               aFailed.retryAfter });
+                               aFailed.retryAfter, aFailed.revision });
 }
 
 void EntryExchange::linkLost(const RequestId& aId, bool aNeverOpened)
@@ -379,6 +381,13 @@
   handle(aId, failed);
 }
 
+void EntryExchange::viewChanged()
+{
+  if (!mIsFinished && !mForwardedAttempt) {
+    step(traffic::ViewChanged{});
+  }
+}
+
 std::optional<transport::LinkId> EntryExchange::linkOf(const RequestId& aId) const
 {
   const auto it = mAttempts.find(aId);
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -31,11 +31,14 @@
 public:
   virtual ~EntryExchangeHost() = default;
 
-  /// Selects the node for the next attempt; kNoNode if there is none. An unkeyed request is not
-  /// sent to a node in aExcluded. aNeedsNewerView is true if the previous attempt was refused by a
-  /// node that no longer owns the key.
-  virtual NodeId selectNode(const EntryExchange& aExchange, const std::vector<NodeId>& aExcluded,
-                            bool aNeedsNewerView) = 0;
+  /// Selects the route of the next attempt; its node is kNoNode if there is none. An unkeyed
+  /// request is not sent to a node in aExcluded. aNeedsNewerView is true if the previous attempt
+  /// was refused by a node that no longer owns the key.
+  virtual traffic::RouteKnown selectRoute(const EntryExchange& aExchange,
+                                          const std::vector<NodeId>& aExcluded,
+                                          bool aNeedsNewerView) = 0;
+  /// Calls viewChanged() of the exchange once, when the view changes.
+  virtual void awaitView(const std::shared_ptr<EntryExchange>& aExchange) = 0;
   /// Registers an attempt and returns its id. Messages with this id are passed to the exchange.
   virtual RequestId newAttempt(const std::shared_ptr<EntryExchange>& aExchange, NodeId aNode) = 0;
   /// Sends a message to a node.
@@ -98,6 +101,9 @@
   /// Handles the loss of the connection that an attempt uses.
   void linkLost(const RequestId& aId, bool aNeverOpened);
 
+  /// Handles a change of the view, after EntryExchangeHost::awaitView().
+  void viewChanged();
+
   /// Returns the connection that an attempt uses, or nullopt if the attempt has ended.
   std::optional<transport::LinkId> linkOf(const RequestId& aId) const;
 
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -13,6 +13,9 @@
 namespace camphorcleat::daemon {
 namespace {
 
+// Revision of the view from which FakeHost selects an owner.
+constexpr Revision kViewOfEntry = 10;
+
 // Records the response. The test completes a pending read of the request body by deliverBody().
 class FakeCaller : public transport::CallerStream
 {
@@ -84,10 +87,16 @@
 class FakeHost : public EntryExchangeHost
 {
 public:
-  NodeId selectNode(const EntryExchange& /*aExchange*/, const std::vector<NodeId>& /*aExcluded*/,
-                    bool /*aNeedsNewerView*/) override
+  traffic::RouteKnown selectRoute(const EntryExchange& /*aExchange*/,
+                                  const std::vector<NodeId>& /*aExcluded*/,
+                                  bool /*aNeedsNewerView*/) override
+  {
+    return { owner, 1, revision, false };
+  }
+  void awaitView(const std::shared_ptr<EntryExchange>& aExchange) override
   {
-    return owner;
+    REQUIRE(awaiting.expired());
+    awaiting = aExchange;
   }
   RequestId newAttempt(const std::shared_ptr<EntryExchange>& /*aExchange*/,
                        NodeId /*aNode*/) override
@@ -137,6 +146,8 @@
 
   NativeDialect native;
   NodeId owner = 2;
+  Revision revision = kViewOfEntry;
+  std::weak_ptr<EntryExchange> awaiting;
   transport::SendStatus status = transport::SendStatus::Accepted;      // Result of sendTo().
   transport::SendStatus chunkStatus = transport::SendStatus::Accepted; // Result for body chunks.
   std::vector<RequestId> ids;
@@ -217,9 +228,10 @@
     chunk.data = Bytes(aData);
     exchange->handle(chunk.id, chunk);
   }
-  void refuse(wire::Outcome aOutcome, ErrorCode aCode)
+  void refuse(wire::Outcome aOutcome, ErrorCode aCode, Revision aRevision = 0)
   {
     wire::RequestFailed failed;
+    failed.revision = aRevision;
     failed.id = host.ids.back();
     failed.outcome = aOutcome;
     failed.code = aCode;
@@ -376,6 +388,28 @@
   CHECK(run.runUntilAttempts(1));
 }
 
+// Guards against entries that keep asking the previous owner of a key until their view changes.
+TEST_CASE("an entry asks a previous owner once, not again from the same view")
+{
+  Run run("GET");
+  run.refuse(wire::Outcome::NotRun, ErrorCode::NotOwner, kViewOfEntry + 1);
+  const TimePoint end = Clock::now() + Millis(100);
+  while (Clock::now() < end) {
+    const std::size_t attempts = run.host.heads.size();
+    run.runFor(Millis(10));
+    if (run.host.heads.size() > attempts) {
+      run.refuse(wire::Outcome::NotRun, ErrorCode::NotOwner, kViewOfEntry + 1);
+    }
+  }
+  CHECK(run.host.heads.size() == 1);
+  run.host.owner = 3;
+  ++run.host.revision;
+  const auto waiting = std::exchange(run.host.awaiting, {}).lock();
+  REQUIRE(waiting);
+  waiting->viewChanged();
+  CHECK(run.host.heads.size() == 2);
+}
+
 TEST_CASE("beyond the buffer, the request body is read only within the owner's credit")
 {
   Run run("PUT", std::nullopt);
--- a/packages/traffic/EntryMessages.h
+++ b/packages/traffic/EntryMessages.h
@@ -40,6 +40,9 @@
 struct RouteKnown
 {
   NodeId node = kNoNode;
+  FencingToken token = 0; ///< Of the key's grant; 0 if the request has no key.
+  Revision revision = 0;  ///< Of the entry's view.
+  bool isMoving = false;  ///< The key is being handed over to another node.
 };
 
 /// Response to LookUpRoute: no owner is known, or no usable target is left.
@@ -54,6 +57,7 @@
   ErrorCode code = ErrorCode::Internal;
   std::string message;
   Millis retryAfter{ 0 }; ///< When to retry, as the refusing node advises; 0 means no advice.
+  Revision revision = 0;  ///< For NotOwner: revision of the refusing node's view.
 };
 
 /// The head of an attempt's response arrived.
@@ -68,6 +72,10 @@
   std::uint32_t attempt = 0;
 };
 
+/// The entry's view has changed since AwaitView.
+struct ViewChanged
+{};
+
 /// The timer of the latest SetTimer expired. Events that come early or repeatedly have no effect.
 struct TimerFired
 {};
@@ -77,7 +85,7 @@
 {};
 
 using EntryEvent = std::variant<Started, RouteKnown, RouteUnknown, AttemptFailed, AttemptHead,
-                                AttemptDone, TimerFired, CallerDisconnected>;
+                                AttemptDone, ViewChanged, TimerFired, CallerDisconnected>;
 
 // Actions.
 
@@ -89,6 +97,10 @@
   bool mustBeNewer = false;
 };
 
+/// Send ViewChanged once, when the entry's view changes.
+struct AwaitView
+{};
+
 /// Send the request to a node. Attempts are numbered from 1.
 struct StartAttempt
 {
@@ -124,8 +136,8 @@
   Millis retryAfter{ 0 }; ///< When the caller may retry; 0 means no advice.
 };
 
-using EntryAction =
-  std::variant<LookUpRoute, StartAttempt, CancelAttempt, SetTimer, ForwardResponse, FailRequest>;
+using EntryAction = std::variant<LookUpRoute, AwaitView, StartAttempt, CancelAttempt, SetTimer,
+                                 ForwardResponse, FailRequest>;
 
 } // namespace camphorcleat::traffic
 
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -14,6 +14,9 @@
 constexpr Millis kFirstBudgetedDelay{ 5 };
 constexpr Millis kFirstOwnerChangeDelay{ 2 }; // A planned handover takes a few milliseconds.
 constexpr Millis kLastDelay{ 100 };
+// A refusing owner's view may be newer by log entries that don't concern the key, or the update of
+// this view may be lost, so the owner is asked again after this time.
+constexpr Millis kMaxViewWait{ 250 };
 // A caller whose key has no reachable owner is advised to retry after the remaining time divided by
 // this value. Most of the remaining time is then left for the retry.
 constexpr int kRetryAfterDivisor = 3;
@@ -64,9 +67,14 @@
   if (lookUp == LookUp::None || mForwarded || (lookUp == LookUp::ForHedge && mAttempts.empty())) {
     return;
   }
+  if (lookUp == LookUp::ForAttempt && mustWait(aEvent)) {
+    return;
+  }
+  mRefusal.reset();
+  mRetryAt.reset();
   const bool isResend = mMayHaveRun || mStarted.isResend || !mAttempts.empty();
   const std::uint32_t number = ++mAttemptCount;
-  mAttempts[number] = Attempt{ aEvent.node, aNow };
+  mAttempts[number] = Attempt{ aEvent.node, aNow, aEvent.token };
   mActions.emplace_back(StartAttempt{ number, aEvent.node, isResend });
   if (!mFirstStartedAt) {
     mFirstStartedAt = aNow;
@@ -77,6 +85,23 @@
   }
 }
 
+// Returns whether the route leads to the node that refused the last attempt and that would refuse
+// the next one as well. While the node hands the key over, or if its view was newer than this one,
+// another view names the owner. Otherwise, it is the owner but can't serve the key yet.
+bool EntryRequest::mustWait(const RouteKnown& aRoute)
+{
+  mViewUntil.reset();
+  if (!mRefusal || mRefusal->node != aRoute.node || mRefusal->token != aRoute.token) {
+    return false;
+  }
+  if (aRoute.isMoving) {
+    mViewUntil = mStarted.bridgeUntil;
+  } else if (aRoute.revision < mRefusal->revision) {
+    mViewUntil = std::min<TimePoint>(mStarted.bridgeUntil, mRefusal->at + kMaxViewWait);
+  }
+  return mViewUntil || mRetryAt;
+}
+
 void EntryRequest::on(TimePoint aNow, const RouteUnknown&)
 {
   const LookUp lookUp = std::exchange(mLookUp, LookUp::None);
@@ -89,6 +114,7 @@
   }
   if (lookUp == LookUp::ForAttempt) {
     mExclude.clear();
+    mRefusal.reset();
     handleFailure(aNow, AttemptFailed{ 0, wire::Outcome::NotRun, ErrorCode::NoOwner,
                                        "no owner or usable target is known for this request",
                                        Millis(0) });
@@ -102,6 +128,9 @@
     return;
   }
   const NodeId node = it->second.node;
+  mRefusal = mStarted.isKeyed && aEvent.code == ErrorCode::NotOwner
+               ? std::optional<Refusal>({ node, it->second.token, aEvent.revision, aNow })
+               : std::nullopt;
   mAttempts.erase(it);
   if (mForwarded) {
     mIsFinished = *mForwarded == aEvent.attempt; // The embedder cuts the forwarded response off.
@@ -127,6 +156,14 @@
   }
 }
 
+void EntryRequest::on(TimePoint, const ViewChanged&)
+{
+  mIsAwaitingView = false;
+  if (mRefusal && mAttempts.empty() && !mForwarded) {
+    lookUpRoute(LookUp::ForAttempt);
+  }
+}
+
 void EntryRequest::on(TimePoint aNow, const TimerFired&)
 {
   if (mTimer && *mTimer <= aNow) {
@@ -140,9 +177,20 @@
     failAtDeadline();
     return;
   }
-  if (mRetryAt && *mRetryAt <= aNow) {
+  if (mViewUntil && mStarted.bridgeUntil <= aNow) {
+    fail(*mLastFailure);
+    return;
+  }
+  const bool mustAskAgain = mViewUntil && *mViewUntil <= aNow;
+  if (mustAskAgain) {
+    mViewUntil.reset();
+    mRefusal->revision = 0;
+  }
+  if (mustAskAgain || (mRetryAt && *mRetryAt <= aNow)) {
     mRetryAt.reset();
-    lookUpRoute(LookUp::ForAttempt);
+    if (!mViewUntil) {
+      lookUpRoute(LookUp::ForAttempt);
+    }
   }
   if (mHedgeAt && *mHedgeAt <= aNow) {
     mHedgeAt.reset();
@@ -161,6 +209,10 @@
 void EntryRequest::lookUpRoute(LookUp aPurpose)
 {
   mLookUp = aPurpose;
+  if (mRefusal && !mIsAwaitingView) {
+    mIsAwaitingView = true;
+    mActions.emplace_back(AwaitView{});
+  }
   LookUpRoute ask;
   ask.exclude = mExclude;
   ask.mustBeNewer = mIsRouteWrong;
@@ -175,6 +227,7 @@
   mMayHaveRun = mMayHaveRun || aFailure.outcome != wire::Outcome::NotRun;
   mPossibleRuns += aFailure.outcome != wire::Outcome::NotRun ? 1 : 0;
   mIsRouteWrong = aFailure.code == ErrorCode::NotOwner;
+  mViewUntil.reset();
   mLastFailure = aFailure;
   if (!mAttempts.empty()) {
     return; // The result of the other attempt decides.
@@ -183,6 +236,8 @@
   mLookUp = LookUp::None;
   if (!planRetry(aNow, aFailure)) {
     fail(aFailure);
+  } else if (mRefusal) {
+    lookUpRoute(LookUp::ForAttempt); // The view may have changed since the attempt started.
   }
 }
 
@@ -300,7 +355,7 @@
   }
   const Duration grace = mAttempts.empty() ? Duration::zero() : Duration(kOwnerResultGrace);
   TimePoint at = mStarted.deadline + grace;
-  for (const auto& it : { mRetryAt, mHedgeAt }) {
+  for (const auto& it : { mRetryAt, mHedgeAt, mViewUntil }) {
     at = it ? std::min(at, *it) : at;
   }
   if (mTimer != at) {
--- a/packages/traffic/EntryRequest.h
+++ b/packages/traffic/EntryRequest.h
@@ -59,6 +59,15 @@
   {
     NodeId node = kNoNode;
     TimePoint startedAt;
+    FencingToken token = 0;
+  };
+  // A refusal by a node that doesn't own the key, or can't serve it yet.
+  struct Refusal
+  {
+    NodeId node = kNoNode;
+    FencingToken token = 0; // Of the grant in the entry's view.
+    Revision revision = 0;  // Of the refusing node's view.
+    TimePoint at;
   };
 
   void on(TimePoint aNow, const Started& aEvent);
@@ -67,12 +76,14 @@
   void on(TimePoint aNow, const AttemptFailed& aEvent);
   void on(TimePoint aNow, const AttemptHead& aEvent);
   void on(TimePoint aNow, const AttemptDone& aEvent);
+  void on(TimePoint aNow, const ViewChanged& aEvent);
   void on(TimePoint aNow, const TimerFired& aEvent);
   void on(TimePoint aNow, const CallerDisconnected& aEvent);
 
   void lookUpRoute(LookUp aPurpose);
   void handleFailure(TimePoint aNow, const AttemptFailed& aFailure);
   bool planRetry(TimePoint aNow, const AttemptFailed& aFailure);
+  bool mustWait(const RouteKnown& aRoute);
   void forwardResponse(TimePoint aNow, std::uint32_t aAttempt);
   void failAtDeadline();
   void fail(const AttemptFailed& aFailure);
@@ -102,6 +113,9 @@
   std::optional<std::uint32_t> mForwarded; // The attempt whose response is being forwarded.
   std::optional<TimePoint> mFirstStartedAt;
   std::optional<TimePoint> mRetryAt;
+  std::optional<Refusal> mRefusal;     // Of the last attempt.
+  bool mIsAwaitingView = false;        // ViewChanged follows.
+  std::optional<TimePoint> mViewUntil; // Until then, no attempt starts before the view changes.
   std::optional<TimePoint> mHedgeAt;
   std::optional<TimePoint> mTimer;
   std::optional<AttemptFailed> mLastFailure;
--- a/packages/traffic/testing/EntryRequestTest.cc
+++ b/packages/traffic/testing/EntryRequestTest.cc
@@ -147,6 +147,75 @@
   }
 }
 
+// Guards against entries that ask a previous owner again from the same view, or only some time
+// after their view names the new one.
+TEST_CASE("a refused request waits for a view that is as new as that of the refusing owner")
+{
+  Fixture f;
+  f.step(Started{ true, false, false, f.now + Millis(1500), false });
+  f.step(RouteKnown{ 1, 41, 10, false });
+  f.step(AttemptFailed{ 1, kNotRun, ErrorCode::NotOwner, "why", Millis(0), 12 });
+  REQUIRE(f.find<AwaitView>() != nullptr);
+  REQUIRE(f.find<LookUpRoute>() != nullptr);
+  f.step(RouteKnown{ 1, 41, 10, false });
+  REQUIRE(f.find<StartAttempt>() == nullptr);
+  f.now += Millis(200);
+  f.step(TimerFired{});
+  REQUIRE(f.find<LookUpRoute>() == nullptr);
+  REQUIRE(f.timer == f.now + Millis(50)); // It asks the owner again if no view comes for long.
+  f.step(ViewChanged{});
+  REQUIRE(f.find<AwaitView>() != nullptr);
+  f.step(RouteKnown{ 1, 41, 13, true }); // As new as the owner's view, but the key is moving.
+  REQUIRE(f.find<StartAttempt>() == nullptr);
+  f.step(ViewChanged{});
+  f.step(RouteKnown{ 2, 43, 14, false });
+  REQUIRE(f.find<StartAttempt>()->node == 2);
+  f.step(ViewChanged{});
+  REQUIRE(f.actions.empty());
+}
+
+TEST_CASE("a request whose key has no other owner in time fails as not run")
+{
+  Fixture f;
+  Started started{ true, false, false, f.now + Millis(1500), false };
+  started.bridgeUntil = f.now + Millis(600);
+  f.step(started);
+  f.step(RouteKnown{ 1, 41, 10, true });
+  f.step(AttemptFailed{ 1, kNotRun, ErrorCode::NotOwner, "why", Millis(0), 10 });
+  f.step(RouteKnown{ 1, 41, 10, true });
+  while (f.now < started.bridgeUntil) {
+    REQUIRE(f.find<FailRequest>() == nullptr);
+    REQUIRE_FALSE(f.retriesOnTimer());
+  }
+  REQUIRE(f.now == started.bridgeUntil);
+  REQUIRE(f.find<FailRequest>()->outcome == kNotRun);
+  REQUIRE(f.find<FailRequest>()->code == ErrorCode::NotOwner);
+  REQUIRE(f.find<FailRequest>()->retryAfter == Millis(300));
+}
+
+// Guards against requests that wait for another owner although the refusing one is still named, and
+// against a rate of retries that is set by the rate of changes of the view.
+TEST_CASE("an owner that a view as new as its own names is asked again after a backoff only")
+{
+  Fixture f;
+  f.step(Started{ true, false, false, f.now + Millis(10'000), false });
+  f.step(RouteKnown{ 1, 41, 10, false });
+  const TimePoint startedAt = f.now;
+  std::uint32_t attempt = 1;
+  while (f.now - startedAt < Millis(2'000)) {
+    f.step(AttemptFailed{ attempt, kNotRun, ErrorCode::NotOwner, "why", Millis(0), 10 });
+    f.step(RouteKnown{ 1, 41, 10, false });
+    REQUIRE(f.find<StartAttempt>() == nullptr);
+    f.step(ViewChanged{});
+    f.step(RouteKnown{ 1, 41, 11, false });
+    REQUIRE(f.find<StartAttempt>() == nullptr);
+    REQUIRE(f.retriesOnTimer());
+    f.step(RouteKnown{ 1, 41, 11, false });
+    REQUIRE(f.find<StartAttempt>()->attempt == ++attempt);
+  }
+  REQUIRE(attempt < 100);
+}
+
 TEST_CASE("a route that is unknown is looked up again until the deadline")
 {
   Fixture f;
@@ -271,11 +340,12 @@
     check();
     for (int i = 0; i < 60 && !f.request.isFinished(); ++i) {
       const auto attempt = static_cast<std::uint32_t>(started.empty() ? 0 : *started.rbegin());
-      switch (random() % 8) {
+      switch (random() % 9) {
         case 0:
         case 1:
         case 2:
-          f.step(RouteKnown{ static_cast<NodeId>(1 + random() % 5) });
+          f.step(RouteKnown{ static_cast<NodeId>(1 + random() % 5), 0, random() % 3,
+                             random() % 4 == 0 });
           break;
         case 3:
           f.step(RouteUnknown{});
@@ -286,7 +356,8 @@
           const bool isUnknown = random() % 2 == 0;
           const bool wasActive = active.erase(attempt) != 0;
           mayHaveRun = mayHaveRun || (isUnknown && wasActive);
-          f.fail(attempt, isUnknown ? kUnknown : kNotRun, kCodes[random() % 4]);
+          f.step(AttemptFailed{ attempt, isUnknown ? kUnknown : kNotRun, kCodes[random() % 4],
+                                "why", Millis(0), random() % 3 });
           break;
         }
         case 5:
@@ -294,6 +365,9 @@
                                     : EntryEvent(TimerFired{}));
           break;
         case 6:
+          f.step(ViewChanged{});
+          break;
+        case 7:
           f.now += Millis(random() % 50);
           break;
         default:
