A request waits at its new owner until the target is granted the key (proposal)

Cause: from the commit of a handover until the target's next heartbeat or the answer of its grant order, OwnerView::tokenOf() returns nothing, so the owner that the log names refused the key with not_owner. The same held for an owner whose view is older than the entry's. Such requests now wait, at most maxQueuedRequests of them and each for bridge_percent of its remaining time. Ownership, lease and configuration are checked when the wait ends.

The effect on the users' site is not measured.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -239,36 +239,89 @@
                                               Millis(0), mView.state().revision });
     return;
   }
-  traffic::RequestArrived event;
-  event.id = id;
-  event.account = isRateLimited(aHead.account) ? aHead.account : std::string();
-  event.service = aHead.service;
-  event.key = aHead.key;
-  event.isKeyed = !aHead.key.empty();
-  // The partition is computed from this owner's view, because the key may have been pinned after
-  // the entry chose the owner.
-  const fleet::FleetModel& model = *mView.state().model;
-  event.partition = event.isKeyed && model.partitionCount() > 0
-                      ? model.partitionOf(aHead.service, aHead.key)
-                      : aHead.partition;
   const Duration waited = waitingTime(aLink, aHead);
-  const TimePoint sentAt = Clock::now() - waited;
-  event.objective = aHead.objective > Millis(0) ? sentAt + aHead.objective : TimePoint::max();
-  event.isIdempotent = aHead.isIdempotent;
-  event.priority = aHead.priority;
-  event.isOpenRoute = event.account.empty();
-  event.idempotencyKey = aHead.idempotencyKey;
-  event.requestDigest = aHead.idempotencyKey.empty() ? std::string() : requestDigest(aHead);
-  event.deadline = sentAt + aHead.deadline;
-  event.isResend = aHead.isResend;
-  aHead.partition = event.partition;
   const auto exchange = std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead));
   exchange->setWaitingTime(waited);
   mExchanges.emplace(id, exchange);
   mOpenRequests = mExchanges.size();
+  const TimePoint now = Clock::now();
+  const TimePoint sentAt = now - waited;
+  const Duration left = sentAt + exchange->head().deadline - now;
+  if (mAwaitingGrant.size() < mSettings.maxQueuedRequests && mayGetKey(exchange->head())) {
+    constexpr int kPercent = 100;
+    mAwaitingGrant[id] = { sentAt, now + left * mSettings.bridgePercent / kPercent };
+  } else {
+    acceptRequest(*exchange, sentAt);
+  }
+}
+
+void OwnerDuty::acceptRequest(OwnerExchange& aExchange, TimePoint aSentAt)
+{
+  aExchange.setPartition(partitionOf(aExchange.head()));
+  const wire::RequestHead& head = aExchange.head();
+  traffic::RequestArrived event;
+  event.id = head.id;
+  event.account = isRateLimited(head.account) ? head.account : std::string();
+  event.service = head.service;
+  event.key = head.key;
+  event.isKeyed = !head.key.empty();
+  event.partition = head.partition;
+  event.objective = head.objective > Millis(0) ? aSentAt + head.objective : TimePoint::max();
+  event.isIdempotent = head.isIdempotent;
+  event.priority = head.priority;
+  event.isOpenRoute = event.account.empty();
+  event.idempotencyKey = head.idempotencyKey;
+  event.requestDigest = head.idempotencyKey.empty() ? std::string() : requestDigest(head);
+  event.deadline = aSentAt + head.deadline;
+  event.isResend = head.isResend;
   step(event);
 }
 
+// The partition is computed from this owner's view, because the key may have been pinned after the
+// entry chose the owner.
+PartitionId OwnerDuty::partitionOf(const wire::RequestHead& aHead) const
+{
+  const fleet::FleetModel& model = *mView.state().model;
+  return !aHead.key.empty() && model.partitionCount() > 0
+           ? model.partitionOf(aHead.service, aHead.key)
+           : aHead.partition;
+}
+
+// Returns whether the key can't be served yet but may be soon: this node owns it and its target
+// hasn't been granted it yet, or the entry's view is newer.
+bool OwnerDuty::mayGetKey(const wire::RequestHead& aHead) const
+{
+  const PartitionId partition = partitionOf(aHead);
+  if (aHead.key.empty() || mView.leaseValidUntil() <= Clock::now() ||
+      mView.tokenOf(aHead.service, partition)) {
+    return false;
+  }
+  const wire::PartitionGrant* grant = mView.ownGrant(aHead.service, partition);
+  return grant != nullptr ? grant->movingTo == kNoNode
+                          : mView.state().revision < aHead.routeRevision;
+}
+
+// Passes on the requests whose key is granted by now, or won't be in time. The latter are refused.
+void OwnerDuty::acceptAwaitingGrant()
+{
+  const TimePoint now = Clock::now();
+  std::vector<std::pair<RequestId, TimePoint>> ended;
+  for (auto it = mAwaitingGrant.begin(); it != mAwaitingGrant.end();) {
+    const OwnerExchange* exchange = find(it->first);
+    if (exchange != nullptr && now < it->second.until && mayGetKey(exchange->head())) {
+      ++it;
+      continue;
+    }
+    ended.emplace_back(it->first, it->second.sentAt);
+    it = mAwaitingGrant.erase(it);
+  }
+  for (const auto& [id, sentAt] : ended) {
+    if (OwnerExchange* exchange = find(id)) { // Removed if the caller left.
+      acceptRequest(*exchange, sentAt);
+    }
+  }
+}
+
 // Returns how long a request waited on its way from the entry.
 Duration OwnerDuty::waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead)
 {
@@ -380,6 +433,7 @@
                                                         : mStoppingPartitions.erase(it);
   }
   updateOrders();
+  acceptAwaitingGrant();
   step(traffic::Tick{});
 }
 
@@ -755,6 +809,7 @@
   aHeartbeat.reply(mHeartbeatGrants.heartbeat(Clock::now(), *mView.state().model, aHeartbeat.holds,
                                               mSentGrants, mView.leaseValidUntil()));
   releaseGrants();
+  acceptAwaitingGrant();
 }
 
 // Responds to the pending heartbeat without grants, because its process has ended.
@@ -852,7 +907,8 @@
 {
   sendOrders();
   releaseGrants();
-  step(traffic::Tick{}); // Requests may have waited for the grant.
+  acceptAwaitingGrant();
+  step(traffic::Tick{}); // Queued requests may have waited for the grant.
 }
 
 // Passes the latest heartbeat to OwnerLogic, the target's state chart and the agent.
@@ -1025,6 +1081,7 @@
     }
     sendOrders();
     releaseGrants();
+    acceptAwaitingGrant();
     reportLoad();
     scheduleTick();
   });
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -82,11 +82,21 @@
     FencingToken token = 0; ///< Token of the grant under which the bucket was created.
     TimePoint emptyAt;      ///< When the bucket was empty; the epoch if it began full.
   };
+  /// A request that waits until this node or its target gets the key.
+  struct AwaitingGrant
+  {
+    TimePoint sentAt; ///< By the entry, on this daemon's clock.
+    TimePoint until;
+  };
   using TokenRequestId = std::pair<std::string, std::uint64_t>; // Account and sequence number.
 
   void handle(OwnerMessage aMessage);
   void handlePeerMessage(ReceivedMessage aMessage);
   void handleHead(transport::LinkId aLink, wire::RequestHead aHead);
+  void acceptRequest(OwnerExchange& aExchange, TimePoint aSentAt);
+  PartitionId partitionOf(const wire::RequestHead& aHead) const;
+  bool mayGetKey(const wire::RequestHead& aHead) const;
+  void acceptAwaitingGrant();
   Duration waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead);
   bool isRateLimited(const std::string& aAccount) const;
   void handleTokenRequest(const ReceivedMessage& aFrom, const wire::TokenRequest& aRequest);
@@ -169,6 +179,7 @@
   std::optional<TargetChartReporter> mTargetChartReporter;
   boost::asio::steady_timer mTimer;
   std::unordered_map<RequestId, std::shared_ptr<OwnerExchange>> mExchanges;
+  std::unordered_map<RequestId, AwaitingGrant> mAwaitingGrant; // At most maxQueuedRequests.
   std::map<TokenRequestId, TimePoint> mTokenRequests; // Pending ones, with the time of sending.
   std::map<fleet::ServicePartition, FencingToken> mStoppingPartitions; // Being handed over.
   TimePoint mNextLoadReport;
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -69,6 +69,7 @@
   OwnerExchange(OwnerExchangeHost& aHost, transport::LinkId aLink, wire::RequestHead aHead);
 
   const wire::RequestHead& head() const { return mHead; }
+  void setPartition(PartitionId aPartition) { mHead.partition = aPartition; }
   transport::LinkId link() const { return mLink; }
 
   /// Returns how long the request waited on its way from the entry, as set by setWaitingTime().
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -141,6 +141,7 @@
   out.maxHold = Millis(10'000);
   out.maxQueuedRequests = 1000;
   out.targetDrain = Millis(1600);
+  out.bridgePercent = 50;
   out.lease.confirmLimit = Millis(60'000);
   return out;
 }
@@ -285,8 +286,9 @@
   }
 
   // Same as above, without telling the owner. With aMovingTo, all partitions are being handed over.
+  // With aOwner, another node owns them.
   void setGrants(Revision aRevision, Incarnation aIncarnation, FencingToken aToken,
-                 wire::GrantMode aMode, NodeId aMovingTo)
+                 wire::GrantMode aMode, NodeId aMovingTo, NodeId aOwner = kNoNode)
   {
     auto model = std::make_shared<fleet::FleetModel>();
     model->apply(wire::FleetCreated{ 16 });
@@ -304,7 +306,7 @@
     model->apply(wire::NodeSet{ node });
     wire::PartitionsSet grants;
     grants.service = "lookup";
-    grants.grant.owner = settings.id;
+    grants.grant.owner = aOwner == kNoNode ? settings.id : aOwner;
     grants.grant.incarnation = aIncarnation;
     grants.grant.token = aToken;
     grants.grant.movingTo = aMovingTo;
@@ -317,7 +319,8 @@
   }
 
   std::future<fleet::GrantResponse> sendHeartbeat(Millis aColdFor, const std::string& aService,
-                                                  const std::string& aInstance)
+                                                  const std::string& aInstance,
+                                                  const fleet::HeartbeatRanges& aHolds = {})
   {
     auto response = std::make_shared<std::promise<fleet::GrantResponse>>();
     TargetHeartbeat heartbeat;
@@ -326,6 +329,7 @@
     heartbeat.announcement.instance = aInstance;
     heartbeat.sequence = ++counter;
     heartbeat.coldFor = aColdFor;
+    heartbeat.holds = aHolds;
     heartbeat.reply = [response](const fleet::GrantResponse& aResponse) {
       response->set_value(aResponse);
     };
@@ -344,10 +348,12 @@
 
   // A request that waited on its way has a deadline of 3 s.
   void sendRequest(const std::string& aService, const std::string& aKeyName,
-                   Revision aRouteRevision, Millis aWaited = Millis(0))
+                   Revision aRouteRevision, Millis aWaited = Millis(0),
+                   const std::string& aKey = "")
   {
     wire::RequestHead head;
     head.id = { 9, ++counter };
+    head.key = aKey;
     head.service = aService;
     head.account = aKeyName.empty() ? "" : "acme";
     head.keyName = aKeyName;
@@ -487,6 +493,62 @@
   CHECK(waiting.get().granted.at(0).token == 43);
 }
 
+// Guards against refusals by the owner that the log names, between the end of a handover and the
+// next heartbeat of its target.
+TEST_CASE("a request waits at the new owner until its target is granted the key")
+{
+  Fixture f;
+  f.publishGrants(5, 7, 41);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  f.publishGrants(6, 7, 43);
+  f.sendRequest("lookup", "", 6, Millis(0), "k");
+  CHECK_FALSE(f.failure(Millis(100)));
+  CHECK(f.target.accept(Millis(50)) == 0);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  CHECK(f.target.accept(Millis(300)) == 1);
+  CHECK_FALSE(f.failure(Millis(50)));
+}
+
+// Guards against refusals by a new owner that learns of the handover later than the entry.
+TEST_CASE("a request waits at an owner whose view is older than the entry's")
+{
+  Fixture f;
+  f.publishGrants(5, 6, 41);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  f.setGrants(5, 6, 41, wire::GrantMode::Heartbeat, kNoNode, 2);
+  f.push(ViewPublished{});
+  f.sendRequest("lookup", "", 6, Millis(0), "k");
+  CHECK_FALSE(f.failure(Millis(100)));
+  f.publishGrants(6, 6, 43);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  CHECK(f.target.accept(Millis(300)) == 1);
+}
+
+// Guards against requests that wait at a node for keys that it won't get.
+TEST_CASE("a request is refused as not run if its owner isn't granted the key in time")
+{
+  Fixture f;
+  f.publishGrants(5, 7, 41);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  f.publishGrants(6, 7, 43);
+  const TimePoint begin = Clock::now();
+  f.sendRequest("lookup", "", 6, Millis(2500), "k"); // 500 ms are left.
+  auto failed = f.failure(Millis(2000));
+  REQUIRE(failed);
+  CHECK(failed->outcome == wire::Outcome::NotRun);
+  CHECK(failed->code == ErrorCode::NotOwner);
+  CHECK(Clock::now() - begin >= Millis(200));
+  CHECK(Clock::now() - begin <= Millis(400));
+  f.sendRequest("lookup", "", 6, Millis(0), "k");
+  CHECK_FALSE(f.failure(Millis(50)));
+  f.setGrants(7, 7, 44, wire::GrantMode::Heartbeat, kNoNode, 2); // The key goes to another node.
+  f.push(ViewPublished{});
+  failed = f.failure(Millis(200));
+  REQUIRE(failed);
+  CHECK(failed->code == ErrorCode::NotOwner);
+  CHECK(f.target.accept(Millis(50)) == 0);
+}
+
 TEST_CASE("a pending heartbeat gets no grants after another process has announced itself")
 {
   Fixture f(Millis(5000));
