A heartbeat of a target that still holds moving keys is answered at once (proposal)

Cause: a target reports a release with the heartbeat after its last work on the keys, but the heartbeat before it was held for heartbeat_wait_ms (600 ms on nodes), so the handover lasted up to that much longer, with the keys refused.

The effect on the users' site is not measured.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -794,7 +794,7 @@
   }
   const bool mustRespondNow = verdict == HeartbeatTracker::Verdict::NewTarget ||
                               mHeartbeats.isLeaving() || !aHeartbeat.holds.released.empty() ||
-                              hasNewGrants(service);
+                              hasNewGrants(service) || holdsMovingKeys(aHeartbeat);
   if (mustRespondNow || mSettings.heartbeatWait <= Millis(0)) {
     respondToHeartbeat(aHeartbeat);
     return;
@@ -840,6 +840,21 @@
                      });
 }
 
+// Whether the target still works on keys that are being handed over. It reports their release with
+// a later heartbeat, which it sends only after the response to this one.
+bool OwnerDuty::holdsMovingKeys(const TargetHeartbeat& aHeartbeat) const
+{
+  const auto grants = mView.ownGrants(aHeartbeat.announcement.service);
+  return std::any_of(grants.begin(), grants.end(), [&](const auto& aItem) {
+    const auto range = mView.state().model->rangeOf(aItem.first);
+    const auto& held = aHeartbeat.holds.held;
+    return aItem.second.movingTo != kNoNode &&
+           std::any_of(held.begin(), held.end(), [&](const fleet::HeldRange& aHeld) {
+             return aHeld.from <= range.second && range.first <= aHeld.to;
+           });
+  });
+}
+
 void OwnerDuty::handleDeregistration(const TargetDeregistration& aDeregistration)
 {
   if (mHeartbeats.recordLeaving(aDeregistration)) {
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -117,6 +117,7 @@
   void respondToPendingHeartbeat();
   void rejectPendingHeartbeat();
   bool hasNewGrants(const std::string& aService) const;
+  bool holdsMovingKeys(const TargetHeartbeat& aHeartbeat) const;
   void handleDeregistration(const TargetDeregistration& aDeregistration);
   void selectGrants();
   bool isGrantedByCalls() const { return mOrders && mGrants == &mOrders->grants(); }
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -549,6 +549,25 @@
   CHECK(f.target.accept(Millis(50)) == 0);
 }
 
+// Guards against handovers that last until the wait of a heartbeat expires: the target reports the
+// release of its keys with the next heartbeat, which it sends after the response to this one.
+TEST_CASE("a heartbeat of a target that still holds withdrawn keys is answered at once")
+{
+  Fixture f(Millis(5000));
+  f.publishGrants(5, 7, 41);
+  CHECK(f.exchangeHeartbeat(Millis(0), "lookup").granted.size() == 1);
+  f.setGrants(6, 7, 41, wire::GrantMode::Heartbeat, 2);
+  f.push(ViewPublished{});
+  const fleet::HeartbeatRanges holds{ { { 0, 65535, 41 } }, {} };
+  auto withdrawal = f.sendHeartbeat(Millis(0), "lookup", "i-1", holds);
+  REQUIRE(withdrawal.wait_for(Millis(500)) == std::future_status::ready);
+  CHECK(withdrawal.get().granted.empty());
+  auto next = f.sendHeartbeat(Millis(0), "lookup", "i-1", holds);
+  CHECK(next.wait_for(Millis(500)) == std::future_status::ready);
+  auto idle = f.sendHeartbeat(Millis(0), "lookup", "i-1");
+  CHECK(idle.wait_for(Millis(200)) == std::future_status::timeout);
+}
+
 TEST_CASE("a pending heartbeat gets no grants after another process has announced itself")
 {
   Fixture f(Millis(5000));
