A released key is reported once, with its handover data (proposal)

A response to a heartbeat before the release is in the view made a new record, already released, and OwnerDuty reported it again without the handover; the agent then replaced the data of a release that it hadn't sent yet.

Evidence: the new test fails on: 32 reports instead of 16, those of the second sixteen without the data. Whether this made requests run cold on the users' site is not shown.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -967,7 +967,11 @@
       fleet::agent::PartitionIdle{ partition, it.token, std::move(it.handover) });
     if (!mRings.agent.tryPush(std::move(message))) {
       logEvent(LogLevel::Warning, "partition_idle_not_told", { { "service", service } });
+      continue;
     }
+    // A response to a heartbeat before the release is in the view would report it again, without
+    // the handover.
+    mStoppingPartitions.erase(stopping);
   }
 }
 
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -568,6 +568,36 @@
   CHECK(idle.wait_for(Millis(200)) == std::future_status::timeout);
 }
 
+// Guards against keys that reach their next owner without the handover data of their last holder,
+// because another response to a heartbeat was sent before the release was in the view.
+TEST_CASE("the release of a key is reported once, with its handover data")
+{
+  Fixture f;
+  f.publishGrants(5, 7, 41);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  f.setGrants(6, 7, 41, wire::GrantMode::Heartbeat, 2);
+  f.push(ViewPublished{});
+  for (PartitionId i = 0; i < 16; ++i) {
+    f.push(fleet::agent::StopPartition{ { "lookup", i }, 41 });
+  }
+  const std::vector<fleet::HeartbeatRanges> heartbeats = { { { { 0, 65535, 41 } }, {} },
+                                                           { {}, { { 0, 65535, "seal" } } },
+                                                           {} };
+  for (const auto& it : heartbeats) {
+    auto response = f.sendHeartbeat(Millis(0), "lookup", "i-1", it);
+    REQUIRE(response.wait_for(Millis(500)) == std::future_status::ready);
+  }
+  std::size_t released = 0;
+  const TimePoint end = Clock::now() + Millis(100);
+  while (auto message = f.rings.agent.popUntil(end)) {
+    if (const auto* idle = std::get_if<fleet::agent::PartitionIdle>(&*message)) {
+      CHECK(idle->handover == "seal");
+      ++released;
+    }
+  }
+  CHECK(released == 16);
+}
+
 TEST_CASE("a pending heartbeat gets no grants after another process has announced itself")
 {
   Fixture f(Millis(5000));
