A release that was carried out isn't submitted again before the view shows it (proposal)

Evidence: the new test fails on: the next release contains 2 grants instead of 1. How many copies the users' log contains is not measured.

--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -360,6 +360,7 @@
   switch (aEvent.reply.result.code) {
     case ErrorCode::None:
       mCommandBackoff = kCommandRetryDelay;
+      removeReleased();
       break;
     case ErrorCode::IncarnationRefused: {
       // Either the lease of the old incarnation is still valid, or this incarnation was declared
@@ -378,6 +379,21 @@
   }
 }
 
+// Removes the partitions that the command in flight has released. The view will show it later.
+void NodeAgent::removeReleased()
+{
+  if (!mReleaseInFlight) {
+    return;
+  }
+  for (const auto& it : mReleaseInFlight->grants) {
+    const auto idle = mIdle.find({ mReleaseInFlight->service, it.partition });
+    if (idle != mIdle.end() && idle->second == it.token) {
+      mHandovers.erase(idle->first);
+      mIdle.erase(idle);
+    }
+  }
+}
+
 // Backs off exponentially, because each refusal adds an entry to the log and the audit trail.
 void NodeAgent::delayNextCommand()
 {
@@ -526,6 +542,8 @@
   wire::CommandSubmit submit;
   submit.id = { mIncarnation, ++mCommandCounter };
   submit.command.issuer = wire::kSystemIssuer;
+  const auto* release = std::get_if<wire::ReleasePartitions>(&*body);
+  mReleaseInFlight = release == nullptr ? std::nullopt : std::make_optional(*release);
   submit.command.bodies.push_back(std::move(*body));
   mCommandInFlight = submit.id;
   mCommandSentAt = mNow;
--- a/packages/fleet/NodeAgent.h
+++ b/packages/fleet/NodeAgent.h
@@ -191,6 +191,7 @@
   bool isRegistrationCurrent(const wire::Node& aNode) const;
   void submitNextCommand(Actions& aOut);
   void delayNextCommand();
+  void removeReleased();
 
   NodeAgentConfig mConfig;
   std::vector<NodeId> mMembers; ///< Members from the latest reply, then those of the settings.
@@ -231,6 +232,7 @@
   std::map<ServicePartition, std::string> mHandovers; ///< Handover data of those in mIdle.
   std::uint64_t mCommandCounter = 0;
   std::optional<RequestId> mCommandInFlight;
+  std::optional<wire::ReleasePartitions> mReleaseInFlight; // The command in flight, if it is one.
   TimePoint mCommandSentAt;
   TimePoint mNextCommandAt;
   Millis mCommandBackoff{ 50 };
--- a/packages/fleet/testing/NodeAgentTest.cc
+++ b/packages/fleet/testing/NodeAgentTest.cc
@@ -353,6 +353,28 @@
   CHECK(again->grants.at(0).token == stop.token);
 }
 
+// Guards against copies of a release in the log, which delay the releases of other keys.
+TEST_CASE("a release that was carried out isn't sent again before the view shows it")
+{
+  Daemon daemon;
+  daemon.join();
+  const auto stops = actionsOf<agent::StopPartition>(
+    daemon.apply(wire::BeginPartitionMove{ kAccountService, 1, { 2, 3 } }));
+  REQUIRE(stops.size() == 2);
+  daemon.now += Millis(100);
+  const auto sent = sentOf<wire::CommandSubmit>(
+    daemon.step(agent::PartitionIdle{ stops[0].partition, stops[0].token }));
+  REQUIRE(sent.size() == 1);
+  daemon.step(agent::PartitionIdle{ stops[1].partition, stops[1].token });
+  daemon.now += Millis(20);
+  wire::CommandReply reply;
+  reply.id = sent[0].id;
+  const auto next = commandOf<wire::ReleasePartitions>(daemon.step(agent::ReplyArrived{ reply }));
+  REQUIRE(next);
+  REQUIRE(next->grants.size() == 1);
+  CHECK(next->grants[0].partition == stops[1].partition.second);
+}
+
 TEST_CASE("a draining daemon sets its status, hands its partitions over, leaves and ends its lease")
 {
   Daemon daemon;
