Read the view again while a key moves, and forget finished requests that wait for it

The list of waiting requests kept the memory of finished ones until the next view, which doesn't come without contact to the control group; they are removed when the list has doubled.

--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -372,6 +372,13 @@
 
 void EntryDuty::awaitView(const std::shared_ptr<EntryExchange>& aExchange)
 {
+  if (mAwaitingView.size() >= mMaxAwaitingView) {
+    // Without contact to the control group no view arrives, and finished requests would pile up.
+    mAwaitingView.erase(std::remove_if(mAwaitingView.begin(), mAwaitingView.end(),
+                                       [](const auto& aIt) { return aIt.expired(); }),
+                        mAwaitingView.end());
+    mMaxAwaitingView = std::max(kMinAwaitingView, 2 * mAwaitingView.size());
+  }
   mAwaitingView.push_back(aExchange);
 }
 
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -65,6 +65,8 @@
   const Dialect& dialect() const override { return mDialect; }
 
 private:
+  static constexpr std::size_t kMinAwaitingView = 1024;
+
   struct RunningAttempt
   {
     std::shared_ptr<EntryExchange> exchange;
@@ -135,6 +137,7 @@
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, RunningAttempt> mAttempts;
   std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
+  std::size_t mMaxAwaitingView = kMinAwaitingView; // Finished ones are removed at this size.
   std::map<NodeId, NodeStats> mStats;
 };
 
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -14,8 +14,8 @@
 constexpr Millis kFirstBudgetedDelay{ 5 };
 constexpr Millis kFirstOwnerChangeDelay{ 2 }; // A planned handover takes a few milliseconds.
 constexpr Millis kLastDelay{ 100 };
-// A refusing owner's view may be newer by log entries that don't concern the key, or the update of
-// this view may be lost, so the owner is asked again after this time.
+// The refusing owner's view may be newer by log entries that don't concern the key, and the
+// notification of a new view may be lost, so the view is read again after this time.
 constexpr Millis kMaxViewWait{ 250 };
 // A caller whose key has no reachable owner is advised to retry after the remaining time divided by
 // this value. Most of the remaining time is then left for the retry.
@@ -95,7 +95,7 @@
     return false;
   }
   if (aRoute.isMoving) {
-    mViewUntil = mStarted.bridgeUntil;
+    mViewUntil = std::min<TimePoint>(mStarted.bridgeUntil, mNow + kMaxViewWait);
   } else if (aRoute.revision < mRefusal->revision) {
     mViewUntil = std::min<TimePoint>(mStarted.bridgeUntil, mRefusal->at + kMaxViewWait);
   }
