--- a/packages/daemon/testing/ControlDutyTest.cc
+++ b/packages/daemon/testing/ControlDutyTest.cc
@@ -47,7 +47,7 @@
   std::string mPath;
 };
 
-wire::Command configurationCommand(std::uint64_t aVersion, int aRoutes = kRoutes)
+wire::Command configurationCommand(std::uint64_t aVersion, int aRoutes = kRoutes, int aAccounts = 0)
 {
   wire::ReplaceConfiguration body;
   body.baseVersion = aVersion - 1;
@@ -68,6 +68,13 @@
     route.weightedServices = { { "lookup", 1 } };
     body.configuration.routes.push_back(route);
   }
+  for (int i = 0; i < aAccounts; ++i) {
+    wire::Account account;
+    account.name = "account" + std::to_string(i);
+    account.requestsPerSecond = 10;
+    account.keyDigests["k"] = sha256Hex(account.name);
+    body.configuration.accounts.push_back(account);
+  }
   wire::Command out;
   out.commandId = "c" + std::to_string(aVersion);
   out.issuer = "ops";
@@ -123,14 +130,15 @@
   {
   }
 
-  void write(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes)
+  void write(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes,
+             int aAccounts)
   {
     append(systemCommand(wire::CreateFleet{ kPartitions }));
-    append(configurationCommand(++mVersion, aRoutes));
+    append(configurationCommand(++mVersion, aRoutes, aAccounts));
     registerNodes();
     while (mState.revision() < aEntries) {
       if (mState.revision() / aEntriesPerConfiguration >= mVersion) {
-        append(configurationCommand(++mVersion, aRoutes));
+        append(configurationCommand(++mVersion, aRoutes, aAccounts));
       }
       movePartition();
     }
@@ -347,7 +355,8 @@
   CHECK(longest < applyTime / 4);
 }
 
-void checkRestart(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes)
+void checkRestart(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes,
+                  int aAccounts)
 {
   // A group answers within contact_s. The smallest control members have 0.3 of a core.
   constexpr Millis kContact{ 3000 };
@@ -356,7 +365,7 @@
   std::uint64_t version = 0;
   {
     DayWriter day(folder.path());
-    day.write(aEntries, aEntriesPerConfiguration, aRoutes);
+    day.write(aEntries, aEntriesPerConfiguration, aRoutes, aAccounts);
     version = day.version();
   }
   const StartTimes times = restart(folder.path());
@@ -371,14 +380,21 @@
 // all of its members restarted (CONFIG), because a start costs more the longer the day was.
 TEST_CASE("a control member answers a read in time after a restart late in the day")
 {
-  checkRestart(36'720, 1360, 10);
+  checkRestart(36'720, 1360, 10, 83);
 }
 
 // Guards against the same after a series of configurations: each of them is applied in full,
 // although the next one replaces it.
 TEST_CASE("a control member answers a read in time after a restart in a series of configurations")
 {
-  checkRestart(4080, 112, 1400);
+  checkRestart(4080, 112, 1400, 0);
+}
+
+// Guards against the same after a day of many small configurations and few moves, in which no
+// snapshot is due.
+TEST_CASE("a control member answers a read in time after a restart on a day without a snapshot")
+{
+  checkRestart(4080, 9, 10, 83);
 }
 
 } // namespace camphorcleat::daemon
