Proposal: remove a cancelled request from the owner's ring

The owner's thread handles 256 messages and starts the requests among them before it sees a cancellation behind them. The router now removes a request that still waits in the ring.

--- a/packages/base/Ring.h
+++ b/packages/base/Ring.h
@@ -8,8 +8,10 @@
 #ifndef CAMPHORCLEAT_BASE_RING_H_
 #define CAMPHORCLEAT_BASE_RING_H_
 
+#include <algorithm>
 #include <condition_variable>
 #include <functional>
+#include <iterator>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -88,6 +90,20 @@
     return out;
   }
 
+  /// Removes the newest message for which aPredicate returns true. Returns false if there is none.
+  /// Thread-safe.
+  template<class Predicate>
+  bool removeNewest(Predicate aPredicate)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto it = std::find_if(mItems.rbegin(), mItems.rend(), aPredicate);
+    if (it == mItems.rend()) {
+      return false;
+    }
+    mItems.erase(std::prev(it.base()));
+    return true;
+  }
+
   /// Refuses further messages and wakes the consumer. Messages in the ring can still be removed.
   /// Thread-safe.
   void close()
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -141,6 +141,18 @@
   }
 }
 
+// Removes a request that the owner hasn't handled yet. It would be started before its cancellation is
+// handled. The owner ignores parts of its body.
+bool PeerRouter::removeWaitingRequest(const RequestId& aId)
+{
+  return mRings.owner.removeNewest([&](const OwnerMessage& aMessage) {
+    const auto* received = std::get_if<ReceivedMessage>(&aMessage);
+    const auto* head =
+      received == nullptr ? nullptr : std::get_if<wire::RequestHead>(&received->message);
+    return head != nullptr && head->id == aId;
+  });
+}
+
 bool PeerRouter::dispatch(ReceivedMessage aMessage)
 {
   switch (std::visit(DutyOf{}, aMessage.message)) {
@@ -152,6 +164,11 @@
       push<ControlMessage>(mRings.control.get(), aMessage);
       return push<AgentMessage>(&mRings.agent, std::move(aMessage));
     case Duty::Owner:
+      if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage.message)) {
+        if (removeWaitingRequest(cancel->id)) {
+          return true;
+        }
+      }
       return push<OwnerMessage>(&mRings.owner, std::move(aMessage));
     case Duty::Entry:
       return push<EntryMessage>(&mRings.entry, std::move(aMessage));
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -48,6 +48,7 @@
 
 private:
   bool dispatch(ReceivedMessage aMessage);
+  bool removeWaitingRequest(const RequestId& aId);
   void refuseOverloaded(transport::LinkId aLink, const RequestId& aId);
 
   NodeId mSelf;
