Failing test: a request whose first attempt can't be sent is held until its deadline

A step that starts an attempt also sets a timer. If the attempt fails at once, because the link is full or the owner unreachable, the nested step sets the timer of the retry, and the outer step then replaces it by the deadline's.

--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -159,8 +159,10 @@
   std::shared_ptr<EntryExchange> exchange;
 
   explicit Run(const std::string& aMethod, std::optional<std::uint64_t> aLength = 0,
-               Millis aDeadline = Millis(10000))
+               Millis aDeadline = Millis(10000),
+               transport::SendStatus aStatus = transport::SendStatus::Accepted)
   {
+    host.status = aStatus;
     caller->length = aLength;
     wire::RequestHead head;
     head.service = "lookup";
@@ -481,4 +483,14 @@
   CHECK(run.caller->status == 0);
 }
 
+// Guards against requests that are held until their deadline (SHORT): the timer of the retry was
+// replaced by an earlier one, because the attempt failed within the step that started it.
+TEST_CASE("a request whose first attempt can't be sent is tried again before its deadline")
+{
+  Run run("GET", 0, Millis(10000), transport::SendStatus::Unreachable);
+  REQUIRE(run.host.heads.empty());
+  run.host.status = transport::SendStatus::Accepted;
+  CHECK(run.runUntilAttempts(1)); // Waits for 2 s.
+}
+
 } // namespace camphorcleat::daemon
