Proposal: set an exchange's timer before the actions that may step again

The timer of the outer step replaced the later one of a nested step, so a request whose attempt couldn't be sent was tried again only at its deadline.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -99,7 +99,12 @@
 void EntryExchange::step(const traffic::EntryEvent& aEvent)
 {
   const auto self = shared_from_this();
-  for (const auto& it : mLogic.step(Clock::now(), aEvent)) {
+  auto actions = mLogic.step(Clock::now(), aEvent);
+  // Other actions may lead to another step, whose timer replaces this one.
+  std::stable_partition(actions.begin(), actions.end(), [](const traffic::EntryAction& aAction) {
+    return std::holds_alternative<traffic::SetTimer>(aAction);
+  });
+  for (const auto& it : actions) {
     if (mIsFinished) {
       return;
     }
