--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -9,6 +9,8 @@
 #include "daemon/NativeDialect.h"
 #include "daemon/OwnerExchange.h"
 #include "daemon/RequestPath.h"
+#include "transport/HttpFrontend.h"
+#include "transport/testing/TransportFakes.h"
 
 namespace camphorcleat::daemon {
 namespace {
@@ -230,6 +232,50 @@
   }
 };
 
+/// Makes the first attempt of a request, then keeps the thread busy until it is released.
+class FirstAttempt final : public transport::HttpHandler
+{
+public:
+  FirstAttempt(DutyThread& aThread, FakeHost& aHost)
+    : mThread(aThread)
+    , mHost(aHost)
+  {
+  }
+
+  void onRequest(std::shared_ptr<transport::CallerStream> aStream) override
+  {
+    wire::RequestHead head;
+    head.service = "lookup";
+    head.key = "k";
+    head.method = "GET";
+    head.path = "/lookup/k";
+    head.isIdempotent = true;
+    ExchangePlan plan;
+    plan.isKeyed = true;
+    plan.deadline = Clock::now() + Millis(10000);
+    std::make_shared<EntryExchange>(mHost, mThread.context(), std::move(aStream), head, plan,
+                                    traffic::EntryShared{ mBudget, mHedge, mRandom })
+      ->start();
+    mMade.set_value();
+    mReleased.get_future().wait();
+  }
+
+  bool waitUntilMade(Millis aTime)
+  {
+    return mMade.get_future().wait_for(aTime) == std::future_status::ready;
+  }
+  void release() { mReleased.set_value(); }
+
+private:
+  DutyThread& mThread;
+  FakeHost& mHost;
+  std::mt19937_64 mRandom{ 5 };
+  traffic::RetryBudget mBudget;
+  traffic::HedgePolicy mHedge;
+  std::promise<void> mMade;
+  std::promise<void> mReleased;
+};
+
 } // namespace
 
 TEST_CASE(
@@ -493,4 +539,29 @@
   CHECK(run.runUntilAttempts(1)); // Waits for 2 s.
 }
 
+// Guards against work for a caller that has left (GONE): it left between two attempts, while the
+// entry's thread was busy.
+TEST_CASE("no further attempt is made for a caller that has closed its connection")
+{
+  using namespace transport::testing;
+  DutyThread thread("entry");
+  FakeHost host;
+  host.status = transport::SendStatus::Unreachable;
+  FirstAttempt handler(thread, host);
+  transport::HttpFrontend frontend(thread.context(), "127.0.0.1:0", {}, handler);
+  REQUIRE(frontend.start());
+  thread.start();
+  BlockingSocket caller(frontend.port());
+  caller.write("GET /lookup/k HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(handler.waitUntilMade(Millis(2000)));
+  caller.close();
+  std::this_thread::sleep_for(Millis(200)); // The next attempt is due.
+  host.status = transport::SendStatus::Accepted;
+  handler.release();
+  CHECK(waitFor([&] { return frontend.openRequests() == 0; }));
+  thread.stop();
+  CHECK(host.end == ErrorCode::Cancelled);
+  CHECK(host.heads.empty());
+}
+
 } // namespace camphorcleat::daemon
