--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -141,6 +141,10 @@
 
 void EntryExchange::startAttempt(const traffic::StartAttempt& aStart)
 {
+  if (mStream->hasDisconnected()) {
+    onCallerDisconnected();
+    return;
+  }
   if (mIsBodyUnrepeatable) {
     fail(mMayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun, ErrorCode::PeerUnreachable,
          "the attempt failed while the request body was being sent; send the request again",
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -59,6 +59,7 @@
   {
     disconnectCallback = std::move(aCallback);
   }
+  bool hasDisconnected() const override { return false; }
 
   void deliverBody(std::size_t aBytes, bool aIsLast)
   {
--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -110,6 +110,10 @@
   /// data is read, since TCP delivers the end of the stream after the data. Not called after
   /// abort().
   virtual void onDisconnect(std::function<void()> aCallback) = 0;
+
+  /// Returns whether the caller has closed its connection, which may be before the function set with
+  /// onDisconnect() is called.
+  virtual bool hasDisconnected() const = 0;
 };
 
 /// Receives the requests of a frontend.
--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -83,6 +83,7 @@
   {
     mSession->onDisconnect(mRequestNumber, std::move(aCallback));
   }
+  bool hasDisconnected() const override { return mSession->hasDisconnected(mRequestNumber); }
 
 private:
   friend class camphorcleat::transport::HttpSession;
@@ -507,6 +508,11 @@
   }
 }
 
+bool HttpSession::hasDisconnected(std::uint64_t aRequestNumber)
+{
+  return !isCurrent(aRequestNumber) || hasCallerClosed();
+}
+
 // Flushes after the handlers that are already queued, so that a head and its body go out in one
 // write.
 void HttpSession::scheduleFlush()
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -87,6 +87,7 @@
                 std::function<void(bool)> aDone);
   void abort(std::uint64_t aRequestNumber);
   void onDisconnect(std::uint64_t aRequestNumber, std::function<void()> aCallback);
+  bool hasDisconnected(std::uint64_t aRequestNumber);
 
 private:
   enum class Phase
