Stop the owner's hub in the test of the Hello's wait before its handler is destroyed

One of two whole runs of daemon_test ended with a segmentation fault after this test. Suspected cause: the hub's thread reported the lost link to the destroyed handler.

--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -719,6 +719,7 @@
               clientFrame(wire::encodePeerMessage(head)));
   CHECK(f.target.accept(kBusy + Millis(500)) == 0);
   CHECK(entry.readUntil("deadline").find("deadline") != std::string::npos);
+  ownerHub->stop(); // Before its handler is destroyed.
 }
 
 // Guards against keys that are passed on while a draining target, which accepts no connections any
