--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -125,7 +125,7 @@
   fleet::ControlLeader mLeader;
   fleet::AuditTrail mAudit;
   std::vector<fleet::AuditRecord> mUnwrittenAudit; // Of entries applied in this slice.
-  TimePoint mAuditRetryAt; // Of records that could not be written.
+  TimePoint mAuditRetryAt;                         // Of records that could not be written.
 
   TimePoint mNow; // Time of the current event.
   std::deque<agreement::Event> mLogEvents;
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -141,8 +141,8 @@
   }
 }
 
-// Removes a request that the owner hasn't handled yet. It would be started before its cancellation is
-// handled. The owner ignores parts of its body.
+// Removes a request that the owner hasn't handled yet. It would be started before its cancellation
+// is handled. The owner ignores parts of its body.
 bool PeerRouter::removeWaitingRequest(const RequestId& aId)
 {
   return mRings.owner.removeNewest([&](const OwnerMessage& aMessage) {
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -782,7 +782,8 @@
   f.sendRequest("intake", "", 5);
   const RequestId id{ 9, f.counter };
   for (std::uint64_t i = 0; i < kMessagesBetween; ++i) {
-    f.push(ReceivedMessage{ kLocalLink, 1, wire::Credit{ { 8, i }, wire::Direction::ToCaller, 1 } });
+    f.push(
+      ReceivedMessage{ kLocalLink, 1, wire::Credit{ { 8, i }, wire::Direction::ToCaller, 1 } });
   }
   f.send(wire::CancelRequest{ id });
   release.set_value();
--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -111,8 +111,8 @@
   /// abort().
   virtual void onDisconnect(std::function<void()> aCallback) = 0;
 
-  /// Returns whether the caller has closed its connection, which may be before the function set with
-  /// onDisconnect() is called.
+  /// Returns whether the caller has closed its connection, which may be before the function set
+  /// with onDisconnect() is called.
   virtual bool hasDisconnected() const = 0;
 };
 
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -104,8 +104,7 @@
 {
   QueueResult out;
   out.link = aLink;
-  if (aEvent.kind == RequestEvent::Kind::Cancelled &&
-      removeWaitingLocked(*aLink, aEvent.request)) {
+  if (aEvent.kind == RequestEvent::Kind::Cancelled && removeWaitingLocked(*aLink, aEvent.request)) {
     recordLocked(*aLink, aEvent);
     out.result = { SendStatus::Accepted, aLink->id };
     return out;
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -359,8 +359,8 @@
   REQUIRE(server.frontend->openRequests() == 0);
 }
 
-// Guards against work for a caller that has left (GONE): its request lay unread while the frontend's
-// thread was busy.
+// Guards against work for a caller that has left (GONE): its request lay unread while the
+// frontend's thread was busy.
 TEST_CASE("a request whose caller closed the connection before it was read isn't started")
 {
   ServerFixture server;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -235,8 +235,8 @@
   REQUIRE(std::get<wire::LeaseRenew>(b.handler.messages()[1]).sequence == 2);
 }
 
-// Guards against work for a caller that has left (GONE): the owner would start the request before it
-// reads the cancellation.
+// Guards against work for a caller that has left (GONE): the owner would start the request before
+// it reads the cancellation.
 TEST_CASE("a request that is cancelled while it waits for its link isn't sent")
 {
   NodeFixture b(configOf(2));
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -480,8 +480,8 @@
   ClientFixture client(target.address());
   const auto handler = std::make_shared<RecordingTargetHandler>();
   runOn(client.thread, [&] {
-    handler->exchange = client.client->start(TargetRequest{ "GET", "/x", {}, 0 }, handler,
-                                             Clock::now() + Millis(50));
+    handler->exchange =
+      client.client->start(TargetRequest{ "GET", "/x", {}, 0 }, handler, Clock::now() + Millis(50));
     client.thread.post([] { std::this_thread::sleep_for(Millis(200)); });
   });
   REQUIRE(waitFor([&] { return handler->isDone(); }));
