Bound the audit records that are written together

A slice of log entries that names more objects, such as the loss of all nodes of a large fleet, would have lost records. They are now written whenever 1,024 have collected. By reading; no test shows the loss.

--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -32,6 +32,10 @@
 // A proposal that is not applied within this time is answered with an unknown outcome.
 constexpr Millis kProposalTimeout{ 5000 };
 
+// Audit records of a slice that are written without waiting for its end. AuditTrail drops records
+// if many more are added at once.
+constexpr std::size_t kMaxUnwrittenAudit = 1024;
+
 // Interval at which records that could not be written to the audit trail are written again.
 constexpr Millis kAuditRetry{ 1000 };
 
@@ -426,6 +430,9 @@
                { "reason", applied.result.message } });
   }
   std::move(applied.audit.begin(), applied.audit.end(), std::back_inserter(mUnwrittenAudit));
+  if (mUnwrittenAudit.size() >= kMaxUnwrittenAudit) {
+    writeUnwrittenAudit();
+  }
   stepLeader(fleet::control::Applied{ aEntry.index, std::move(applied.changes),
                                       fleet::isPlannerCommand(*command) });
   completeProposal(aEntry.index, aEntry.term, applied.result);
