--- a/packages/daemon/AgentDuty.cc
+++ b/packages/daemon/AgentDuty.cc
@@ -2,6 +2,8 @@
 
 #include "daemon/AgentDuty.h"
 
+#include <pthread.h>
+
 #include "base/Log.h"
 
 namespace camphorcleat::daemon {
@@ -37,6 +39,7 @@
   , mView(aView)
   , mOnDrained(std::move(aOnDrained))
   , mRandom(std::random_device{}())
+  , mLoopDelay(kTickInterval)
   , mAgent(agentConfig(aSettings, aDialect), mRandom)
 {
 }
@@ -63,6 +66,7 @@
 
 void AgentDuty::run()
 {
+  pthread_setname_np(pthread_self(), "agent");
   TimePoint nextTick = Clock::now();
   while (!mRings.agent.isClosed()) {
     if (auto message = mRings.agent.popUntil(nextTick)) {
@@ -70,6 +74,7 @@
     }
     if (Clock::now() >= nextTick) {
       nextTick = Clock::now() + kTickInterval;
+      mLoopDelay.tick(Clock::now());
       detectSuspension();
       step(fleet::agent::Tick{});
     }
--- a/packages/daemon/AgentDuty.h
+++ b/packages/daemon/AgentDuty.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <thread>
 
+#include "base/LoopDelay.h"
 #include "daemon/Dialect.h"
 #include "daemon/LeaseChartReporter.h"
 #include "daemon/PeerRouter.h"
@@ -70,6 +71,7 @@
   std::function<void()> mOnDrained;
   std::function<void(NodeId, std::string)> mAddressSink;
   std::mt19937_64 mRandom;
+  LoopDelay mLoopDelay;
   fleet::NodeAgent mAgent;
   std::shared_ptr<const fleet::FleetModel> mPublishedModel;
   Incarnation mPublishedIncarnation = 0;
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -23,6 +23,9 @@
 // is a quarter of the shortest election timeout of a group with default settings.
 constexpr Millis kLateTick{ 60 };
 
+// A backlog that took this long is logged.
+constexpr Millis kLateBacklog{ 200 };
+
 // Time for messages, and for the backlog, before the other one continues.
 constexpr Millis kSlice{ 10 };
 
@@ -138,6 +141,7 @@
 void ControlDuty::run()
 {
   mNow = Clock::now();
+  mBacklogSince = mNow;
   TimePoint nextTick = mNow;
   while (!mRings.control->isClosed()) {
     const bool hasBacklog = !mBacklog.empty();
@@ -316,6 +320,23 @@
     mNow = Clock::now();
   }
   writeUnwrittenAudit();
+  reportBacklog();
+}
+
+// Until a member has applied its backlog, it answers no read and can't be established as leader.
+void ControlDuty::reportBacklog()
+{
+  if (!mBacklog.empty()) {
+    return;
+  }
+  if (mNow - mBacklogSince >= kLateBacklog && mAppliedIndex > mBacklogAfter) {
+    logEvent(LogLevel::Info, "backlog_applied",
+             { { "entries", std::to_string(mAppliedIndex - mBacklogAfter) },
+               { "revision", std::to_string(mState.revision()) },
+               { "ms", std::to_string(toMillis(mNow - mBacklogSince)) } });
+  }
+  mBacklogSince = mNow;
+  mBacklogAfter = mAppliedIndex;
 }
 
 // Writes the audit records of all entries that were applied since the last call. Each write waits
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -82,6 +82,7 @@
   void drainLogEvents();
   void perform(agreement::Action& aAction);
   void runBacklog(TimePoint aUntil);
+  void reportBacklog();
   void applyEntry(const wire::LogEntry& aEntry);
   void applyCommand(const wire::LogEntry& aEntry);
   void restore(const agreement::RestoreSnapshot& aAction);
@@ -133,6 +134,8 @@
   std::deque<agreement::Action> mBacklog; // Actions on the applied state, in the log's order.
   std::size_t mBacklogEntries = 0;        // Entries in mBacklog that are not applied yet.
   std::size_t mNextEntry = 0;             // Next entry of the ApplyEntries at its front.
+  TimePoint mBacklogSince;                // When mBacklog was last empty.
+  LogIndex mBacklogAfter = 0;             // Last index applied then.
   std::uint64_t mCounter = 0; // Last number used for a proposal, read or forwarded request.
   LogIndex mAppliedIndex = 0;
   std::vector<NodeId> mKnownMembers; // Control daemons that may accept a JoinRequest.
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -128,7 +128,12 @@
   QDir().mkpath(QString::fromStdString(settings.dataFolder));
   store.reset(); // Releases the lock of an earlier attempt.
   store = std::make_unique<agreement::FileLogStore>(settings.dataFolder + "/log", seededRandom());
+  const TimePoint begin = Clock::now();
   BOOST_LEAF_ASSIGN(stored, store->open());
+  logEvent(LogLevel::Info, "log_opened",
+           { { "snapshot", std::to_string(stored.snapshot ? stored.snapshot->lastIndex : 0) },
+             { "entries", std::to_string(stored.entries.size()) },
+             { "ms", std::to_string(toMillis(Clock::now() - begin)) } });
   BOOST_LEAF_AUTO(
     trail, fleet::AuditTrail::open(settings.dataFolder + "/audit.jsonl", settings.auditMaxBytes));
   audit.emplace(std::move(trail));
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -86,6 +86,7 @@
   , mRateHome(mRandom())
   , mHeartbeatGrants(aSettings.maxHold)
   , mTimer(mThread.context())
+  , mLoopDelay(kMaxTickInterval)
 {
   if (mDialect.hasHeartbeats()) {
     mView.setGrants(*mGrants);
@@ -407,6 +408,10 @@
     return;
   }
   const bool hasBegun = exchange->hasBegun();
+  logEvent(LogLevel::Info, "request_cancelled",
+           { { "request", exchange->head().callerRequestId },
+             { "started", hasBegun ? "yes" : "no" },
+             { "waited_ms", std::to_string(toMillis(exchange->waitingTime())) } });
   step(traffic::RequestCancelled{ aId });
   if (!hasBegun) {
     removeExchange(aId); // An exchange that has begun is removed by exchangeEnded().
@@ -1094,6 +1099,7 @@
     if (aError) {
       return;
     }
+    mLoopDelay.tick(Clock::now());
     step(traffic::Tick{});
     if (Clock::now() >= mHeartbeatResponseDeadline) {
       respondToPendingHeartbeat();
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/DutyThread.h"
+#include "base/LoopDelay.h"
 #include "daemon/HeartbeatTracker.h"
 #include "daemon/Metrics.h"
 #include "daemon/OwnerExchange.h"
@@ -179,6 +180,7 @@
   bool mIsProbing = false;
   std::optional<TargetChartReporter> mTargetChartReporter;
   boost::asio::steady_timer mTimer;
+  LoopDelay mLoopDelay;
   std::unordered_map<RequestId, std::shared_ptr<OwnerExchange>> mExchanges;
   std::unordered_map<RequestId, AwaitingGrant> mAwaitingGrant; // At most maxQueuedRequests.
   std::map<TokenRequestId, TimePoint> mTokenRequests; // Pending ones, with the time of sending.
--- a/packages/transport/HttpFrontend.cc
+++ b/packages/transport/HttpFrontend.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/Log.h"
+#include "base/LoopDelay.h"
 #include "transport/Endpoint.h"
 #include "transport/HttpSession.h"
 #include "transport/Ticker.h"
@@ -42,6 +43,7 @@
   asio::ip::tcp::acceptor acceptor;
   asio::steady_timer acceptTimer;
   Ticker ticker;
+  LoopDelay loopDelay{ kTickInterval };
   unsigned short port = 0;
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 
@@ -109,10 +111,12 @@
 
   void tick(TimePoint aNow)
   {
+    loopDelay.tick(aNow);
     const std::vector<std::shared_ptr<HttpSession>> sessions(state->sessions.begin(),
                                                              state->sessions.end());
     if (sessions.empty()) {
       ticker.stop();
+      loopDelay.reset();
       return;
     }
     for (const auto& it : sessions) {
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -13,6 +13,7 @@
 
 #include "base/DutyThread.h"
 #include "base/Log.h"
+#include "base/LoopDelay.h"
 #include "transport/Endpoint.h"
 #include "transport/PeerLink.h"
 #include "transport/Ticker.h"
@@ -86,6 +87,7 @@
   PeerServer server;
   PeerClient client;
   Ticker ticker;
+  LoopDelay loopDelay;
   // Accessed on the hub's thread only. At most two entries per node.
   std::map<PeerLinkTable::Key, PeerHistory> histories;
   unsigned short port = 0;
@@ -97,6 +99,7 @@
     , handler(aHandler)
     , links(config.maxBufferedBytes, config.derivedAddressPort)
     , ticker(thread.context(), tickInterval(config), [this](TimePoint aNow) { tick(aNow); })
+    , loopDelay(tickInterval(config))
   {
   }
 
@@ -370,6 +373,7 @@
 
   void tick(TimePoint aNow)
   {
+    loopDelay.tick(aNow);
     const auto all = links.all();
     const Millis idleInterval = idlePingInterval(all);
     for (const auto& it : all) {
