--- a/packages/agreement/LogEvents.h
+++ b/packages/agreement/LogEvents.h
@@ -81,6 +81,11 @@
   std::uint64_t read = 0;
 };
 
+/// Requests a snapshot before snapshotEntries are applied, because applying the entries since the
+/// latest one again would take the embedder too long.
+struct SnapshotRequested
+{};
+
 /// Response to TakeSnapshot: the embedder's state after it applied the entry lastIndex.
 struct SnapshotTaken
 {
@@ -101,7 +106,7 @@
 {};
 
 using Event = std::variant<Tick, MessageArrived, Propose, Persisted, PersistFailed, ReadRequested,
-                           SnapshotTaken, JoinRequested, TransferRequested>;
+                           SnapshotRequested, SnapshotTaken, JoinRequested, TransferRequested>;
 
 // Actions, which the embedder performs in the order given.
 
--- a/packages/agreement/LogNode.cc
+++ b/packages/agreement/LogNode.cc
@@ -98,6 +98,13 @@
   handle(TransferRequested{});
 }
 
+void LogNode::handle(const SnapshotRequested&)
+{
+  if (mAppliedIndex > mSnapshotRequestedIndex) {
+    takeSnapshot();
+  }
+}
+
 void LogNode::handle(const SnapshotTaken& aTaken)
 {
   const auto term = mLog.termAt(aTaken.lastIndex);
@@ -219,11 +226,16 @@
 void LogNode::takeSnapshotIfDue()
 {
   if (mAppliedIndex - mSnapshotRequestedIndex >= mConfig.snapshotEntries) {
-    mSnapshotRequestedIndex = mAppliedIndex;
-    emit(TakeSnapshot{ mAppliedIndex });
+    takeSnapshot();
   }
 }
 
+void LogNode::takeSnapshot()
+{
+  mSnapshotRequestedIndex = mAppliedIndex;
+  emit(TakeSnapshot{ mAppliedIndex });
+}
+
 void LogNode::adoptSnapshot(SnapshotPtr aSnapshot)
 {
   mSnapshot = std::move(aSnapshot);
--- a/packages/agreement/LogNode.h
+++ b/packages/agreement/LogNode.h
@@ -86,6 +86,7 @@
   void handle(const Persisted& aPersisted);
   void handle(const PersistFailed& aFailed);
   void handle(const ReadRequested& aRequest);
+  void handle(const SnapshotRequested& aRequest);
   void handle(const SnapshotTaken& aTaken);
   void handle(const JoinRequested& aRequest);
   void handle(const TransferRequested& aRequest);
@@ -112,6 +113,7 @@
   void commitTo(LogIndex aIndex);
   void applyCommitted();
   void takeSnapshotIfDue();
+  void takeSnapshot();
   void adoptSnapshot(SnapshotPtr aSnapshot);
   bool isMember() const;
 
--- a/packages/agreement/testing/LogNodeTest.cc
+++ b/packages/agreement/testing/LogNodeTest.cc
@@ -336,6 +336,22 @@
   CHECK(batch.entries.at(0).index == noop + 2);
 }
 
+// Guards against a restart that applies a long log again although the embedder asked for a
+// snapshot.
+TEST_CASE("A requested snapshot covers all applied entries and is taken once")
+{
+  MemberFixture fixture;
+  const LogIndex noop = fixture.lead();
+  fixture.step(Propose{ 1, "a" });
+  fixture.ack(2, noop + 1);
+  fixture.ack(3, noop + 1);
+  REQUIRE(fixture.node().appliedIndex() == noop + 1);
+  const auto taken = actionsOf<TakeSnapshot>(fixture.step(SnapshotRequested{}));
+  REQUIRE(taken.size() == 1);
+  CHECK(taken.front().lastIndex == noop + 1);
+  CHECK(actionsOf<TakeSnapshot>(fixture.step(SnapshotRequested{})).empty());
+}
+
 TEST_CASE("An unneeded snapshot is acknowledged once the entries it covers are synced")
 {
   MemberFixture fixture;
--- a/packages/base/Compression.cc
+++ b/packages/base/Compression.cc
@@ -24,12 +24,17 @@
   return qCompress(viewOf(aData), kLevel).toStdString();
 }
 
+std::size_t decompressedBytes(std::string_view aCompressed)
+{
+  return aCompressed.size() < sizeof(quint32) ? 0 : qFromBigEndian<quint32>(aCompressed.data());
+}
+
 Result<std::string> decompress(std::string_view aCompressed, std::size_t aMaxBytes)
 {
   if (aCompressed.size() < sizeof(quint32)) {
     return fail(DecodeError{ "compressed", "the length is missing" });
   }
-  const std::size_t length = qFromBigEndian<quint32>(aCompressed.data());
+  const std::size_t length = decompressedBytes(aCompressed);
   if (length > aMaxBytes) {
     return fail(DecodeError{ "compressed", "longer than the limit" });
   }
--- a/packages/base/Compression.h
+++ b/packages/base/Compression.h
@@ -18,6 +18,10 @@
 /// or the data longer than aMaxBytes, and allocates no more than that. Thread-safe.
 Result<std::string> decompress(std::string_view aCompressed, std::size_t aMaxBytes);
 
+/// Returns the size that the data claims to have once decompressed; 0 if it is invalid.
+/// Thread-safe.
+std::size_t decompressedBytes(std::string_view aCompressed);
+
 } // namespace camphorcleat
 
 #endif // CAMPHORCLEAT_BASE_COMPRESSION_H_
--- a/packages/base/testing/CompressionTest.cc
+++ b/packages/base/testing/CompressionTest.cc
@@ -24,6 +24,7 @@
   for (const std::size_t size : { 0U, 1U, 100U, 500000U }) {
     const std::string data(size, 'x');
     CHECK(decompress(compress(data), kLimit).value() == data);
+    CHECK(decompressedBytes(compress(data)) == size);
   }
 }
 
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -411,14 +411,15 @@
   } else if (const auto* snapshot = std::get_if<agreement::RestoreSnapshot>(&aAction)) {
     restore(*snapshot);
   } else if (const auto* take = std::get_if<agreement::TakeSnapshot>(&aAction)) {
-    writeUnwrittenAudit(); // The records of entries that a snapshot replaces can't be made again.
-    stepLog(agreement::SnapshotTaken{ take->lastIndex, mState.encodeSnapshot() });
+    takeSnapshot(take->lastIndex);
   }
 }
 
 void ControlDuty::applyEntry(const wire::LogEntry& aEntry)
 {
   mAppliedIndex = aEntry.index;
+  mReplayCost.add(wire::payloadBytes(aEntry.payload.data));
+  requestSnapshotIfDue();
   if (aEntry.kind == wire::EntryKind::Command) {
     applyCommand(aEntry);
   } else {
@@ -435,6 +436,24 @@
   }
 }
 
+// The snapshot follows the entries of the backlog, which the log node counts as applied.
+void ControlDuty::requestSnapshotIfDue()
+{
+  if (mReplayCost.isSnapshotDue() && !mIsSnapshotRequested) {
+    mIsSnapshotRequested = true;
+    stepLog(agreement::SnapshotRequested{});
+  }
+}
+
+void ControlDuty::takeSnapshot(LogIndex aLastIndex)
+{
+  writeUnwrittenAudit(); // The records of entries that a snapshot replaces can't be made again.
+  std::string bytes = mState.encodeSnapshot();
+  mReplayCost.reset(bytes.size());
+  mIsSnapshotRequested = false;
+  stepLog(agreement::SnapshotTaken{ aLastIndex, std::move(bytes) });
+}
+
 void ControlDuty::applyCommand(const wire::LogEntry& aEntry)
 {
   const auto command = decodeOrLog(aEntry);
@@ -490,6 +509,8 @@
     std::terminate();
   }
   mAppliedIndex = aAction.lastIndex;
+  mReplayCost.reset(aAction.bytes.size());
+  mIsSnapshotRequested = false;
   stepLeader(fleet::control::Restored{ aAction.lastIndex });
 }
 
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -24,6 +24,7 @@
 #include "fleet/AuditTrail.h"
 #include "fleet/ControlLeader.h"
 #include "fleet/FleetState.h"
+#include "fleet/ReplayCost.h"
 #include "fleet/Statement.h"
 
 namespace camphorcleat::daemon {
@@ -85,6 +86,8 @@
   void reportBacklog();
   void applyEntry(const wire::LogEntry& aEntry);
   void applyCommand(const wire::LogEntry& aEntry);
+  void requestSnapshotIfDue();
+  void takeSnapshot(LogIndex aLastIndex);
   void restore(const agreement::RestoreSnapshot& aAction);
   std::optional<wire::Command> decodeOrLog(const wire::LogEntry& aEntry) const;
   void writeAudit(const std::vector<fleet::AuditRecord>& aRecords);
@@ -123,6 +126,8 @@
   Incarnation mProcessIncarnation = 0; // Identifies this process in the ids of forwarded requests.
   agreement::LogNode mLog;
   fleet::FleetState mState;
+  fleet::ReplayCost mReplayCost; // Of the entries since the latest snapshot.
+  bool mIsSnapshotRequested = false;
   fleet::ControlLeader mLeader;
   fleet::AuditTrail mAudit;
   std::vector<fleet::AuditRecord> mUnwrittenAudit; // Of entries applied in this slice.
--- a/packages/daemon/testing/ControlDutyTest.cc
+++ b/packages/daemon/testing/ControlDutyTest.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
@@ -30,6 +31,27 @@
   Result<void> persist(const agreement::Persist& /*aBatch*/) override { return {}; }
 };
 
+/// Persists nothing and records up to which entry the latest snapshot goes.
+class SnapshotRecorder : public NullStore
+{
+public:
+  explicit SnapshotRecorder(std::atomic<LogIndex>& aLastIndex)
+    : mLastIndex(aLastIndex)
+  {
+  }
+
+  Result<void> persist(const agreement::Persist& aBatch) override
+  {
+    if (aBatch.snapshot) {
+      mLastIndex = aBatch.snapshot->lastIndex;
+    }
+    return {};
+  }
+
+private:
+  std::atomic<LogIndex>& mLastIndex;
+};
+
 class TemporaryFolder
 {
 public:
@@ -355,6 +377,32 @@
   CHECK(longest < applyTime / 4);
 }
 
+// Guards against a restart that applies every configuration of a day again (CONFIG), because few
+// entries were written, although each of them was a lot of work.
+TEST_CASE("a control member takes a snapshot after a series of large configurations")
+{
+  const TemporaryFolder folder;
+  const agreement::StoredState stored = longLog();
+  const Settings settings = settingsOf(folder.path());
+  Rings rings;
+  rings.control = std::make_unique<Ring<ControlMessage>>(kControlRingSize);
+  PeerRouter router(settings.id, rings);
+  std::atomic<LogIndex> snapshotAt{ 0 };
+  StorageDuty storage(std::make_unique<SnapshotRecorder>(snapshotAt), *rings.control);
+  auto audit = fleet::AuditTrail::open(folder.path() + "/audit.jsonl", 1U << 20U);
+  REQUIRE(audit);
+  ControlDuty control(settings, rings, router, storage, stored, std::move(*audit));
+  storage.start();
+  control.start();
+  const TimePoint end = Clock::now() + std::chrono::seconds(30);
+  while (snapshotAt < stored.entries.size() && Clock::now() < end) {
+    std::this_thread::sleep_for(Millis(5));
+  }
+  control.stop();
+  storage.stop();
+  CHECK(snapshotAt >= stored.entries.size());
+}
+
 void checkRestart(std::uint64_t aEntries, std::uint64_t aEntriesPerConfiguration, int aRoutes,
                   int aAccounts)
 {
--- a/packages/wire/WireCodec.cc
+++ b/packages/wire/WireCodec.cc
@@ -71,6 +71,12 @@
   return decodeCommand(bytes);
 }
 
+std::size_t payloadBytes(const std::string& aPayload)
+{
+  const bool isCompressed = !aPayload.empty() && aPayload.front() == kCompressedMark;
+  return isCompressed ? decompressedBytes(std::string_view(aPayload).substr(1)) : aPayload.size();
+}
+
 std::string encodeChanges(const std::vector<Change>& aChanges)
 {
   return encode(aChanges);
--- a/packages/wire/WireCodec.h
+++ b/packages/wire/WireCodec.h
@@ -36,6 +36,9 @@
 /// Fails with DecodeError. Thread-safe.
 Result<Command> decodePayload(const std::string& aPayload);
 
+/// Returns the size of a log entry's payload without compression. Thread-safe.
+std::size_t payloadBytes(const std::string& aPayload);
+
 /// Returns a list of changes as CBOR. Thread-safe.
 std::string encodeChanges(const std::vector<Change>& aChanges);
 
