Apply a configuration without encoding it again

Cause: a configuration of 1,400 routes took 10 ms to decode and 18 ms to apply on this machine. 11 ms of that encoded the whole command once more, for the digest by which a resend is recognized. Accounts and routes were compared by their encodings.

Change: the digest covers the version, the base and the digest of the document instead of the content; a record that an earlier version wrote is still recognized. Accounts and routes are compared by their fields (FieldEquality.h). Payloads use the codec's compact form, which decode() accepts as well as the named one.

--- a/packages/fleet/CommandHistory.cc
+++ b/packages/fleet/CommandHistory.cc
@@ -9,12 +9,54 @@
 
 namespace camphorcleat::fleet {
 
-std::string commandDigest(const wire::Command& aCommand)
+namespace {
+
+std::string digestOf(const wire::Command& aCommand)
 {
   constexpr std::size_t kDigits = 32;
+  return sha256Hex(wire::encodeCommand(aCommand)).substr(0, kDigits);
+}
+
+// The digest that versions before commandDigest() left out the content of configurations recorded.
+std::string fullDigest(const wire::Command& aCommand)
+{
   wire::Command content = aCommand;
   content.issuedAtUnixMillis = 0;
-  return sha256Hex(wire::encodeCommand(content)).substr(0, kDigits);
+  return digestOf(content);
+}
+
+// Returns a body without what the digest of its document covers. Encoding a large configuration
+// takes longer than all other steps of applying it.
+wire::CommandBody withoutContent(const wire::CommandBody& aBody)
+{
+  const auto* replace = std::get_if<wire::ReplaceConfiguration>(&aBody);
+  if (replace == nullptr || replace->configuration.digest.empty()) {
+    return aBody;
+  }
+  wire::ReplaceConfiguration out;
+  out.baseVersion = replace->baseVersion;
+  out.configuration.version = replace->configuration.version;
+  out.configuration.digest = replace->configuration.digest;
+  return out;
+}
+
+} // namespace
+
+std::string commandDigest(const wire::Command& aCommand)
+{
+  wire::Command content;
+  content.commandId = aCommand.commandId;
+  content.issuer = aCommand.issuer;
+  content.expectedRevision = aCommand.expectedRevision;
+  for (const auto& it : aCommand.bodies) {
+    content.bodies.push_back(withoutContent(it));
+  }
+  return digestOf(content);
+}
+
+bool isSameCommand(const RecordedCommand& aRecorded, const wire::Command& aCommand)
+{
+  return aRecorded.digest == commandDigest(aCommand) || aRecorded.digest == fullDigest(aCommand);
 }
 
 std::optional<RecordedCommand> CommandHistory::find(const std::string& aCommandId) const
--- a/packages/fleet/CommandHistory.h
+++ b/packages/fleet/CommandHistory.h
@@ -38,9 +38,13 @@
 };
 
 /// Returns the digest of issuer, expected revision and bodies: 128 bits of their SHA-256. The time
-/// of issue is excluded, since it differs in a resend. Thread-safe.
+/// of issue is excluded, since it differs in a resend. A configuration is represented by its
+/// version and the digest of its document. Thread-safe.
 std::string commandDigest(const wire::Command& aCommand);
 
+/// Returns whether a command has the content of a recorded one. Thread-safe.
+bool isSameCommand(const RecordedCommand& aRecorded, const wire::Command& aCommand);
+
 /// Not thread-safe.
 class CommandHistory
 {
--- a/packages/fleet/ConfigurationDifference.cc
+++ b/packages/fleet/ConfigurationDifference.cc
@@ -1,10 +1,12 @@
-// Compares accounts and routes by their encodings, which contain every field.
+// Compares accounts and routes by their fields.
 
 #include "fleet/ConfigurationDifference.h"
 
 #include <algorithm>
 #include <map>
 
+#include "base/FieldEquality.h"
+
 namespace camphorcleat::fleet {
 
 namespace {
@@ -36,7 +38,7 @@
   }
   for (const auto& it : aNext) {
     const auto old = from.find(idOf(it));
-    if (old == from.end() || encodeCompact(*old->second) != encodeCompact(it)) {
+    if (old == from.end() || !haveEqualFields(*old->second, it)) {
       aChanged.push_back(it);
     }
     if (old != from.end()) {
--- a/packages/fleet/FleetState.cc
+++ b/packages/fleet/FleetState.cc
@@ -129,7 +129,7 @@
 void FleetState::setDuplicateResult(const wire::Command& aCommand, const RecordedCommand& aFirst,
                                     AppliedCommand& aOut)
 {
-  if (aFirst.digest == commandDigest(aCommand)) {
+  if (isSameCommand(aFirst, aCommand)) {
     aOut.result = aFirst.result;
     return;
   }
--- a/packages/fleet/testing/ConfigurationDifferenceTest.cc
+++ b/packages/fleet/testing/ConfigurationDifferenceTest.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "FleetFixtures.h"
+#include "base/FieldEquality.h"
 #include "fleet/ConfigurationDifference.h"
 
 namespace camphorcleat::fleet {
@@ -55,6 +56,28 @@
   return out;
 }
 
+TEST_CASE("a route or account differs if any of its fields does")
+{
+  const wire::Account account = accountOf(1, 5);
+  CHECK(haveEqualFields(account, accountOf(1, 5)));
+  for (int i = 0; i < 4; ++i) {
+    wire::Account other = account;
+    other.burstRequests += i == 0 ? 1 : 0;
+    other.priority = i == 1 ? std::optional<std::uint32_t>(0) : std::nullopt;
+    other.keyDigests["k"] += i == 2 ? "0" : "";
+    if (i == 3) {
+      other.keyDigests["l"] = "";
+    }
+    CHECK_FALSE(haveEqualFields(account, other));
+  }
+  wire::Route route = routeAt(1, 0);
+  route.weightedServices.push_back({ "intake", 2 });
+  CHECK_FALSE(haveEqualFields(route, routeAt(1, 0)));
+  wire::Route reweighted = route;
+  reweighted.weightedServices.back().weight = 3;
+  CHECK_FALSE(haveEqualFields(route, reweighted));
+}
+
 TEST_CASE("a configuration plus its difference to the next one equals the next one")
 {
   std::mt19937 random(7);
--- a/packages/fleet/testing/ConfigurationTest.cc
+++ b/packages/fleet/testing/ConfigurationTest.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include "FleetFixtures.h"
+#include "fleet/CommandHistory.h"
+#include "wire/WireCodec.h"
 
 namespace camphorcleat::fleet {
 namespace {
@@ -106,6 +108,28 @@
   CHECK(member.state.model().configuration().version == 7);
 }
 
+// Guards against an accepted configuration that is refused when it is resent (CONFIG), also to a
+// member whose record of it was written by an earlier version.
+TEST_CASE("a configuration is recognized as resent by version, base and digest of its document")
+{
+  const wire::Command first = operatorCommand("a", { configuration(0, 7, "one") });
+  wire::Command resent = first;
+  resent.issuedAtUnixMillis += 5000;
+  RecordedCommand record;
+  record.digest = commandDigest(first);
+  CHECK(isSameCommand(record, resent));
+  CHECK_FALSE(isSameCommand(record, operatorCommand("a", { configuration(0, 7, "two") })));
+  CHECK_FALSE(isSameCommand(record, operatorCommand("a", { configuration(1, 7, "one") })));
+  CHECK_FALSE(isSameCommand(record, operatorCommand("a", { configuration(0, 8, "one") })));
+
+  constexpr std::size_t kDigits = 32;
+  wire::Command content = first;
+  content.issuedAtUnixMillis = 0;
+  record.digest = sha256Hex(wire::encodeCommand(content)).substr(0, kDigits);
+  CHECK(isSameCommand(record, resent));
+  CHECK_FALSE(isSameCommand(record, operatorCommand("a", { configuration(0, 7, "two") })));
+}
+
 TEST_CASE("a snapshot contains the whole configuration and its document")
 {
   Member member = fleetWithPartitions();
--- a/packages/wire/WireCodec.cc
+++ b/packages/wire/WireCodec.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// First byte of a compressed payload. A command encoded as CBOR is a map and begins with another
-// byte.
+// First byte of a compressed payload. A command encoded as CBOR is a tag or a map and begins with
+// another byte.
 constexpr char kCompressedMark = '\0';
 
 constexpr std::size_t kMinCompressedBytes = 4U << 10U;
@@ -58,7 +58,7 @@
 
 std::string encodePayload(const Command& aCommand)
 {
-  std::string out = encodeCommand(aCommand);
+  std::string out = encodeCompact(aCommand);
   return out.size() < kMinCompressedBytes ? out : kCompressedMark + compress(out);
 }
 
--- a/packages/wire/WireCodec.h
+++ b/packages/wire/WireCodec.h
@@ -28,11 +28,13 @@
 /// Decodes a command. Fails with DecodeError. Thread-safe.
 Result<Command> decodeCommand(const std::string& aBytes);
 
-/// Returns a command as the payload of a log entry: as CBOR, which is compressed if it is large.
+/// Returns a command as the payload of a log entry: as compact CBOR, which is compressed if it is
+/// large.
 /// Thread-safe.
 std::string encodePayload(const Command& aCommand);
 
-/// Decodes the payload of a log entry, also one that was written by a version without compression.
+/// Decodes the payload of a log entry, also one that an earlier version wrote with field names or
+/// without compression.
 /// Fails with DecodeError. Thread-safe.
 Result<Command> decodePayload(const std::string& aPayload);
 
