Read what has arrived behind a request before passing it on late

Cause: a daemon whose peer thread was late reads a request whose cancellation has arrived as well, but lies unread behind it. The request was passed to the owner's thread after the first read of 16 KiB, and started before the cancellation was read. The removal from the owner's ring only helps if both are read before the owner's thread takes the request.

Change: while the hub's loop is late (LoopDelay), the messages of a link are held from a request on until what has arrived is read, for at most 200 ms; a cancellation removes its request. A punctual hub passes messages on as before.

--- a/packages/base/LoopDelay.cc
+++ b/packages/base/LoopDelay.cc
@@ -66,10 +66,9 @@
 
 Duration LoopDelay::maxUnread(TimePoint aNow) const
 {
-  if (mPrevious == TimePoint()) {
-    return Duration::zero();
-  }
-  return std::max<Duration>(aNow - mPrevious - 2 * mInterval, Duration::zero());
+  const TimePoint since = mPrevious != TimePoint() ? mPrevious : mLatest;
+  return since == TimePoint() ? Duration::zero()
+                              : std::max<Duration>(aNow - since - 2 * mInterval, Duration::zero());
 }
 
 } // namespace camphorcleat
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -260,6 +260,11 @@
   return out + std::string(4, '\0') + aPayload;
 }
 
+constexpr const char* kDataLaneUpgrade =
+  "GET /camphorcleat/data HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+  "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+  "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
+
 transport::PeerHubConfig hubConfig(NodeId aSelf)
 {
   transport::PeerHubConfig config;
@@ -811,9 +816,7 @@
   otherHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
 
   BlockingSocket entry(ownerHub->port());
-  entry.write("GET /camphorcleat/data HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
-              "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-              "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n");
+  entry.write(kDataLaneUpgrade);
   REQUIRE(entry.readUntil("fleet").find("101") != std::string::npos); // Up to the owner's Hello.
   otherHub.send(1, transport::Lane::Control, wire::JoinRequest{});
   REQUIRE(ownerHandler.waitUntilBusy(Millis(2000)));
@@ -834,6 +837,55 @@
   ownerHub->stop(); // Before its handler is destroyed.
 }
 
+// Guards against work for a caller that has left (GONE): the cancellation lies unread in the
+// socket, behind its request and more than one read.
+TEST_CASE("a request whose cancellation waits unread behind it isn't sent to the target")
+{
+  using transport::testing::BlockingSocket;
+  constexpr Millis kBusy{ 1000 };
+  constexpr std::uint64_t kMessagesBetween = 3000;
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  BusyHandler ownerHandler(f.router, kBusy);
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), ownerHandler);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+  FailureRecorder otherHandler;
+  transport::PeerHub otherHub(hubConfig(3), otherHandler);
+  REQUIRE(otherHub.start());
+  otherHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
+
+  BlockingSocket entry(ownerHub->port());
+  entry.write(kDataLaneUpgrade);
+  REQUIRE(entry.readUntil("fleet").find("101") != std::string::npos);
+  wire::Hello hello{ 2, 1002, "fleet" };
+  hello.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  entry.write(clientFrame(wire::encodePeerMessage(hello)));
+  otherHub.send(1, transport::Lane::Control, wire::JoinRequest{});
+  REQUIRE(ownerHandler.waitUntilBusy(Millis(2000)));
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(20'000);
+  head.routeRevision = 5;
+  head.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  std::string frames = clientFrame(wire::encodePeerMessage(head));
+  for (std::uint64_t i = 0; i < kMessagesBetween; ++i) {
+    frames +=
+      clientFrame(wire::encodePeerMessage(wire::Credit{ { 8, i }, wire::Direction::ToCaller, 1 }));
+  }
+  entry.write(frames + clientFrame(wire::encodePeerMessage(wire::CancelRequest{ head.id })));
+  CHECK(f.target.accept(kBusy + Millis(500)) == 0);
+  head.id = { 2, 2 };
+  entry.write(clientFrame(wire::encodePeerMessage(head)));
+  CHECK(f.target.accept(Millis(500)) == 1);
+  ownerHub->stop(); // Before its handler is destroyed.
+}
+
 // Guards against keys that are passed on while a draining target, which accepts no connections any
 // more, still runs a request for them.
 TEST_CASE("a target that refuses connections has not ended while it runs a request")
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -54,6 +54,9 @@
   static_cast<void>(sConverted);
 }
 
+// Longest time for which requests that were read late wait for the bytes behind them.
+constexpr Millis kMaxHold{ 200 };
+
 // How often a time limit of one peer and lane may be doubled.
 constexpr int kMaxTimeoutFactor = 8;
 
@@ -321,7 +324,62 @@
       onHello(aLink, *hello);
     } else {
       links.recordRequestEvent(*aLink, requestEventOf(message));
-      handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(message));
+      deliverOrHold(aLink, std::move(message));
+    }
+  }
+
+  // The cancellation of a request that was read late may have arrived as well, unread. So the
+  // messages of the link are held from such a request on until what has arrived is read.
+  void deliverOrHold(const LinkPtr& aLink, wire::PeerMessage aMessage)
+  {
+    const TimePoint now = Clock::now();
+    const bool isLateRequest = std::holds_alternative<wire::RequestHead>(aMessage) &&
+                               loopDelay.maxUnread(now) > Duration::zero();
+    if (aLink->held.empty() && !isLateRequest) {
+      handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(aMessage));
+      return;
+    }
+    const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage);
+    if (cancel != nullptr && removeHeld(*aLink, cancel->id)) {
+      return;
+    }
+    if (aLink->held.empty()) {
+      thread.post([this, aLink] { releaseHeld(aLink, false); });
+    }
+    aLink->held.push_back({ std::move(aMessage), now });
+  }
+
+  // Removes a request that is held. The receiver ignores parts of its body.
+  static bool removeHeld(PeerLink& aLink, const RequestId& aId)
+  {
+    const auto it =
+      std::find_if(aLink.held.begin(), aLink.held.end(), [&](const HeldMessage& aHeld) {
+        const auto* head = std::get_if<wire::RequestHead>(&aHeld.message);
+        return head != nullptr && head->id == aId;
+      });
+    if (it == aLink.held.end()) {
+      return false;
+    }
+    aLink.held.erase(it);
+    return true;
+  }
+
+  // aWasRead: nothing was unread in the previous call. The bytes that it found read may still be in
+  // a completed read operation, whose handler runs before this call.
+  void releaseHeld(const LinkPtr& aLink, bool aWasRead)
+  {
+    if (aLink->isLost || aLink->held.empty()) {
+      return;
+    }
+    boost::system::error_code ec;
+    const bool isRead = aLink->socket->get_raw_socket().available(ec) == 0 || ec;
+    const bool mayHold = Clock::now() - aLink->held.front().readAt < kMaxHold;
+    if (mayHold && !(isRead && aWasRead)) {
+      thread.post([this, aLink, isRead] { releaseHeld(aLink, isRead); });
+      return;
+    }
+    for (auto& it : std::exchange(aLink->held, {})) {
+      handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(it.message));
     }
   }
 
@@ -439,6 +497,7 @@
       return;
     }
     aLink->isLost = true;
+    aLink->held.clear();
     if (aKind == LossReason::TimedOut) {
       doubleTimeouts(*aLink);
     }
@@ -512,6 +571,7 @@
   initializeByteOrder();
   BOOST_LEAF_CHECK(mImpl->listen());
   mImpl->isStarted = true;
+  mImpl->loopDelay.tick(Clock::now());
   mImpl->ticker.start();
   mImpl->thread.start();
   return {};
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -43,6 +43,13 @@
   RequestEvent event;
 };
 
+/// A received message that isn't passed to the handler yet.
+struct HeldMessage
+{
+  wire::PeerMessage message;
+  TimePoint readAt;
+};
+
 /// One link: its state, its queue and, while there is one, its connection.
 struct PeerLink
 {
@@ -76,6 +83,8 @@
   /// than PeerSocket::lastReceived().
   TimePoint firstUnansweredPing;
   bool isLost = false;
+  /// From the first request that was read late until the bytes that arrived behind it are read.
+  std::vector<HeldMessage> held;
 };
 
 /// The links of a hub, shared between the hub's thread and the sending threads. All methods are
