Take the first messages of a link to have waited as long as they may have

Cause: the time that a request waited between the daemons is its excess over the fastest message of its link. On a new link that is the Hello. If the receiving daemon stands still, both wait unread together, and the excess is zero: the request got its whole deadline once more. New links are frequent just then, because daemons that are late lose their links.

Change: the hub knows for how long it was late (LoopDelay), which bounds how long a message lay unread. Until the first message of a link is read in time, TransitTimes counts this bound as waiting. It is forgotten as soon as one message was read in time, so a link doesn't stay with an estimate that is too long.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -175,7 +175,8 @@
   if (auto* peer = std::get_if<ReceivedMessage>(&aMessage)) {
     handlePeerMessage(std::move(*peer));
   } else if (const auto* opened = std::get_if<LinkOpened>(&aMessage)) {
-    mTransitTimes.addSample(Clock::now(), opened->link, opened->sentAt, opened->receivedAt);
+    mTransitTimes.addSample(Clock::now(), opened->link, opened->sentAt, opened->receivedAt,
+                            opened->maxUnread);
   } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
@@ -194,7 +195,7 @@
 void OwnerDuty::handlePeerMessage(ReceivedMessage aMessage)
 {
   if (auto* head = std::get_if<wire::RequestHead>(&aMessage.message)) {
-    handleHead(aMessage.link, std::move(*head));
+    handleHead(aMessage.link, std::move(*head), aMessage.maxUnread);
   } else if (auto* chunk = std::get_if<wire::BodyChunk>(&aMessage.message)) {
     OwnerExchange* exchange = find(chunk->id);
     if (exchange != nullptr && !exchange->addBody(std::move(*chunk))) {
@@ -220,7 +221,7 @@
   }
 }
 
-void OwnerDuty::handleHead(transport::LinkId aLink, wire::RequestHead aHead)
+void OwnerDuty::handleHead(transport::LinkId aLink, wire::RequestHead aHead, Duration aMaxUnread)
 {
   if (mExchanges.count(aHead.id) > 0) {
     return; // A duplicate message, because request ids are unique.
@@ -240,7 +241,7 @@
                                               Millis(0), mView.state().revision });
     return;
   }
-  const Duration waited = waitingTime(aLink, aHead);
+  const Duration waited = waitingTime(aLink, aHead, aMaxUnread);
   const auto exchange = std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead));
   exchange->setWaitingTime(waited);
   mExchanges.emplace(id, exchange);
@@ -324,7 +325,8 @@
 }
 
 // Returns how long a request waited on its way from the entry.
-Duration OwnerDuty::waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead)
+Duration OwnerDuty::waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead,
+                                Duration aMaxUnread)
 {
   if (aHead.sentAt == Micros(0)) {
     return Duration::zero();
@@ -333,7 +335,7 @@
   if (aLink == kLocalLink) {
     return std::max<Duration>(receivedAt - aHead.sentAt, Duration::zero());
   }
-  return mTransitTimes.waitingTime(Clock::now(), aLink, aHead.sentAt, receivedAt);
+  return mTransitTimes.waitingTime(Clock::now(), aLink, aHead.sentAt, receivedAt, aMaxUnread);
 }
 
 bool OwnerDuty::isRateLimited(const std::string& aAccount) const
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -98,7 +98,7 @@
 {
   // Without this message, the first request on the link counts as one that hasn't waited.
   if (aLane == transport::Lane::Data) {
-    push<OwnerMessage>(&mRings.owner, LinkOpened{ aLink, aSentAt, aReceivedAt });
+    push<OwnerMessage>(&mRings.owner, LinkOpened{ aLink, aSentAt, aReceivedAt, maxUnread() });
   }
 }
 
@@ -109,7 +109,7 @@
   if (const auto* head = std::get_if<wire::RequestHead>(&aMessage)) {
     request = head->id;
   }
-  if (dispatch({ aLink, aFrom, std::move(aMessage) })) {
+  if (dispatch({ aLink, aFrom, std::move(aMessage), maxUnread() })) {
     return;
   }
   if (request) {
@@ -117,6 +117,11 @@
   }
 }
 
+Duration PeerRouter::maxUnread() const
+{
+  return mHub == nullptr ? Duration::zero() : mHub->maxUnread();
+}
+
 void PeerRouter::refuseOverloaded(transport::LinkId aLink, const RequestId& aId)
 {
   wire::RequestFailed failed;
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -47,6 +47,7 @@
                   bool aNeverOpened) override;
 
 private:
+  Duration maxUnread() const;
   bool dispatch(ReceivedMessage aMessage);
   bool removeWaitingRequest(const RequestId& aId);
   void refuseOverloaded(transport::LinkId aLink, const RequestId& aId);
--- a/packages/traffic/TransitTimes.cc
+++ b/packages/traffic/TransitTimes.cc
@@ -1,16 +1,26 @@
-// Excess over the smallest difference of the clocks.
+// Excess over the smallest difference of the clocks, or over the smallest that is possible.
 
 #include "traffic/TransitTimes.h"
 
+#include <algorithm>
+
 namespace camphorcleat::traffic {
 
 Duration TransitTimes::waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
-                                   Duration aReceivedAt)
+                                   Duration aReceivedAt, Duration aMaxUnread)
 {
-  WindowMinimum& smallest = mLinks.try_emplace(aLink, kWindow).first->second;
+  Link& link = mLinks[aLink];
   const double difference = toSeconds(aReceivedAt - aSentAt);
-  smallest.add(aNow, difference);
-  return fromSeconds(difference - *smallest.value());
+  link.smallest.add(aNow, difference);
+  link.wasReadInTime = link.wasReadInTime || aMaxUnread == Duration::zero();
+  double base = *link.smallest.value();
+  if (!link.wasReadInTime) {
+    const double floor = difference - toSeconds(aMaxUnread);
+    link.floor = link.hasFloor ? std::max(link.floor, floor) : floor;
+    link.hasFloor = true;
+    base = std::min(base, link.floor);
+  }
+  return fromSeconds(difference - base);
 }
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/TransitTimes.h
+++ b/packages/traffic/TransitTimes.h
@@ -5,6 +5,11 @@
 // message that hardly waited, so the excess over this minimum is the time for which a message
 // waited in buffers, or for a processor. The sample taken when a link opens covers the messages
 // that waited for that: without it, the first one would be its own minimum.
+//
+// If all messages of a link so far were read by a thread that was late, the minimum may have waited
+// as well, but no longer than that thread was late. Until a message is read in time, all of them
+// are taken to have waited as long as they may have: a request that runs for a caller that has left
+// is worse than one that is refused.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_TRANSITTIMES_H_
 #define CAMPHORCLEAT_TRAFFIC_TRANSITTIMES_H_
@@ -22,14 +27,17 @@
 public:
   /// Returns the waiting time of a message, and records the message for later ones. aSentAt is on
   /// the sender's clock, aReceivedAt on the receiver's. Both clocks must include suspensions, which
-  /// would otherwise look like waiting. The first message of a link without a sample has no waiting
-  /// time.
-  Duration waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt);
+  /// would otherwise look like waiting. aMaxUnread is for how long the message may have waited to
+  /// be read; zero if it was read in time. The first message of a link without a sample has no
+  /// other waiting time.
+  Duration waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt,
+                       Duration aMaxUnread);
 
   /// Records a message whose waiting time isn't needed, such as the one that opens a link.
-  void addSample(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt)
+  void addSample(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt,
+                 Duration aMaxUnread)
   {
-    waitingTime(aNow, aLink, aSentAt, aReceivedAt);
+    waitingTime(aNow, aLink, aSentAt, aReceivedAt, aMaxUnread);
   }
 
   /// Removes a link that was closed. A new link to the same address may lead to another VM.
@@ -39,7 +47,15 @@
   // Long enough for a link with few messages. Clocks drift by a few milliseconds in this time.
   static constexpr Duration kWindow = std::chrono::seconds(60);
 
-  std::map<std::uint64_t, WindowMinimum> mLinks; ///< Smallest differences, in seconds.
+  struct Link
+  {
+    WindowMinimum smallest{ kWindow }; ///< Smallest difference, in seconds.
+    bool wasReadInTime = false;        ///< At least one message was.
+    double floor = 0; ///< No difference without waiting is smaller, unless wasReadInTime.
+    bool hasFloor = false;
+  };
+
+  std::map<std::uint64_t, Link> mLinks;
 };
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/testing/TransitTimesTest.cc
+++ b/packages/traffic/testing/TransitTimesTest.cc
@@ -16,11 +16,12 @@
   TransitTimes times;
   Duration sender = std::chrono::hours(5);
 
-  Millis send(Millis aWait, std::uint64_t aLink = 1)
+  Millis send(Millis aWait, std::uint64_t aLink = 1, Millis aMaxUnread = Millis(0))
   {
     sender += std::chrono::milliseconds(200);
     const Duration received = sender - std::chrono::hours(1) + Millis(1) + aWait;
-    const Duration waited = times.waitingTime(TimePoint(received), aLink, sender, received);
+    const Duration waited =
+      times.waitingTime(TimePoint(received), aLink, sender, received, aMaxUnread);
     return Millis(std::llround(toSeconds(waited) * 1000));
   }
 };
@@ -56,6 +57,17 @@
   CHECK(link.send(Millis(500)) == Millis(0));
 }
 
+// Guards against work for a caller that has left (GONE): the first messages of a link waited unread
+// together, so none of them shows how long the others waited.
+TEST_CASE("messages that were all read late have waited as long as they may have")
+{
+  Link link;
+  CHECK(link.send(Millis(1500), 1, Millis(1500)) == Millis(1500));
+  CHECK(link.send(Millis(1300), 1, Millis(1500)) == Millis(1300)); // Sent 200 ms later.
+  CHECK(link.send(Millis(0)) == Millis(0));                        // Read in time.
+  CHECK(link.send(Millis(700), 1, Millis(1500)) == Millis(700));
+}
+
 TEST_CASE("a new link begins without the clocks of the earlier one")
 {
   Link link;
@@ -69,7 +81,8 @@
 {
   Link link;
   const Duration opened = link.sender + Millis(5000);
-  link.times.addSample(TimePoint(opened), 1, opened, opened - std::chrono::hours(1) + Millis(1));
+  link.times.addSample(TimePoint(opened), 1, opened, opened - std::chrono::hours(1) + Millis(1),
+                       Duration::zero());
   CHECK(link.send(Millis(3000)) == Millis(3000));
 }
 
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -91,6 +91,7 @@
   PeerClient client;
   Ticker ticker;
   LoopDelay loopDelay;
+  Duration maxUnread{ 0 }; // Of the message that the handler is called with.
   // Accessed on the hub's thread only. At most two entries per node.
   std::map<PeerLinkTable::Key, PeerHistory> histories;
   unsigned short port = 0;
@@ -333,9 +334,11 @@
   void deliverOrHold(const LinkPtr& aLink, wire::PeerMessage aMessage)
   {
     const TimePoint now = Clock::now();
-    const bool isLateRequest = std::holds_alternative<wire::RequestHead>(aMessage) &&
-                               loopDelay.maxUnread(now) > Duration::zero();
+    const Duration unread = loopDelay.maxUnread(now);
+    const bool isLateRequest =
+      std::holds_alternative<wire::RequestHead>(aMessage) && unread > Duration::zero();
     if (aLink->held.empty() && !isLateRequest) {
+      maxUnread = unread;
       handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(aMessage));
       return;
     }
@@ -346,7 +349,7 @@
     if (aLink->held.empty()) {
       thread.post([this, aLink] { releaseHeld(aLink, false); });
     }
-    aLink->held.push_back({ std::move(aMessage), now });
+    aLink->held.push_back({ std::move(aMessage), now, unread });
   }
 
   // Removes a request that is held. The receiver ignores parts of its body.
@@ -379,6 +382,7 @@
       return;
     }
     for (auto& it : std::exchange(aLink->held, {})) {
+      maxUnread = it.maxUnread + (Clock::now() - it.readAt);
       handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(it.message));
     }
   }
@@ -400,6 +404,7 @@
         histories[{ aLink->peer, aLink->lane }].dialDelay = Millis(0);
       }
       const bool hasQueued = links.markOpen(*aLink, aHello.node);
+      maxUnread = loopDelay.maxUnread(Clock::now());
       handler.onLinkOpened(aLink->id, aLink->lane, aHello.sentAt, timeSinceBoot());
       if (hasQueued) {
         flush(aLink);
@@ -640,6 +645,11 @@
   return out;
 }
 
+Duration PeerHub::maxUnread() const
+{
+  return mImpl->maxUnread;
+}
+
 std::uint64_t PeerHub::sentBytes(std::size_t aMessageIndex) const
 {
   return mImpl->sentBytes.at(aMessageIndex);
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -48,6 +48,7 @@
 {
   wire::PeerMessage message;
   TimePoint readAt;
+  Duration maxUnread{ 0 }; ///< For how long it may have waited unread until readAt.
 };
 
 /// One link: its state, its queue and, while there is one, its connection.
