Send the body of a request when its owner has accepted it

The entry sent the first 64 KiB of a body together with the head, also for the many requests that the owner refuses, and again for each further attempt and retry. A cancellation waits in the same queue as its request, so it arrives half a second or more after the caller has left. That bodies fill the link is inferred from which nodes are affected; bytes per link aren't logged.

Change: the entry sends at most 4 KiB with the head. The owner asks for the first 64 KiB when it has accepted the request (RequestHead::awaitsBodyCredit), so the body arrives while the request is queued and no slot of the target waits for it. An owner of an earlier version grants credit as before, when the target reads; to an entry of an earlier version nothing is granted early.

The tests of the credit were adapted: they get the owner's first credit where 64 KiB went out with the head before, and check one chunk more.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -158,6 +158,7 @@
   wire::RequestHead head = mHead;
   head.id = id;
   head.isResend = mHead.isResend || aStart.isResend;
+  head.awaitsBodyCredit = true;
   const TimePoint now = Clock::now();
   head.deadline = std::chrono::duration_cast<Millis>(mPlan.deadline - now);
   head.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
@@ -182,11 +183,11 @@
   }
 }
 
-// Reads return any number of bytes, so the buffered data may exceed the initial credit. The excess
-// is sent when the owner grants more credit.
+// Sends the beginning of the body. The rest of the buffered data is sent when the owner grants
+// credit for it.
 void EntryExchange::sendBufferedBody(const RequestId& aId, Attempt& aAttempt)
 {
-  mBodyBytes = std::min<std::uint64_t>(mBufferedBody.size(), kFirstCreditBytes);
+  mBodyBytes = std::min<std::uint64_t>(mBufferedBody.size(), kUnsolicitedBytes);
   mUnsentBody = mBufferedBody.substr(mBodyBytes);
   mIsUnsentLast = mIsBodyBuffered;
   wire::BodyChunk chunk;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -277,6 +277,9 @@
   event.deadline = aSentAt + head.deadline;
   event.isResend = head.isResend;
   step(event);
+  if (OwnerExchange* accepted = find(event.id)) { // Removed if the request was refused.
+    accepted->grantFirstCredit();
+  }
 }
 
 // The partition is computed from this owner's view, because the key may have been pinned after the
--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -15,6 +15,16 @@
 {
 }
 
+void OwnerExchange::grantFirstCredit()
+{
+  const bool hasMore =
+    mHead.hasBody && mHead.contentLength.value_or(kWindowBytes) > kUnsolicitedBytes;
+  if (hasMore && mHead.awaitsBodyCredit) {
+    mHost.sendToEntry(*this, wire::Credit{ mHead.id, wire::Direction::ToTarget,
+                                           kFirstCreditBytes - kUnsolicitedBytes });
+  }
+}
+
 bool OwnerExchange::addBody(wire::BodyChunk aChunk)
 {
   mReceivedBytes += aChunk.data.size();
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -21,7 +21,12 @@
 
 namespace camphorcleat::daemon {
 
-/// Bytes of a body that an entry may send without credit. The entry buffers as much for retries.
+/// Bytes of a body that an entry sends with the head, before the owner has accepted the request.
+/// The rest of a refused request's body would take bandwidth from other requests and cancellations.
+constexpr std::uint64_t kUnsolicitedBytes = 4U << 10U;
+
+/// Bytes of a body that an owner takes before its target reads them. The entry buffers as much for
+/// retries.
 constexpr std::uint64_t kFirstCreditBytes = 64U << 10U;
 
 /// Largest number of unacknowledged body bytes between two daemons.
@@ -76,6 +81,9 @@
   Duration waitingTime() const { return mWaitingTime; }
   void setWaitingTime(Duration aTime) { mWaitingTime = aTime; }
 
+  /// Asks the entry for the body up to kFirstCreditBytes. Call when the request is accepted.
+  void grantFirstCredit();
+
   /// Adds a chunk of the request body. Returns false if it is out of order, exceeds the credit or
   /// has a wrong total.
   bool addBody(wire::BodyChunk aChunk);
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -217,6 +217,13 @@
     }
     return host.heads.size() >= aCount;
   }
+  // Grants the first credit, as the owner does when it accepts the request.
+  void acceptBody()
+  {
+    const RequestId id = host.ids.back();
+    exchange->handle(
+      id, wire::Credit{ id, wire::Direction::ToTarget, kFirstCreditBytes - kUnsolicitedBytes });
+  }
   void sendResponseHead()
   {
     exchange->handle(host.ids.back(), wire::ResponseHead{ host.ids.back(), 200, {} });
@@ -459,11 +466,31 @@
   CHECK(run.host.heads.size() == 2);
 }
 
+// Guards against work for callers that have left (GONE): bodies of refused requests filled the
+// owner's link, so that cancellations arrived seconds late.
+TEST_CASE("only the beginning of a body is sent before the owner has accepted the request")
+{
+  constexpr std::size_t kBytes = 60'000;
+  Run run("PUT", kBytes);
+  run.caller->deliverBody(kBytes, true);
+  REQUIRE(run.host.heads.size() == 1);
+  CHECK(run.host.heads[0].awaitsBodyCredit);
+  CHECK(run.host.sentBytes() == kUnsolicitedBytes);
+  run.refuse(wire::Outcome::NotRun, ErrorCode::TargetDown);
+  REQUIRE(run.runUntilAttempts(2));
+  CHECK(run.host.sentBytes() == 2 * kUnsolicitedBytes);
+  run.acceptBody();
+  CHECK(run.host.sentBytes() == kUnsolicitedBytes + kBytes);
+  CHECK(run.host.chunks.back().isLast);
+  CHECK(run.host.chunks.back().totalBytes == kBytes);
+}
+
 TEST_CASE("beyond the buffer, the request body is read only within the owner's credit")
 {
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes, false);
   REQUIRE(run.host.heads.size() == 1);
+  run.acceptBody();
   CHECK(run.host.sentBytes() == kFirstCreditBytes);
   CHECK_FALSE(run.caller->pendingRead);
   run.exchange->handle(run.host.ids[0],
@@ -475,10 +502,10 @@
   run.exchange->handle(run.host.ids[0],
                        wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 1000 });
   run.caller->deliverBody(10, true);
-  REQUIRE(run.host.chunks.size() == 3);
-  for (std::size_t i = 0; i < 3; ++i) {
+  REQUIRE(run.host.chunks.size() == 4);
+  for (std::size_t i = 0; i < 4; ++i) {
     CHECK(run.host.chunks[i].sequence == i);
-    CHECK(run.host.chunks[i].isLast == (i == 2));
+    CHECK(run.host.chunks[i].isLast == (i == 3));
   }
   CHECK(run.host.chunks.back().totalBytes == kFirstCreditBytes + 1010);
 }
@@ -487,6 +514,7 @@
 {
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes, false);
+  run.acceptBody();
   run.exchange->handle(run.host.ids[0],
                        wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 1000 });
   // The stream returns data in sizes of its own, regardless of the remaining credit.
@@ -499,6 +527,7 @@
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes - 1, false);
   run.caller->deliverBody(5000, true);
+  run.acceptBody();
   CHECK(run.host.sentBytes() == kFirstCreditBytes);
   CHECK_FALSE(run.host.chunks.back().isLast);
   const RequestId id = run.host.ids[0];
@@ -506,16 +535,17 @@
   CHECK(run.host.sentBytes() == kFirstCreditBytes + 4000);
   run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 4000 });
   CHECK(run.host.sentBytes() == kFirstCreditBytes + 4999);
-  REQUIRE(run.host.chunks.size() == 3);
-  CHECK(run.host.chunks[2].sequence == 2);
-  CHECK(run.host.chunks[2].isLast);
-  CHECK(run.host.chunks[2].totalBytes == kFirstCreditBytes + 4999);
+  REQUIRE(run.host.chunks.size() == 4);
+  CHECK(run.host.chunks[3].sequence == 3);
+  CHECK(run.host.chunks[3].isLast);
+  CHECK(run.host.chunks[3].totalBytes == kFirstCreditBytes + 4999);
 }
 
 TEST_CASE("an empty last chunk of a request body needs no credit")
 {
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes, false);
+  run.acceptBody();
   const RequestId id = run.host.ids[0];
   run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 10 });
   run.caller->deliverBody(10, false);
@@ -529,6 +559,7 @@
 {
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes, false);
+  run.acceptBody();
   run.exchange->handle(run.host.ids[0],
                        wire::Credit{ run.host.ids[0], wire::Direction::ToTarget, 5000 });
   run.caller->deliverBody(5000, false);
@@ -544,6 +575,7 @@
 {
   Run run("PUT", std::nullopt);
   run.caller->deliverBody(kFirstCreditBytes, false);
+  run.acceptBody();
   const RequestId id = run.host.ids[0];
   run.exchange->handle(id, wire::Credit{ id, wire::Direction::ToTarget, 5000 });
   run.host.chunkStatus = transport::SendStatus::Full;
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -886,6 +886,38 @@
   ownerHub->stop(); // Before its handler is destroyed.
 }
 
+// Guards against work for callers that have left (GONE): bodies of refused requests filled the
+// owner's link, so that cancellations arrived seconds late.
+TEST_CASE("the body of a request is asked for when the request is accepted, not if it is refused")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  const auto firstReply = [&](const std::string& aService) {
+    wire::RequestHead head;
+    head.id = { 9, ++f.counter };
+    head.service = aService;
+    head.method = "PUT";
+    head.path = "/";
+    head.hasBody = true;
+    head.contentLength = 60'000;
+    head.awaitsBodyCredit = true;
+    head.deadline = Millis(30'000);
+    head.routeRevision = 5;
+    f.push(ReceivedMessage{ kLocalLink, 1, head });
+    const auto message = f.rings.entry.popUntil(Clock::now() + Millis(2000));
+    REQUIRE(message);
+    return std::get<ReceivedMessage>(*message).message;
+  };
+  const auto accepted = firstReply("intake");
+  const auto* credit = std::get_if<wire::Credit>(&accepted);
+  REQUIRE(credit != nullptr);
+  CHECK(credit->bytes == kFirstCreditBytes - kUnsolicitedBytes);
+  const auto refused = firstReply("lookup");
+  CHECK(std::holds_alternative<wire::RequestFailed>(refused));
+  CHECK_FALSE(f.rings.entry.popUntil(Clock::now() + Millis(100)));
+}
+
 // Guards against keys that are passed on while a draining target, which accepts no connections any
 // more, still runs a request for them.
 TEST_CASE("a target that refuses connections has not ended while it runs a request")
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -248,6 +248,9 @@
   std::string callerRequestId; ///< The caller's id for the request; may be empty.
   Revision routeRevision = 0;  ///< Revision of the entry's view when it matched the route.
   Micros sentAt{ 0 };          ///< On the clock of the entry's VM since its boot; 0: unknown.
+  /// Whether the entry sends more than the beginning of the body only with credit. Earlier versions
+  /// sent the first 64 KiB at once.
+  bool awaitsBodyCredit = false;
   static constexpr auto fields()
   {
     return std::make_tuple(
@@ -265,7 +268,8 @@
       field("caller_service", &RequestHead::callerService),
       field("caller_request_id", &RequestHead::callerRequestId),
       field("route_revision", &RequestHead::routeRevision),
-      field("sent_at_us", &RequestHead::sentAt));
+      field("sent_at_us", &RequestHead::sentAt),
+      field("awaits_body_credit", &RequestHead::awaitsBodyCredit));
   }
 };
 
