--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -576,7 +576,7 @@
   initializeByteOrder();
   BOOST_LEAF_CHECK(mImpl->listen());
   mImpl->isStarted = true;
-  mImpl->loopDelay.tick(Clock::now());
+  mImpl->thread.post([impl = mImpl.get()] { impl->loopDelay.tick(Clock::now()); });
   mImpl->ticker.start();
   mImpl->thread.start();
   return {};
