--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -352,6 +352,13 @@
     }
   }
 
+  /// Reports that the server leaves. It serves on until stop().
+  void drain()
+  {
+    mRecord.line("server %s reports draining", mSettings.id.c_str());
+    mIsDraining = true;
+  }
+
   const Settings& settings() const { return mSettings; }
   std::int64_t born() const { return mBorn; }
 
@@ -380,6 +387,8 @@
     const auto held = heldKeys();
     return static_cast<std::size_t>(std::count(held.begin(), held.end(), 1));
   }
+  /// The length of the longest response to a heartbeat.
+  std::size_t longestResponse() const { return mLongestResponse; }
   std::vector<Run> runs() const
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -491,8 +500,8 @@
       released = mReleased;
       body << "{\"service\":\"" << mSettings.service << "\",\"address\":\"" << mSettings.ip << ":"
            << mSettings.port << "\",\"zone\":\"" << mSettings.zone
-           << "\",\"version\":\"v1\",\"slots\":" << mSettings.slots
-           << ",\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence
+           << "\",\"version\":\"v1\",\"slots\":" << mSettings.slots << ",\"state\":\""
+           << (mIsDraining ? "draining" : "ready") << "\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence
            << ",\"born\":" << mBorn;
       if (mSettings.isSharded) {
         body << ",\"holds\":[";
@@ -524,7 +533,12 @@
     const Reply reply =
       call(mSettings.ip, mSettings.controlPort, "POST", "/Instances.Heartbeat/" + mSettings.id,
            { { "Content-Type", "application/json" } }, body.str(), 1000);
-    if (reply.status < 200 || reply.status >= 300 || !mSettings.isSharded) {
+    // A longer response doesn't acknowledge the heartbeat.
+    constexpr std::size_t kMaxResponseBytes = 4096;
+    const std::size_t bytes = reply.message.body.size();
+    mLongestResponse = std::max<std::size_t>(mLongestResponse, bytes);
+    if (reply.status < 200 || reply.status >= 300 || !mSettings.isSharded ||
+        bytes > kMaxResponseBytes) {
       return false;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -618,7 +632,9 @@
   std::vector<Row> mReleased;
   std::vector<Run> mRuns;
   std::uint64_t mSequence = 0;
+  std::atomic<std::size_t> mLongestResponse{ 0 };
   int mListener = -1;
+  std::atomic<bool> mIsDraining{ false };
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mOpen{ 0 };
   std::vector<std::thread> mThreads;
