--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -306,6 +306,8 @@
     int slots = 16;
     int workMs = 20;
     int heartbeatMs = 870;
+    /// If set, sends the response instead of the server. Returns whether the connection stays open.
+    std::function<bool(int aFd, const std::string& aResponse)> send;
   };
 
   Server(Settings aSettings, Record& aRecord)
@@ -429,7 +431,11 @@
       if (rest.empty() && ::poll(&waiting, 1, 50) == 0) {
         continue;
       }
-      if (!readMessage(aFd, rest, request, steadyMs() + 3000) || !sendAll(aFd, respond(request))) {
+      if (!readMessage(aFd, rest, request, steadyMs() + 3000)) {
+        return;
+      }
+      const std::string response = respond(request);
+      if (!(mSettings.send ? mSettings.send(aFd, response) : sendAll(aFd, response))) {
         return;
       }
     }
