review: case 5, a server that had left is in use again after a restart

A heartbeat that was sent before the deregistration and arrives after a restart of the daemon makes the fleet count the server as serving again. Without the restart, and without the late heartbeat, one trial each broke nothing.

--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -361,6 +361,27 @@
     mIsDraining = true;
   }
 
+  /// Sends a heartbeat that is held up on its way. Returns a function with which it arrives.
+  std::function<Reply()> sendLateHeartbeat()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const std::string body = heartbeatBody(mReleased);
+    return [this, body] { return post(body); };
+  }
+
+  /// Leaves without having reported "draining": sends no more heartbeats, and serves on until
+  /// stop(). Returns whether the deregistration was acknowledged.
+  bool deregister()
+  {
+    mHasLeft = true;
+    sleepMs(50); // A heartbeat that is on its way arrives first.
+    const Reply reply =
+      call(mSettings.ip, mSettings.controlPort, "POST", "/Instances.Deregister/" + mSettings.id,
+           { { "Content-Type", "application/json" } }, "{\"born\":" + std::to_string(mBorn) + "}",
+           1000);
+    return reply.status >= 200 && reply.status < 300;
+  }
+
   const Settings& settings() const { return mSettings; }
   std::int64_t born() const { return mBorn; }
 
@@ -487,23 +508,26 @@
 
   void heartbeatLoop()
   {
-    while (!mIsStopped) {
+    while (!mIsStopped && !mHasLeft) {
       const bool mustReport = heartbeat();
       const std::int64_t next = steadyMs() + (mustReport ? 80 : mSettings.heartbeatMs);
-      while (!mIsStopped && steadyMs() < next) {
+      while (!mIsStopped && !mHasLeft && steadyMs() < next) {
         sleepMs(10);
       }
     }
   }
 
-  // Returns whether another heartbeat is due within 100 ms.
-  bool heartbeat()
+  Reply post(const std::string& aBody) const
+  {
+    return call(mSettings.ip, mSettings.controlPort, "POST", "/Instances.Heartbeat/" + mSettings.id,
+                { { "Content-Type", "application/json" } }, aBody, 1000);
+  }
+
+  // Writes the next heartbeat. Must be called with the lock held.
+  std::string heartbeatBody(const std::vector<Row>& released)
   {
     std::ostringstream body;
-    std::vector<Row> released;
     {
-      const std::lock_guard<std::mutex> lock(mMutex);
-      released = mReleased;
       body << "{\"service\":\"" << mSettings.service << "\",\"address\":\"" << mSettings.ip << ":"
            << mSettings.port << "\",\"zone\":\"" << mSettings.zone
            << "\",\"version\":\"v1\",\"slots\":" << mSettings.slots << ",\"state\":\""
@@ -535,10 +559,21 @@
       }
       body << "}";
     }
+    return body.str();
+  }
+
+  // Returns whether another heartbeat is due within 100 ms.
+  bool heartbeat()
+  {
+    std::string body;
+    std::vector<Row> released;
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      released = mReleased;
+      body = heartbeatBody(released);
+    }
     const std::int64_t sentAt = steadyMs();
-    const Reply reply =
-      call(mSettings.ip, mSettings.controlPort, "POST", "/Instances.Heartbeat/" + mSettings.id,
-           { { "Content-Type", "application/json" } }, body.str(), 1000);
+    const Reply reply = post(body);
     // A longer response doesn't acknowledge the heartbeat.
     constexpr std::size_t kMaxResponseBytes = 4096;
     const std::size_t bytes = reply.message.body.size();
@@ -641,6 +676,7 @@
   std::atomic<std::size_t> mLongestResponse{ 0 };
   int mListener = -1;
   std::atomic<bool> mIsDraining{ false };
+  std::atomic<bool> mHasLeft{ false };
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mOpen{ 0 };
   std::vector<std::thread> mThreads;
