--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,4 +1,5 @@
-// A zone is evacuated that has all servers of a sharded service: its requests go on reaching them.
+// After a restart of the daemon beside it, a server that has left is in use again, because a
+// heartbeat that it sent before it left arrives late.
 
 #include "../common/Harness.h"
 
@@ -8,22 +9,21 @@
 
 constexpr const char* kZones[] = { "z1", "z2", "z3", "z4" };
 constexpr std::size_t kCoreCount = 5;
-constexpr const char* kEvacuated = "z2";
-constexpr int kEvacuateMs = 5000; // evacuate_s of the site
-constexpr int kWatchMs = 15000;
+constexpr std::size_t kServerCount = 4;
+constexpr int kDownMs = 500;
+constexpr int kLateMs = 2000;    // From the sending of the heartbeat to its arrival.
+constexpr int kContactMs = 3000; // contact_s of the site
+constexpr int kDrainMs = 2000;   // drain_s
+constexpr int kServesOnMs = 12000;
 
 std::string configuration()
 {
   return R"({"version":"00000005","services":[{"name":"svc","health_path":"/health",)"
-         R"("max_connections":110,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":18.0,)"
-         R"("sharded":true,"warm_s":3.0,"grants":"heartbeat"},{"name":"plain","health_path":"/health",)"
-         R"("max_connections":110,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":18.0}],)"
+         R"("max_connections":110,"protocol":"h1","tls":false}],)"
          R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,)"
          R"("idle_timeout_s":15},"virtual_hosts":[{"host":"a.example","paths":[{"name":"r-1",)"
-         R"("path_prefix":"/r1/","kind":"safe","timeout_s":1.5,"target_latency_s":0.6,"priority":1,)"
-         R"("service":"svc","max_attempts":2,"public":true},{"name":"r-2","path_prefix":"/r2/",)"
-         R"("kind":"safe","timeout_s":1.5,"target_latency_s":0.6,"priority":1,"service":"plain",)"
-         R"("max_attempts":2,"public":true}]}]})";
+         R"("path_prefix":"/r1/","kind":"unsafe","timeout_s":1.5,"target_latency_s":0.6,"priority":1,)"
+         R"("service":"svc","max_attempts":2,"public":true}]}]})";
 }
 
 } // namespace
@@ -41,10 +41,9 @@
   for (std::size_t i = 0; i < kCoreCount; ++i) {
     fleet.add("core-" + std::to_string(i + 1), kZones[i % 4], "");
   }
-  fleet.add("side-1", "z2", "svc");
-  fleet.add("side-2", "z2", "svc");
-  fleet.add("side-3", "z1", "plain");
-  fleet.add("side-4", "z3", "plain");
+  for (std::size_t i = 0; i < kServerCount; ++i) {
+    fleet.add("side-" + std::to_string(i + 1), kZones[i], "svc");
+  }
   if (!fleet.startAll()) {
     return kCouldNotRun;
   }
@@ -58,7 +57,6 @@
     settings.ip = it.ip;
     settings.port = fleet.serverPort();
     settings.controlPort = fleet.controlPort();
-    settings.isSharded = it.service == "svc";
     servers.push_back(std::make_unique<Server>(settings, record));
     if (!servers.back()->start()) {
       return kCouldNotRun;
@@ -87,13 +85,8 @@
           const std::lock_guard<std::mutex> lock(mutex);
           sentAt[attempt] = steadyMs();
         }
-        const Reply reply = call(fleet.machine(i).ip, fleet.outboundPort(), "GET",
-                                 random() % 2 == 0 ? "/r1/x" : "/r2/x",
-                                 { { "Host", "a.example" },
-                                   { "Attempt-Id", attempt },
-                                   { "Shard-Key", std::to_string(random() % kKeys) },
-                                   { "Deadline-Ms", "1500" } },
-                                 "", 1500);
+        const Reply reply =
+          sendRequest(fleet, record, fleet.machine(i), "POST", "/r1/x", attempt, -1, "abc");
         answered += reply.status == 200 ? 1 : 0;
         sleepMs(100);
       }
@@ -107,41 +100,65 @@
     clients.clear();
   };
 
-  sleepMs(1000);
-  std::int64_t evacuated = steadyMs();
-  if (hasTrouble) {
-    evacuated = op.order({ 0, 1, 2, 3 }, std::string("/Evacuate.Start/") + kEvacuated, {}, "", 4000);
+  sleepMs(2000);
+  Server& leaving = *servers.front();
+  Machine& machine = fleet.machine(kCoreCount);
+  const std::int64_t sentLateAt = steadyMs();
+  const auto lateHeartbeat = leaving.sendLateHeartbeat();
+  record.line("%s sends a heartbeat%s", leaving.settings().id.c_str(),
+              hasTrouble ? ", which is held up" : "");
+  if (!hasTrouble) {
+    lateHeartbeat();
   }
-  if (evacuated == 0) {
+  sleepMs(200);
+  if (!leaving.deregister()) {
+    record.line("the deregistration was not acknowledged");
     endClients();
     return kCouldNotRun;
   }
-  const std::int64_t from = evacuated + kEvacuateMs + 200;
-  sleepMs(from + kWatchMs - steadyMs());
+  const std::int64_t leftAt = steadyMs();
+  record.line("the deregistration of %s is acknowledged; it serves on for %.1f s",
+              leaving.settings().id.c_str(), kServesOnMs / 1000.0);
+  sleepMs(200);
+  if (hasTrouble) {
+    fleet.signal(machine, SIGKILL);
+    sleepMs(kDownMs);
+    if (!fleet.start(machine, false)) {
+      endClients();
+      return kCouldNotRun;
+    }
+  }
+  const std::int64_t restartedAt = steadyMs();
+  if (hasTrouble) {
+    sleepMs(std::max<std::int64_t>(0, sentLateAt + kLateMs - steadyMs()));
+    const Reply reply = lateHeartbeat();
+    record.line("the heartbeat arrives %.1f s late and is answered with %d",
+                static_cast<double>(steadyMs() - sentLateAt) / 1000, reply.status);
+  }
+  // The machine that was killed is in touch again contact_s later.
+  const std::int64_t from = std::max(leftAt + kDrainMs, restartedAt + kContactMs) + 200;
+  sleepMs(leftAt + kServesOnMs - steadyMs());
+  leaving.stop();
+  record.line("%s has ended", leaving.settings().id.c_str());
   endClients();
   int late = 0;
-  for (const auto& server : servers) {
-    for (const Run& run : server->runs()) {
-      const auto sent = sentAt.find(run.attempt);
-      if (server->settings().zone == kEvacuated && run.atMs >= from &&
-          run.atMs < from + kWatchMs && sent != sentAt.end() && sent->second >= from) {
-        ++late;
-        if (hasTrouble) {
-          record.line("%s in %s ran %s, sent %.3f s and run %.3f s after the evacuation was "
-                      "acknowledged",
-                      server->settings().id.c_str(), kEvacuated, run.attempt.c_str(),
-                      static_cast<double>(sent->second - evacuated) / 1000,
-                      static_cast<double>(run.atMs - evacuated) / 1000);
-        }
-      }
+  for (const Run& run : leaving.runs()) {
+    const auto sent = sentAt.find(run.attempt);
+    if (run.atMs >= from && sent != sentAt.end() && sent->second >= from) {
+      ++late;
+      record.line("%s ran %s, sent %.3f s and run %.3f s after it was acknowledged to be gone",
+                  leaving.settings().id.c_str(), run.attempt.c_str(),
+                  static_cast<double>(sent->second - leftAt) / 1000,
+                  static_cast<double>(run.atMs - leftAt) / 1000);
     }
-    record.line("%s ran %zu requests", server->settings().id.c_str(), server->runs().size());
+  }
+  for (const auto& it : servers) {
+    record.line("%s ran %zu requests", it->settings().id.c_str(), it->runs().size());
   }
   record.line("%d of %zu requests were answered with 200", answered.load(), sentAt.size());
-  record.line("requests that reached %s later than evacuate_s after its acknowledged evacuation: %d",
-              kEvacuated, late);
+  record.line("requests that reached the server that had left: %d", late);
   if (answered.load() < 100) {
     return kCouldNotRun;
   }
-  return hasTrouble && late > 0 ? kBroken : kKept;
+  return late > 0 ? kBroken : kKept;
 }
--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -375,10 +375,9 @@
   {
     mHasLeft = true;
     sleepMs(50); // A heartbeat that is on its way arrives first.
-    const Reply reply =
-      call(mSettings.ip, mSettings.controlPort, "POST", "/Instances.Deregister/" + mSettings.id,
-           { { "Content-Type", "application/json" } }, "{\"born\":" + std::to_string(mBorn) + "}",
-           1000);
+    const Reply reply = call(
+      mSettings.ip, mSettings.controlPort, "POST", "/Instances.Deregister/" + mSettings.id,
+      { { "Content-Type", "application/json" } }, "{\"born\":" + std::to_string(mBorn) + "}", 1000);
     return reply.status >= 200 && reply.status < 300;
   }
 
@@ -479,9 +478,11 @@
       const bool isUnheld =
         mSettings.isSharded && (key < 0 || mFence[key] == 0 || steadyMs() >= mUntil[key]);
       if (isOther || isUnheld) {
+        mRecord.line("%s rejects %s, key %d: 421", mSettings.id.c_str(), attempt.c_str(), key);
         return write(421, { { "Attempt-Id", attempt }, { "Not-Executed", "1" } }, "");
       }
       mRuns.push_back({ attempt, steadyMs(), key });
+      mRecord.line("%s runs %s, key %d", mSettings.id.c_str(), attempt.c_str(), key);
       if (key >= 0) {
         ++mRunningOn[key];
       }
@@ -531,8 +532,8 @@
       body << "{\"service\":\"" << mSettings.service << "\",\"address\":\"" << mSettings.ip << ":"
            << mSettings.port << "\",\"zone\":\"" << mSettings.zone
            << "\",\"version\":\"v1\",\"slots\":" << mSettings.slots << ",\"state\":\""
-           << (mIsDraining ? "draining" : "ready") << "\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence
-           << ",\"born\":" << mBorn;
+           << (mIsDraining ? "draining" : "ready")
+           << "\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence << ",\"born\":" << mBorn;
       if (mSettings.isSharded) {
         body << ",\"holds\":[";
         const char* comma = "";
@@ -637,6 +638,14 @@
       }
       i = last + 1;
     }
+    std::size_t held = 0;
+    for (int i = 0; i < kKeys; ++i) {
+      held += holdsLocked(i) ? 1 : 0;
+    }
+    if (std::exchange(mLastHeld, held) != held) {
+      mRecord.line("%s holds %zu keys after the response to a heartbeat, for %.3f s",
+                   mSettings.id.c_str(), held, holdSeconds);
+    }
     return isReleasing || !mReleased.empty();
   }
 
@@ -673,6 +682,7 @@
   std::vector<Row> mReleased;
   std::vector<Run> mRuns;
   std::uint64_t mSequence = 0;
+  std::size_t mLastHeld = 0;
   std::atomic<std::size_t> mLongestResponse{ 0 };
   int mListener = -1;
   std::atomic<bool> mIsDraining{ false };
@@ -1013,6 +1023,29 @@
   std::deque<Machine> mMachines;
 };
 
+/// A client: sends a request to the daemon on a machine, on a new connection, and waits for the
+/// response for as long as its deadline.
+inline Reply sendRequest(Fleet& aFleet, Record& aRecord, const Machine& aMachine,
+                         const std::string& aMethod, const std::string& aPath,
+                         const std::string& aAttempt, int aKey, const std::string& aBody)
+{
+  constexpr int kDeadlineMs = 1500;
+  std::vector<std::pair<std::string, std::string>> headers = { { "Host", "a.example" },
+                                                               { "Attempt-Id", aAttempt },
+                                                               { "Deadline-Ms",
+                                                                 std::to_string(kDeadlineMs) } };
+  if (aKey >= 0) {
+    headers.emplace_back("Shard-Key", std::to_string(aKey));
+  }
+  aRecord.line("client sends %s to %s: %s %s, key %d", aAttempt.c_str(), aMachine.name.c_str(),
+               aMethod.c_str(), aPath.c_str(), aKey);
+  const Reply reply =
+    call(aMachine.ip, aFleet.outboundPort(), aMethod, aPath, headers, aBody, kDeadlineMs);
+  aRecord.line("client gets %s%d for %s", reply.status == 0 ? "no answer, " : "", reply.status,
+               aAttempt.c_str());
+  return reply;
+}
+
 /// An operator: sends an order to one member, and after 1 s without a response to the next one.
 class Operator
 {
