review: case 3, a change isn't in force while machines ask replaced seeds

Machines look for a new control leader one member after the other, and go on to the seeds of their settings, also those that were replaced.

--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -268,8 +268,9 @@
   std::string name;
   std::string ip;
   std::string zone;
-  std::string service; ///< Empty: a core machine.
-  int peersPort = 0;   ///< The port that its daemon listens on for other daemons, and dials.
+  std::string service;  ///< Empty: a core machine.
+  int peersPort = 0;    ///< The port that its daemon listens on for other daemons, and dials.
+  bool isSpare = false; ///< startAll() leaves it out.
   pid_t pid = 0;
 };
 
@@ -874,7 +875,7 @@
   bool startAll()
   {
     for (auto& it : mMachines) {
-      if (!start(it, it.service.empty())) {
+      if (!it.isSpare && !start(it, it.service.empty())) {
         return false;
       }
     }
