--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -827,8 +828,10 @@
     , mRecord(aRecord)
     , mRandom(std::random_device{}())
   {
-    char folder[] = "/tmp/camphorcleat-review-XXXXXX";
-    mFolder = ::mkdtemp(folder);
+    const char* temporary = std::getenv("TMPDIR");
+    std::string folder =
+      std::string(temporary == nullptr ? "/tmp" : temporary) + "/camphorcleat-review-XXXXXX";
+    mFolder = ::mkdtemp(folder.data());
     mNetwork = "127." + std::to_string(20 + mRandom() % 200) + "." +
                std::to_string(1 + mRandom() % 250) + ".";
     do {
@@ -896,6 +899,8 @@
     const std::string node = "CAMPHORCLEAT_NODE_FILE=" + config;
     const pid_t pid = ::fork();
     if (pid == 0) {
+      // Ends the daemon with this program, also if a time limit ends that.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(fd, 1);
       ::dup2(fd, 2);
