Record that a target is leaving before acknowledging it (DRAIN)

Cause: that a target is leaving was known to the owner's thread only (HeartbeatTracker). The daemon's VM has no disk, so its next process took any heartbeat of that target for its present state, adopted the registered incarnation and reported the node as serving.

Change: the node's record in the replicated state names the target's process that is leaving, by name and start time. FleetModel::mayReceiveRequests() excludes the process, whichever incarnation registers it; a node's next registration keeps the record, and the next process of the target isn't concerned. The owner and the agent restore the state from the view, which precedes the lease, so a sound target is in use again as soon as before.

Why it works: the acknowledgement is sent after the record is committed, and a daemon starts with a view that is at least as recent as the committed revision. It can't be undone by late copies: SetNodeStatus and RegisterNode don't touch the record, and SetTargetLeaving of a process that was replaced has no effect.

Tests: HeartbeatTrackerTest and three tests of OwnerDutyTest use the new signatures. A deregistration without start time is resolved by OwnerDuty now; "a deregistration that can't be recorded ..." covers it.

--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -116,7 +116,10 @@
   bool isDraining = false;      ///< The target finishes its work and will end.
   Millis coldFor{ 0 };          ///< Remaining warm-up time of the target.
   fleet::HeartbeatRanges holds; ///< Key ranges that the target holds or has released.
-  std::function<void(const fleet::GrantResponse&)> reply; ///< Thread-safe; called once.
+  /// Either this or refuse is called, once. Thread-safe.
+  std::function<void(const fleet::GrantResponse&)> reply;
+  /// The heartbeat isn't acknowledged: what it says could not be recorded in time. Thread-safe.
+  std::function<void()> refuse;
 };
 
 /// A target deregisters before it shuts down.
@@ -125,12 +128,15 @@
   std::string instance;
   /// Start time of the process, if the target sent it.
   std::optional<std::int64_t> startedAtUnixMillis;
-  std::function<void()> reply; ///< Thread-safe; called once, when the target gets no new work.
+  /// Thread-safe; called once. aIsRecorded: the fleet's state says that the process is leaving, so
+  /// it gets no new work even if this daemon restarts. Otherwise the message isn't acknowledged.
+  std::function<void(bool aIsRecorded)> reply;
 };
 
 using AgentMessage =
-  std::variant<ReceivedMessage, LinkLost, fleet::agent::TargetChanged, fleet::agent::PartitionIdle,
-               fleet::agent::LoadMeasured, fleet::agent::DrainRequested, SeedsChanged>;
+  std::variant<ReceivedMessage, LinkLost, fleet::agent::TargetChanged, fleet::agent::TargetLeaving,
+               fleet::agent::PartitionIdle, fleet::agent::LoadMeasured,
+               fleet::agent::DrainRequested, SeedsChanged>;
 using ControlMessage =
   std::variant<ReceivedMessage, LinkLost, StorageDone, OperatorRequest, StatusRequest,
                CommandRequest, DocumentRequest, SeedsChanged, BeginStop>;
--- a/packages/daemon/HeartbeatTracker.cc
+++ b/packages/daemon/HeartbeatTracker.cc
@@ -4,16 +4,15 @@
 
 namespace camphorcleat::daemon {
 
-bool HeartbeatTracker::isCurrentProcess(const std::string& aInstance, std::int64_t aStartedAt) const
+bool HeartbeatTracker::isCurrentProcess(const wire::TargetProcess& aProcess) const
 {
-  return mLast && mLast->announcement.instance == aInstance &&
-         mLast->announcement.startedAtUnixMillis == aStartedAt;
+  return mLast && mLast->announcement.process() == aProcess;
 }
 
 HeartbeatTracker::Verdict HeartbeatTracker::record(const TargetHeartbeat& aHeartbeat)
 {
   const wire::Announcement& next = aHeartbeat.announcement;
-  if (isCurrentProcess(next.instance, next.startedAtUnixMillis)) {
+  if (isCurrentProcess(next.process())) {
     if (mHasEnded || aHeartbeat.sequence <= mLast->sequence) {
       return Verdict::Stale;
     }
@@ -31,12 +30,9 @@
   return Verdict::NewTarget;
 }
 
-bool HeartbeatTracker::recordLeaving(const TargetDeregistration& aDeregistration)
+bool HeartbeatTracker::recordLeaving(const wire::TargetProcess& aProcess)
 {
-  const bool isCurrent = mLast && isCurrentProcess(aDeregistration.instance,
-                                                   aDeregistration.startedAtUnixMillis.value_or(
-                                                     mLast->announcement.startedAtUnixMillis));
-  if (!isCurrent) {
+  if (!isCurrentProcess(aProcess)) {
     return false;
   }
   mIsLeaving = true;
--- a/packages/daemon/HeartbeatTracker.h
+++ b/packages/daemon/HeartbeatTracker.h
@@ -28,9 +28,8 @@
   /// Records a heartbeat unless it is stale.
   Verdict record(const TargetHeartbeat& aHeartbeat);
 
-  /// Records that the target is leaving. Returns false if the message isn't from the current
-  /// process. A message without a start time is compared by its instance only.
-  bool recordLeaving(const TargetDeregistration& aDeregistration);
+  /// Records that a process of the target is leaving. Returns false if it isn't the current one.
+  bool recordLeaving(const wire::TargetProcess& aProcess);
 
   /// Records that the current process has ended. Its heartbeats are stale from now on.
   void recordEnd() { mHasEnded = true; }
@@ -47,7 +46,7 @@
   Incarnation processNumber() const { return mProcess; }
 
 private:
-  bool isCurrentProcess(const std::string& aInstance, std::int64_t aStartedAt) const;
+  bool isCurrentProcess(const wire::TargetProcess& aProcess) const;
 
   std::optional<TargetHeartbeat> mLast;
   Incarnation mProcess = 0;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -35,6 +35,12 @@
 // of 256 KiB at 10 Mbit/s.
 constexpr Millis kFinalResponseReadTime{ 300 };
 
+// Targets take a message for lost that isn't acknowledged within a second.
+constexpr Millis kLeavingTimeout{ 900 };
+
+// Messages about leaving that wait for their record. Only the target beside the daemon sends them.
+constexpr std::size_t kMaxPendingLeavings = 64;
+
 // Interval of load reports to the agent.
 constexpr Millis kLoadInterval{ 100 };
 
@@ -432,6 +438,11 @@
   if (mHeartbeats.hasTarget() && !wasKnown && isServiceKnown(mHeartbeats, mView)) {
     reportTarget();
   }
+  if (restoreLeaving()) {
+    reportTarget();
+    probeTarget();
+  }
+  updatePendingLeavings();
   updateHomes();
   updateHeldGrants();
   if (mPendingHeartbeat && hasNewGrants(mPendingHeartbeat->announcement.service)) {
@@ -770,11 +781,10 @@
 void OwnerDuty::handleHeartbeat(const TargetHeartbeat& aHeartbeat)
 {
   mView.refresh();
-  const TimePoint now = Clock::now();
   const bool hadTarget = mHeartbeats.hasTarget();
   const HeartbeatTracker::Verdict verdict = mHeartbeats.record(aHeartbeat);
   if (verdict == HeartbeatTracker::Verdict::Stale) {
-    aHeartbeat.reply(fleet::GrantResponse());
+    handleStaleHeartbeat(aHeartbeat);
     return;
   }
   if (verdict == HeartbeatTracker::Verdict::NewTarget) {
@@ -788,8 +798,52 @@
     mGrants->reset();
     cancelAllAtTarget();
   }
+  restoreLeaving();
   reportTarget();
   updateOrders();
+  const bool isNewTarget = verdict == HeartbeatTracker::Verdict::NewTarget;
+  if (!aHeartbeat.isDraining) {
+    answerHeartbeat(aHeartbeat, isNewTarget);
+    return;
+  }
+  acknowledgeLeaving(aHeartbeat.announcement.process(),
+                     [this, aHeartbeat, isNewTarget](bool aIsRecorded) {
+                       // The ranges of an older heartbeat must not replace those of a newer one.
+                       const bool isLatest = mHeartbeats.hasTarget() &&
+                                             mHeartbeats.last().announcement.process() ==
+                                               aHeartbeat.announcement.process() &&
+                                             mHeartbeats.last().sequence == aHeartbeat.sequence;
+                       if (aIsRecorded && isLatest) {
+                         answerHeartbeat(aHeartbeat, isNewTarget);
+                       } else {
+                         aHeartbeat.refuse();
+                       }
+                     });
+}
+
+// A heartbeat that was overtaken still says that its process is leaving, and the response would
+// acknowledge that.
+void OwnerDuty::handleStaleHeartbeat(const TargetHeartbeat& aHeartbeat)
+{
+  if (!aHeartbeat.isDraining) {
+    aHeartbeat.reply(fleet::GrantResponse());
+    return;
+  }
+  const wire::TargetProcess process = aHeartbeat.announcement.process();
+  if (mHeartbeats.recordLeaving(process) && mHeartbeats.hasTarget()) {
+    reportTarget();
+  }
+  acknowledgeLeaving(process, [aHeartbeat](bool aIsRecorded) {
+    if (aIsRecorded) {
+      aHeartbeat.reply(fleet::GrantResponse());
+    } else {
+      aHeartbeat.refuse();
+    }
+  });
+}
+
+void OwnerDuty::answerHeartbeat(const TargetHeartbeat& aHeartbeat, bool aIsNewTarget)
+{
   const std::string& service = aHeartbeat.announcement.service;
   const fleet::FleetModel& model = *mView.state().model;
   const auto known = model.services().find(service);
@@ -802,15 +856,15 @@
     aHeartbeat.reply(fleet::GrantResponse());
     return;
   }
-  const bool mustRespondNow = verdict == HeartbeatTracker::Verdict::NewTarget ||
-                              mHeartbeats.isLeaving() || !aHeartbeat.holds.released.empty() ||
-                              hasNewGrants(service) || holdsMovingKeys(aHeartbeat);
+  const bool mustRespondNow = aIsNewTarget || mHeartbeats.isLeaving() ||
+                              !aHeartbeat.holds.released.empty() || hasNewGrants(service) ||
+                              holdsMovingKeys(aHeartbeat);
   if (mustRespondNow || mSettings.heartbeatWait <= Millis(0)) {
     respondToHeartbeat(aHeartbeat);
     return;
   }
   mPendingHeartbeat = aHeartbeat;
-  mHeartbeatResponseDeadline = now + mSettings.heartbeatWait;
+  mHeartbeatResponseDeadline = Clock::now() + mSettings.heartbeatWait;
 }
 
 void OwnerDuty::respondToHeartbeat(const TargetHeartbeat& aHeartbeat)
@@ -867,12 +921,107 @@
 
 void OwnerDuty::handleDeregistration(const TargetDeregistration& aDeregistration)
 {
-  if (mHeartbeats.recordLeaving(aDeregistration)) {
-    logEvent(LogLevel::Info, "target_leaving", { { "instance", aDeregistration.instance } });
+  mView.refresh();
+  const auto process = processOf(aDeregistration);
+  if (!process) {
+    logEvent(LogLevel::Warning, "target_leaving_unknown",
+             { { "instance", aDeregistration.instance } });
+    aDeregistration.reply(false);
+    return;
+  }
+  if (mHeartbeats.recordLeaving(*process)) {
     reportTarget();
     probeTarget();
   }
-  aDeregistration.reply();
+  acknowledgeLeaving(*process, aDeregistration.reply);
+}
+
+// A process that doesn't state its start time is the one of its name that is known here, or that an
+// earlier process of this daemon registered.
+std::optional<wire::TargetProcess> OwnerDuty::processOf(
+  const TargetDeregistration& aDeregistration) const
+{
+  const std::string& instance = aDeregistration.instance;
+  if (aDeregistration.startedAtUnixMillis) {
+    return wire::TargetProcess{ instance, *aDeregistration.startedAtUnixMillis };
+  }
+  if (mHeartbeats.processNumber() > 0 && mHeartbeats.last().announcement.instance == instance) {
+    return mHeartbeats.last().announcement.process();
+  }
+  const wire::Node* self = mView.state().model->node(mSettings.id);
+  return self != nullptr && self->target.instance == instance
+           ? std::optional<wire::TargetProcess>(self->target.process())
+           : std::nullopt;
+}
+
+bool OwnerDuty::isLeavingRecorded(const wire::TargetProcess& aProcess) const
+{
+  const wire::Node* self = mView.state().model->node(mSettings.id);
+  return self != nullptr && self->hasLeft(aProcess);
+}
+
+// Replies once the fleet's state says that the process is leaving. The VM may have no disk, so only
+// that record binds the next process of this daemon, which may get an earlier heartbeat late.
+void OwnerDuty::acknowledgeLeaving(const wire::TargetProcess& aProcess,
+                                   std::function<void(bool aIsRecorded)> aReply)
+{
+  if (isLeavingRecorded(aProcess)) {
+    aReply(true);
+    return;
+  }
+  logEvent(LogLevel::Info, "target_leaving",
+           { { "instance", aProcess.instance },
+             { "started_at", std::to_string(aProcess.startedAtUnixMillis) },
+             { "revision", std::to_string(mView.state().revision) } });
+  mLeavingTarget = aProcess;
+  if (mPendingLeavings.size() >= kMaxPendingLeavings) {
+    aReply(false);
+    return;
+  }
+  mPendingLeavings.push_back(
+    { aProcess, Clock::now() + kLeavingTimeout, false, std::move(aReply) });
+  updatePendingLeavings();
+}
+
+void OwnerDuty::updatePendingLeavings()
+{
+  const TimePoint now = Clock::now();
+  std::vector<PendingLeaving> ended;
+  for (auto it = mPendingLeavings.begin(); it != mPendingLeavings.end();) {
+    if (isLeavingRecorded(it->process) || it->deadline <= now) {
+      ended.push_back(std::move(*it));
+      it = mPendingLeavings.erase(it);
+      continue;
+    }
+    if (!it->isReported) {
+      AgentMessage message(fleet::agent::TargetLeaving{ it->process });
+      it->isReported = mRings.agent.tryPush(std::move(message)); // Otherwise in the next tick.
+    }
+    ++it;
+  }
+  for (const auto& it : ended) {
+    const bool isRecorded = isLeavingRecorded(it.process);
+    if (!isRecorded) {
+      logEvent(LogLevel::Warning, "target_leaving_not_recorded",
+               { { "instance", it.process.instance },
+                 { "revision", std::to_string(mView.state().revision) } });
+    }
+    it.reply(isRecorded);
+  }
+}
+
+// Marks the current process as leaving if it said so before its latest heartbeat, to this process
+// of the daemon or to an earlier one. Returns whether that was news.
+bool OwnerDuty::restoreLeaving()
+{
+  if (!mHeartbeats.hasTarget() || mHeartbeats.isLeaving()) {
+    return false;
+  }
+  const wire::TargetProcess process = mHeartbeats.last().announcement.process();
+  const wire::Node* self = mView.state().model->node(mSettings.id);
+  const bool isLeaving =
+    mLeavingTarget == process || (self != nullptr && self->leavingTarget == process);
+  return isLeaving && mHeartbeats.recordLeaving(process);
 }
 
 // Selects how the target's current process is granted its keys. The choice holds until the process
@@ -1109,6 +1258,7 @@
     if (Clock::now() >= mHeartbeatResponseDeadline) {
       respondToPendingHeartbeat();
     }
+    updatePendingLeavings();
     sendOrders();
     releaseGrants();
     acceptAwaitingGrant();
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -89,6 +90,14 @@
     TimePoint sentAt; ///< By the entry, on this daemon's clock.
     TimePoint until;
   };
+  /// The acknowledgement of a message in which the target says that it is leaving.
+  struct PendingLeaving
+  {
+    wire::TargetProcess process;
+    TimePoint deadline;
+    bool isReported = false; ///< To the agent, which has it recorded in the fleet's state.
+    std::function<void(bool aIsRecorded)> reply;
+  };
   using TokenRequestId = std::pair<std::string, std::uint64_t>; // Account and sequence number.
 
   void handle(OwnerMessage aMessage);
@@ -115,12 +124,20 @@
   void startTarget();
   void startPolling();
   void handleHeartbeat(const TargetHeartbeat& aHeartbeat);
+  void handleStaleHeartbeat(const TargetHeartbeat& aHeartbeat);
+  void answerHeartbeat(const TargetHeartbeat& aHeartbeat, bool aIsNewTarget);
   void respondToHeartbeat(const TargetHeartbeat& aHeartbeat);
   void respondToPendingHeartbeat();
   void rejectPendingHeartbeat();
   bool hasNewGrants(const std::string& aService) const;
   bool holdsMovingKeys(const TargetHeartbeat& aHeartbeat) const;
   void handleDeregistration(const TargetDeregistration& aDeregistration);
+  std::optional<wire::TargetProcess> processOf(const TargetDeregistration& aDeregistration) const;
+  bool isLeavingRecorded(const wire::TargetProcess& aProcess) const;
+  void acknowledgeLeaving(const wire::TargetProcess& aProcess,
+                          std::function<void(bool aIsRecorded)> aReply);
+  void updatePendingLeavings();
+  bool restoreLeaving();
   void selectGrants();
   bool isGrantedByCalls() const { return mOrders && mGrants == &mOrders->grants(); }
   void updateOrders();
@@ -177,7 +194,9 @@
   std::map<PartitionId, wire::PartitionGrant> mSentGrants;
   std::optional<TargetHeartbeat> mPendingHeartbeat; // Gets its response when the grants change.
   TimePoint mHeartbeatResponseDeadline;
-  std::optional<Incarnation> mEndedIncarnation; // Node incarnation whose target process ended.
+  std::optional<wire::TargetProcess> mLeavingTarget; // The latest one that this process heard of.
+  std::vector<PendingLeaving> mPendingLeavings;      // At most kMaxPendingLeavings.
+  std::optional<Incarnation> mEndedIncarnation;      // Node incarnation whose target process ended.
   bool mIsProbing = false;
   std::optional<TargetChartReporter> mTargetChartReporter;
   boost::asio::steady_timer mTimer;
--- a/packages/daemon/testing/HeartbeatTrackerTest.cc
+++ b/packages/daemon/testing/HeartbeatTrackerTest.cc
@@ -47,11 +47,11 @@
 TEST_CASE("a deregistration applies only to the current process and is not undone by heartbeats")
 {
   HeartbeatTracker tracker;
-  CHECK_FALSE(tracker.recordLeaving({ "a", 100, nullptr }));
+  CHECK_FALSE(tracker.recordLeaving({ "a", 100 }));
   tracker.record(makeHeartbeat("a", 100, 1));
-  CHECK_FALSE(tracker.recordLeaving({ "b", 100, nullptr }));
-  CHECK_FALSE(tracker.recordLeaving({ "a", 99, nullptr }));
-  CHECK(tracker.recordLeaving({ "a", std::nullopt, nullptr }));
+  CHECK_FALSE(tracker.recordLeaving({ "b", 100 }));
+  CHECK_FALSE(tracker.recordLeaving({ "a", 99 }));
+  CHECK(tracker.recordLeaving({ "a", 100 }));
   tracker.record(makeHeartbeat("a", 100, 2));
   CHECK(tracker.isLeaving());
 }
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -359,6 +359,44 @@
     view.publish({ model, aRevision, aIncarnation });
   }
 
+  // Publishes the same view with a record of this node that says which process has left.
+  void publishLeaving(Revision aRevision, const wire::TargetProcess& aProcess)
+  {
+    const auto state = view.state();
+    auto model = std::make_shared<fleet::FleetModel>(*state->model);
+    wire::Node node;
+    node.id = settings.id;
+    node.incarnation = state->incarnation;
+    node.target.instance = "i-1";
+    node.leavingTarget = aProcess;
+    model->apply(wire::NodeSet{ node });
+    view.publish({ model, aRevision, state->incarnation });
+    push(ViewPublished{});
+  }
+
+  // Deregisters a process. The result says whether it was acknowledged.
+  std::future<bool> deregister(const std::string& aInstance,
+                               std::optional<std::int64_t> aStartedAt = std::nullopt)
+  {
+    auto result = std::make_shared<std::promise<bool>>();
+    push(TargetDeregistration{ aInstance, aStartedAt,
+                               [result](bool aIsRecorded) { result->set_value(aIsRecorded); } });
+    return result->get_future();
+  }
+
+  // Returns the next event of a type that the agent gets within a time.
+  template<class Event>
+  std::optional<Event> agentEvent(Millis aTime)
+  {
+    const TimePoint end = Clock::now() + aTime;
+    while (auto message = rings.agent.popUntil(end)) {
+      if (const auto* event = std::get_if<Event>(&*message)) {
+        return *event;
+      }
+    }
+    return std::nullopt;
+  }
+
   std::future<fleet::GrantResponse> sendHeartbeat(Millis aColdFor, const std::string& aService,
                                                   const std::string& aInstance,
                                                   const fleet::HeartbeatRanges& aHolds = {})
@@ -779,7 +817,7 @@
   REQUIRE(f.responseBody(Millis(2000)) == "first"); // The connection is kept.
   std::promise<void> isBusy;
   std::promise<void> release;
-  f.push(TargetDeregistration{ "other", std::nullopt, [&] {
+  f.push(TargetDeregistration{ "other", std::nullopt, [&](bool) {
                                 isBusy.set_value();
                                 release.get_future().wait();
                               } });
@@ -928,7 +966,7 @@
   f.sendRequest("intake", "", 5);
   REQUIRE(f.target.accept(Millis(300)) == 1);
   f.target.closeListener();
-  f.push(TargetDeregistration{ "i-1", std::nullopt, [] {} });
+  f.push(TargetDeregistration{ "i-1", std::nullopt, [](bool) {} });
   CHECK_FALSE(f.waitForTargetEnd(Millis(700)));
   f.target.closeConnections();
   CHECK(f.waitForTargetEnd(Millis(1000)));
@@ -944,9 +982,8 @@
   f.sendRequest("intake", "", 5);
   REQUIRE(f.target.accept(Millis(300)) == 1);
   f.target.respondAndEnd(kBytes);
-  std::promise<void> acknowledged;
-  f.push(TargetDeregistration{ "i-1", std::nullopt, [&] { acknowledged.set_value(); } });
-  REQUIRE(acknowledged.get_future().wait_for(Millis(1000)) == std::future_status::ready);
+  f.deregister("i-1");
+  REQUIRE(f.agentEvent<fleet::agent::TargetLeaving>(Millis(1000)));
   std::this_thread::sleep_for(Millis(100)); // Time for the probe to find the port closed.
   std::size_t arrived = 0;
   bool isWhole = false;
@@ -969,6 +1006,93 @@
   CHECK(arrived == kBytes);
 }
 
+// Guards against an acknowledgement that binds only this process of the daemon (DRAIN): a kill
+// right after it would leave the target in use.
+TEST_CASE("a deregistration is acknowledged once the fleet's state says that the target is leaving")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  auto acknowledged = f.deregister("i-1");
+  const auto leaving = f.agentEvent<fleet::agent::TargetLeaving>(Millis(1000));
+  REQUIRE(leaving);
+  CHECK(leaving->process == wire::TargetProcess{ "i-1", 0 });
+  CHECK(acknowledged.wait_for(Millis(300)) == std::future_status::timeout);
+  f.publishLeaving(6, leaving->process);
+  REQUIRE(acknowledged.wait_for(Millis(300)) == std::future_status::ready);
+  CHECK(acknowledged.get());
+}
+
+TEST_CASE("a deregistration that can't be recorded isn't acknowledged, but stops new requests")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  auto acknowledged = f.deregister("i-1");
+  f.sendRequest("intake", "", 5);
+  const auto refusal = f.failure(Millis(1000));
+  REQUIRE(refusal);
+  CHECK(refusal->code == ErrorCode::Draining);
+  REQUIRE(acknowledged.wait_for(Millis(2000)) == std::future_status::ready);
+  CHECK_FALSE(acknowledged.get());
+  // Nothing is known about a process of another name that doesn't state its start time.
+  CHECK_FALSE(f.deregister("i-2").get());
+}
+
+TEST_CASE("a heartbeat that says that the target drains is acknowledged once that is recorded")
+{
+  for (const bool isRecorded : { true, false }) {
+    Fixture f;
+    f.publish(5);
+    f.exchangeHeartbeat(Millis(0));
+    auto result = std::make_shared<std::promise<bool>>();
+    TargetHeartbeat heartbeat;
+    heartbeat.announcement.service = "intake";
+    heartbeat.announcement.slots = 100;
+    heartbeat.announcement.instance = "i-1";
+    heartbeat.sequence = ++f.counter;
+    heartbeat.isDraining = true;
+    heartbeat.reply = [result](const fleet::GrantResponse&) { result->set_value(true); };
+    heartbeat.refuse = [result] { result->set_value(false); };
+    f.push(heartbeat);
+    auto acknowledged = result->get_future();
+    REQUIRE(f.agentEvent<fleet::agent::TargetLeaving>(Millis(1000)));
+    CHECK(acknowledged.wait_for(Millis(300)) == std::future_status::timeout);
+    if (isRecorded) {
+      f.publishLeaving(6, { "i-1", 0 });
+    }
+    REQUIRE(acknowledged.wait_for(Millis(2000)) == std::future_status::ready);
+    CHECK(acknowledged.get() == isRecorded);
+  }
+}
+
+// Guards against requests to a server that has left (DRAIN): the daemon restarted meanwhile and
+// gets a heartbeat late that the server sent before it left.
+TEST_CASE("after a restart, a heartbeat doesn't bring a target back that has left")
+{
+  for (const bool hasViewFirst : { true, false }) {
+    Fixture f;
+    f.publish(5);
+    if (hasViewFirst) {
+      f.publishLeaving(6, { "i-1", 0 });
+    }
+    f.exchangeHeartbeat(Millis(0));
+    if (!hasViewFirst) {
+      f.publishLeaving(6, { "i-1", 0 });
+    }
+    std::this_thread::sleep_for(Millis(100));
+    f.sendRequest("intake", "", 6);
+    const auto refusal = f.failure(Millis(1000));
+    REQUIRE(refusal);
+    CHECK(refusal->code == ErrorCode::Draining);
+    CHECK(f.target.accept(Millis(50)) <= 1); // The probe.
+    // The next process of the target is in use at once.
+    f.exchangeHeartbeat(Millis(0), "intake", "i-2");
+    f.sendRequest("intake", "", 6);
+    CHECK_FALSE(f.failure(Millis(100)));
+  }
+}
+
 TEST_CASE("after a planned stop has begun, no new request starts")
 {
   Fixture f;
--- a/packages/fleet/AuditText.cc
+++ b/packages/fleet/AuditText.cc
@@ -68,6 +68,10 @@
     return nodeObject(aBody.node.id);
   }
   std::string operator()(const wire::SetNodeStatus& aBody) const { return nodeObject(aBody.node); }
+  std::string operator()(const wire::SetTargetLeaving& aBody) const
+  {
+    return nodeObject(aBody.node);
+  }
   std::string operator()(const wire::NodeLost& aBody) const { return nodeObject(aBody.node); }
   std::string operator()(const wire::AssignPartitions& aBody) const
   {
@@ -132,6 +136,7 @@
   }
   std::string operator()(const wire::RegisterNode& aBody) const { return node(aBody.node.id); }
   std::string operator()(const wire::SetNodeStatus& aBody) const { return node(aBody.node); }
+  std::string operator()(const wire::SetTargetLeaving& aBody) const { return node(aBody.node); }
   std::string operator()(const wire::NodeLost& aBody) const { return node(aBody.node); }
   std::string operator()(const wire::AssignPartitions& aBody) const
   {
--- a/packages/fleet/CommandRules.h
+++ b/packages/fleet/CommandRules.h
@@ -70,6 +70,7 @@
   Verdict operator()(const wire::CreateFleet& aBody);
   Verdict operator()(const wire::RegisterNode& aBody);
   Verdict operator()(const wire::SetNodeStatus& aBody);
+  Verdict operator()(const wire::SetTargetLeaving& aBody);
   Verdict operator()(const wire::NodeLost& aBody);
   Verdict operator()(const wire::AssignPartitions& aBody);
   Verdict operator()(const wire::BeginPartitionMove& aBody);
--- a/packages/fleet/FleetModel.cc
+++ b/packages/fleet/FleetModel.cc
@@ -162,10 +162,15 @@
   return aNode.status == wire::NodeStatus::Serving || aNode.status == wire::NodeStatus::TargetDown;
 }
 
-bool FleetModel::mayReceiveRequests(const wire::Node& aNode) const
+bool FleetModel::isTargetUsable(const wire::Node& aNode) const
 {
   return aNode.hasTarget && aNode.status == wire::NodeStatus::Serving && !aNode.isRetired &&
-         !isZoneOut(aNode.zone);
+         !aNode.isTargetLeaving();
+}
+
+bool FleetModel::mayReceiveRequests(const wire::Node& aNode) const
+{
+  return isTargetUsable(aNode) && !isZoneOut(aNode.zone);
 }
 
 bool FleetModel::mayOwn(const wire::Node& aNode, const std::string& aService) const
--- a/packages/fleet/FleetModel.h
+++ b/packages/fleet/FleetModel.h
@@ -89,8 +89,12 @@
   /// Returns whether a node may own partitions of kAccountService: it is neither lost nor draining.
   bool mayOwnRateBuckets(const wire::Node& aNode) const;
 
-  /// Returns whether a node's target may receive new requests: the node is serving and not retired,
-  /// and its zone is in service.
+  /// Returns whether a node's target may receive new requests while its zone is in service: the
+  /// node is serving and not retired, and the target isn't leaving.
+  bool isTargetUsable(const wire::Node& aNode) const;
+
+  /// Returns whether a node's target may receive new requests: it is usable and its zone is in
+  /// service.
   bool mayReceiveRequests(const wire::Node& aNode) const;
 
   /// Returns whether a node may currently own partitions of the service.
--- a/packages/fleet/NodeAgent.cc
+++ b/packages/fleet/NodeAgent.cc
@@ -153,8 +153,19 @@
 
 bool NodeAgent::isSameTarget(const wire::Node& aNode) const
 {
-  return aNode.target.instance == mAnnouncement.instance &&
-         aNode.target.startedAtUnixMillis == mAnnouncement.startedAtUnixMillis;
+  return aNode.target.process() == mAnnouncement.process();
+}
+
+// Returns whether the announced process is leaving, even if only an earlier process of this daemon
+// was told so.
+bool NodeAgent::isTargetLeaving() const
+{
+  if (mAnnouncement.instance.empty()) {
+    return false;
+  }
+  const wire::Node* self = mModel->node(mConfig.id);
+  const wire::TargetProcess process = mAnnouncement.process();
+  return mLeavingTarget == process || (self != nullptr && self->leavingTarget == process);
 }
 
 // Continues with the registered incarnation if an earlier process of this daemon registered the
@@ -324,6 +335,11 @@
   }
 }
 
+void NodeAgent::handle(const agent::TargetLeaving& aEvent, Actions& /*aOut*/)
+{
+  mLeavingTarget = aEvent.process;
+}
+
 void NodeAgent::handle(const agent::LoadMeasured& aEvent, Actions& /*aOut*/)
 {
   mLoad = aEvent;
@@ -412,7 +428,7 @@
   node.target = mAnnouncement;
   if (mIsDraining) {
     node.status = wire::NodeStatus::Draining;
-  } else if (mConfig.hasTarget && !mTargetAcceptsRequests) {
+  } else if (mConfig.hasTarget && (!mTargetAcceptsRequests || isTargetLeaving())) {
     node.status = wire::NodeStatus::TargetDown;
   }
   return node;
@@ -467,8 +483,14 @@
   const wire::Node* self = mModel->node(mConfig.id);
   const wire::Node wanted = selfAsNode();
   const bool isAnnounced = !mConfig.hasTarget || !mAnnouncement.service.empty();
-  if (mRevision == 0 || !isAnnounced) {
-    return std::nullopt; // There is no view or no announced target to register yet.
+  if (mRevision == 0) {
+    return std::nullopt;
+  }
+  if (mLeavingTarget && self != nullptr && !self->hasLeft(*mLeavingTarget)) {
+    return wire::SetTargetLeaving{ mConfig.id, *mLeavingTarget };
+  }
+  if (!isAnnounced) {
+    return std::nullopt;
   }
   if (mHasTargetEnded) {
     const bool isListed =
--- a/packages/fleet/NodeAgent.h
+++ b/packages/fleet/NodeAgent.h
@@ -71,6 +71,12 @@
   wire::Announcement announcement;
   bool hasEnded = false; ///< Its process has ended, and with it all its grants.
 };
+/// A process of the target has said that it is leaving. The agent has it recorded in the fleet's
+/// state, which outlives this daemon's process.
+struct TargetLeaving
+{
+  wire::TargetProcess process;
+};
 /// All work on a partition that is being handed over has ended.
 struct PartitionIdle
 {
@@ -97,7 +103,7 @@
 
 using Event =
   std::variant<Tick, LeaseReplyArrived, UpdateArrived, SnapshotArrived, ReplyArrived, TargetChanged,
-               PartitionIdle, LoadMeasured, WasSuspended, DrainRequested>;
+               TargetLeaving, PartitionIdle, LoadMeasured, WasSuspended, DrainRequested>;
 
 // Actions.
 struct Send
@@ -168,6 +174,7 @@
   void handle(const agent::SnapshotArrived& aEvent, Actions& aOut);
   void handle(const agent::ReplyArrived& aEvent, Actions& aOut);
   void handle(const agent::TargetChanged& aEvent, Actions& aOut);
+  void handle(const agent::TargetLeaving& aEvent, Actions& aOut);
   void handle(const agent::PartitionIdle& aEvent, Actions& aOut);
   void handle(const agent::LoadMeasured& aEvent, Actions& aOut);
   void handle(const agent::WasSuspended& aEvent, Actions& aOut);
@@ -179,6 +186,7 @@
   void startNewIncarnation(Actions& aOut);
   void updateMembers(const std::vector<NodeId>& aMembers);
   bool isSameTarget(const wire::Node& aNode) const;
+  bool isTargetLeaving() const;
   void adoptIncarnation(Actions& aOut);
   void handleNewRevision(Actions& aOut);
   void confirmUpTo(Revision aRevision);
@@ -224,6 +232,7 @@
   bool mTargetAcceptsRequests = false;
   bool mHasTargetEnded = false;
   wire::Announcement mAnnouncement;
+  std::optional<wire::TargetProcess> mLeavingTarget;
   bool mIsDraining = false;
   bool mIsDrained = false;
   bool mIsStopReported = false; // Drained was sent although no node can take the partitions.
--- a/packages/fleet/SystemRules.cc
+++ b/packages/fleet/SystemRules.cc
@@ -132,6 +132,7 @@
   wire::Node node = aBody.node;
   node.registeredAt = mRevision;
   node.isRetired = false;
+  node.leavingTarget.reset();
   if (const wire::Node* old = mModel.node(node.id)) {
     const bool isSame = old->incarnation == node.incarnation;
     const bool isEnded = !isSame && old->status != wire::NodeStatus::Lost &&
@@ -144,6 +145,7 @@
                            : nodeName(node.id) + " has another incarnation that is not lost yet");
     }
     node.isRetired = old->isRetired;
+    node.leavingTarget = old->leavingTarget;
     if (isSame) {
       node.status = old->status;
       node.registeredAt = old->registeredAt;
@@ -208,6 +210,24 @@
   return std::nullopt;
 }
 
+// A process that was replaced needs no record. A newer one may leave before it is registered.
+Verdict CommandRules::operator()(const wire::SetTargetLeaving& aBody)
+{
+  const wire::Node* found = mModel.node(aBody.node);
+  if (found == nullptr) {
+    return refuse(ErrorCode::UnknownObject, nodeName(aBody.node) + " is not registered");
+  }
+  if (aBody.process.instance.empty()) {
+    return refuse(ErrorCode::InvalidCommand, "a process that leaves has a name");
+  }
+  if (!found->hasLeft(aBody.process)) {
+    wire::Node node = *found;
+    node.leavingTarget = aBody.process;
+    mOut.emplace_back(wire::NodeSet{ node });
+  }
+  return std::nullopt;
+}
+
 Verdict CommandRules::operator()(const wire::NodeLost& aBody)
 {
   if (auto verdict = checkIncarnation(aBody.node, aBody.incarnation)) {
--- a/packages/fleet/testing/FleetStateTest.cc
+++ b/packages/fleet/testing/FleetStateTest.cc
@@ -192,6 +192,60 @@
   REQUIRE(registerNode(12) == ErrorCode::None);
 }
 
+// Guards against requests to a server whose leaving was acknowledged (DRAIN), after another process
+// of the daemon beside it has registered it again, from a heartbeat that was sent before.
+TEST_CASE(
+  "a target's process that has left stays out of use, whichever daemon process registers it")
+{
+  Member member = smallFleet();
+  wire::Node node = nodeOf(3, 31, "a");
+  node.target.instance = "i-1";
+  node.target.startedAtUnixMillis = 1000;
+  member.system(wire::RegisterNode{ node });
+  const auto isUsable = [&] {
+    return member.state.model().mayOwn(*member.state.model().node(3), "lookup");
+  };
+  REQUIRE(isUsable());
+  member.system(wire::SetTargetLeaving{ 3, { "i-1", 1000 } });
+  CHECK_FALSE(isUsable());
+  member.system(wire::SetNodeStatus{ 3, 31, wire::NodeStatus::Serving });
+  CHECK_FALSE(isUsable());
+  member.system(wire::RegisterNode{ node });
+  CHECK_FALSE(isUsable());
+  member.system(wire::NodeLost{ 3, 31 });
+  node.incarnation = 32;
+  REQUIRE(member.system(wire::RegisterNode{ node }).result.code == ErrorCode::None);
+  CHECK_FALSE(isUsable());
+  Member restored;
+  REQUIRE(restored.state.restoreSnapshot(member.state.encodeSnapshot()));
+  CHECK(restored.state.model().node(3)->isTargetLeaving());
+  // The next process of the target is usable, also under the name of the one that left.
+  node.incarnation = 33;
+  node.target.startedAtUnixMillis = 2000;
+  member.system(wire::RegisterNode{ node, 32 });
+  CHECK(isUsable());
+  member.system(wire::SetTargetLeaving{ 3, { "i-1", 1000 } }); // A late copy.
+  CHECK(isUsable());
+}
+
+TEST_CASE("a target's process can leave before it is registered")
+{
+  Member member = smallFleet();
+  CHECK(member.system(wire::SetTargetLeaving{ 3, { "i-1", 1000 } }).result.code ==
+        ErrorCode::UnknownObject);
+  wire::Node node = nodeOf(3, 31, "a");
+  node.target.instance = "i-1";
+  node.target.startedAtUnixMillis = 1000;
+  member.system(wire::RegisterNode{ node });
+  member.system(wire::SetTargetLeaving{ 3, { "i-2", 2000 } });
+  CHECK(member.state.model().mayOwn(*member.state.model().node(3), "lookup"));
+  node.incarnation = 32;
+  node.target.instance = "i-2";
+  node.target.startedAtUnixMillis = 2000;
+  member.system(wire::RegisterNode{ node, 31 });
+  CHECK_FALSE(member.state.model().mayOwn(*member.state.model().node(3), "lookup"));
+}
+
 TEST_CASE("grants of a lost node have no owner but keep their token")
 {
   Member member = smallFleet();
--- a/packages/fleet/testing/NodeAgentTest.cc
+++ b/packages/fleet/testing/NodeAgentTest.cc
@@ -426,6 +426,55 @@
 }
 
 // Guards against a saturated target that is reported only at the end of a renewal interval.
+// Guards against requests to a server whose leaving was acknowledged (DRAIN): the daemon beside it
+// has restarted and gets a heartbeat late that the server sent before it left.
+TEST_CASE("a restarted daemon doesn't report a target serving that has left")
+{
+  const wire::TargetProcess process{ "i-1", 1000 };
+  Member member = smallFleet();
+  wire::Node node = nodeOf(3, 31, "c");
+  node.peerAddress = "127.0.0.1:3";
+  node.target.instance = process.instance;
+  node.target.startedAtUnixMillis = process.startedAtUnixMillis;
+  node.status = wire::NodeStatus::TargetDown;
+  member.system(wire::RegisterNode{ node });
+  member.system(wire::SetTargetLeaving{ 3, process });
+  std::mt19937_64 random{ 42 };
+  NodeAgentConfig config = Daemon::config();
+  config.hasTarget = true;
+  config.followsTarget = true;
+  NodeAgent agent(config, random);
+  TimePoint now = kStart;
+  agent.step(now, agent::TargetChanged{ true, node.target, false });
+  agent.step(now, agent::SnapshotArrived{ wire::ViewSnapshot{ member.state.revision(), 0, 1,
+                                                              member.state.model().toChanges() } });
+  CHECK(agent.incarnation() == 31);
+  for (int i = 0; i < 20; ++i) {
+    now += Millis(100);
+    const auto actions = agent.step(now, agent::TargetChanged{ true, node.target, false });
+    CHECK(sentOf<wire::CommandSubmit>(actions).empty());
+  }
+}
+
+TEST_CASE("a target's leaving is recorded, even if the daemon has heard of no heartbeat")
+{
+  Member member = smallFleet();
+  member.system(wire::RegisterNode{ nodeOf(3, 31, "c") });
+  std::mt19937_64 random{ 42 };
+  NodeAgentConfig config = Daemon::config();
+  config.hasTarget = true;
+  config.followsTarget = true;
+  NodeAgent agent(config, random);
+  agent.step(kStart, agent::TargetLeaving{ { "i-1", 1000 } });
+  const auto actions =
+    agent.step(kStart, agent::SnapshotArrived{ wire::ViewSnapshot{
+                         member.state.revision(), 0, 1, member.state.model().toChanges() } });
+  const auto command = commandOf<wire::SetTargetLeaving>(actions);
+  REQUIRE(command);
+  CHECK(command->node == 3);
+  CHECK(command->process == wire::TargetProcess{ "i-1", 1000 });
+}
+
 TEST_CASE("a saturated target's load is sent within 200 ms, and not more often")
 {
   Daemon daemon;
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -135,6 +135,23 @@
   }
 };
 
+/// One process of a target.
+struct TargetProcess
+{
+  std::string instance;
+  std::int64_t startedAtUnixMillis = 0;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("instance", &TargetProcess::instance),
+                           field("started_at_unix_ms", &TargetProcess::startedAtUnixMillis));
+  }
+  bool operator==(const TargetProcess& aOther) const
+  {
+    return instance == aOther.instance && startedAtUnixMillis == aOther.startedAtUnixMillis;
+  }
+  bool operator!=(const TargetProcess& aOther) const { return !(*this == aOther); }
+};
+
 /// The properties that a target announces; the daemon beside it forwards them.
 struct Announcement
 {
@@ -154,6 +171,7 @@
       field("instance", &Announcement::instance),
       field("started_at_unix_ms", &Announcement::startedAtUnixMillis));
   }
+  TargetProcess process() const { return { instance, startedAtUnixMillis }; }
 };
 
 /// Whether a node may own partitions and receive new requests.
@@ -177,13 +195,27 @@
   bool isRetired = false; ///< Set by an operator: the target receives no new requests.
   Announcement target;
   Revision registeredAt = 0;
+  /// The process of the target that was last told that its leaving is acknowledged. It never
+  /// receives requests again, whichever process of the daemon has heard of it.
+  std::optional<TargetProcess> leavingTarget{};
   static constexpr auto fields()
   {
     return std::make_tuple(field("id", &Node::id), field("incarnation", &Node::incarnation),
                            field("zone", &Node::zone), field("peer_address", &Node::peerAddress),
                            field("status", &Node::status), field("has_target", &Node::hasTarget),
                            field("retired", &Node::isRetired), field("target", &Node::target),
-                           field("registered_at", &Node::registeredAt));
+                           field("registered_at", &Node::registeredAt),
+                           field("leaving_target", &Node::leavingTarget));
+  }
+  /// Returns whether the registered process of the target is leaving.
+  bool isTargetLeaving() const { return leavingTarget && *leavingTarget == target.process(); }
+  /// Returns whether a process is leaving according to this record, or was replaced by the
+  /// registered one.
+  bool hasLeft(const TargetProcess& aProcess) const
+  {
+    const bool isReplaced =
+      aProcess != target.process() && aProcess.startedAtUnixMillis <= target.startedAtUnixMillis;
+    return isReplaced || (leavingTarget && *leavingTarget == aProcess);
   }
 };
 
@@ -581,6 +613,19 @@
   }
 };
 
+/// Records that a process of the node's target is leaving, before the target is told so.
+struct SetTargetLeaving
+{
+  static constexpr const char* kName = "set_target_leaving";
+  NodeId node = kNoNode;
+  TargetProcess process;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("node", &SetTargetLeaving::node),
+                           field("process", &SetTargetLeaving::process));
+  }
+};
+
 /// Declares an incarnation lost and revokes its grants. The leader proposes it after the lease has
 /// expired. A daemon submits it for itself when it leaves after a drain and when the process of its
 /// target has ended.
@@ -665,7 +710,7 @@
   std::variant<CreateService, SetOpenRoutes, RemoveService, CreateAccount, SetRate, RemoveAccount,
                GrantAccountKey, WithdrawAccountKey, SetZone, SetRetired, ReplaceConfiguration,
                PinKey, UnpinKey, CreateFleet, RegisterNode, SetNodeStatus, NodeLost,
-               AssignPartitions, BeginPartitionMove, ReleasePartitions>;
+               AssignPartitions, BeginPartitionMove, ReleasePartitions, SetTargetLeaving>;
 
 /// Issuer of system commands.
 constexpr const char* kSystemIssuer = "system";
