Refuse requests while all zones of their service are out (EVAC)

Cause: the planner leaves a partition at its owner if no node may take it, the entry sends a request with a key to the partition's owner without looking at its zone, and the owner doesn't look at it either, neither when the request arrives nor before it is written to the target.

Change: FleetModel::isOutOfService() says whether operators have taken out the zones of all usable targets of a service. The entry refuses a request for such a service at once, with or without a key, as not run (zone_out, 503 with Retry-After), before each attempt. The owner refuses it at its arrival, drops what waits in its queue or for a grant, and checks again right before the write to the target, on kept connections as well. While another zone is in service, the owner goes on serving keys that are being handed over, for 4 s at most; R4 allows 5 s. A daemon whose first view says that its zone is out doesn't know for how long, and refuses at once. The grants stay where they are, so the keys are served again as soon as the zone is taken back, by the same holder.

--- a/packages/base/Errors.h
+++ b/packages/base/Errors.h
@@ -71,6 +71,8 @@
   SettingsInvalid,
   UsageError,
   Internal,
+  // Requests, continued.
+  ZoneOut, ///< Operators have taken the availability zone of the target out of service.
 };
 
 template<>
@@ -117,6 +119,7 @@
     { ErrorCode::SettingsInvalid, "settings_invalid" },
     { ErrorCode::UsageError, "usage_error" },
     { ErrorCode::Internal, "internal" },
+    { ErrorCode::ZoneOut, "zone_out" },
   };
 };
 
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -366,8 +366,15 @@
                                            bool /*aNeedsNewerView*/)
 {
   mState = mView.state();
-  return aExchange.isKeyed() ? routeOf(aExchange)
-                             : traffic::RouteKnown{ chooseTarget(aExchange, aExcluded) };
+  traffic::RouteKnown out = aExchange.isKeyed()
+                              ? routeOf(aExchange)
+                              : traffic::RouteKnown{ chooseTarget(aExchange, aExcluded) };
+  const fleet::FleetModel& model = *mState->model;
+  const wire::Node* node = model.node(out.node);
+  // While another zone is in service, the key's owner serves it until it has been handed over.
+  out.isOutOfService = (node == nullptr || model.isZoneOut(node->zone)) &&
+                       model.isOutOfService(aExchange.head().service);
+  return out;
 }
 
 void EntryDuty::awaitView(const std::shared_ptr<EntryExchange>& aExchange)
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -129,8 +129,8 @@
 void EntryExchange::lookUpRoute(const traffic::LookUpRoute& aLookUp)
 {
   const traffic::RouteKnown route = mHost.selectRoute(*this, aLookUp.exclude, aLookUp.mustBeNewer);
-  if (route.node == kNoNode) {
-    step(traffic::RouteUnknown{});
+  if (route.node == kNoNode || route.isOutOfService) {
+    step(traffic::RouteUnknown{ route.isOutOfService });
   } else {
     step(route);
   }
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -31,9 +31,10 @@
 public:
   virtual ~EntryExchangeHost() = default;
 
-  /// Selects the route of the next attempt; its node is kNoNode if there is none. An unkeyed
-  /// request is not sent to a node in aExcluded. aNeedsNewerView is true if the previous attempt
-  /// was refused by a node that no longer owns the key.
+  /// Selects the route of the next attempt; its node is kNoNode if there is none, and nothing may
+  /// be sent if isOutOfService is set. An unkeyed request is not sent to a node in aExcluded.
+  /// aNeedsNewerView is true if the previous attempt was refused by a node that no longer owns the
+  /// key.
   virtual traffic::RouteKnown selectRoute(const EntryExchange& aExchange,
                                           const std::vector<NodeId>& aExcluded,
                                           bool aNeedsNewerView) = 0;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -303,7 +303,8 @@
 bool OwnerDuty::mayGetKey(const wire::RequestHead& aHead) const
 {
   const PartitionId partition = partitionOf(aHead);
-  if (aHead.key.empty() || mView.leaseValidUntil() <= Clock::now() ||
+  const TimePoint now = Clock::now();
+  if (aHead.key.empty() || mView.leaseValidUntil() <= now || mView.isZoneOut(now) ||
       mView.tokenOf(aHead.service, partition)) {
     return false;
   }
@@ -713,14 +714,15 @@
   const bool isKeyed = !aExchange.head().key.empty();
   const TimePoint now = Clock::now();
   if (mDialect.hasHeartbeats()) {
-    return mHeartbeats.hasTarget() &&
+    return mHeartbeats.hasTarget() && !mView.isZoneOut(now) &&
            (!isKeyed ||
             mView.tokenOf(aExchange.head().service, aExchange.head().partition).has_value());
   }
   const Duration margin = mView.checksGrants() ? Duration::zero() : Duration(kUncheckedLeaseMargin);
   const bool hasLease = now + margin < mView.leaseValidUntil();
-  return hasLease && (!isKeyed || mView.ownGrant(aExchange.head().service,
-                                                 aExchange.head().partition) != nullptr);
+  return hasLease && !mView.isZoneOut(now) &&
+         (!isKeyed ||
+          mView.ownGrant(aExchange.head().service, aExchange.head().partition) != nullptr);
 }
 
 TargetResponseKind OwnerDuty::classifyResponse(const OwnerExchange& aExchange, unsigned aStatus,
--- a/packages/daemon/OwnerView.h
+++ b/packages/daemon/OwnerView.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 #include "daemon/SharedView.h"
 #include "fleet/LeaseSettings.h"
@@ -13,6 +14,10 @@
 
 namespace camphorcleat::daemon {
 
+/// Time for which the target of a zone that operators take out is still sent requests for keys that
+/// are being handed over. R4 allows 5 s, and other daemons may see the order this much later.
+constexpr Millis kMaxZoneDrain{ 4000 };
+
 /// Combines the published state with the grants sent to the target. Owner thread only.
 class OwnerView : public traffic::OwnershipView
 {
@@ -24,10 +29,15 @@
     , mShared(aShared)
     , mState(aShared.state())
   {
+    updateZone(Clock::now());
   }
 
   /// Loads the latest published state.
-  void refresh() { mState = mShared.state(); }
+  void refresh()
+  {
+    mState = mShared.state();
+    updateZone(Clock::now());
+  }
 
   const ViewState& state() const { return *mState; }
 
@@ -82,6 +92,11 @@
     return aNow - mShared.confirmedAt() <= mLease.confirmLimit;
   }
 
+  bool isZoneOut(TimePoint aNow) const override
+  {
+    return mZoneOutSince && (mIsServiceOut || aNow >= *mZoneOutSince + kMaxZoneDrain);
+  }
+
   bool checksGrants() const override
   {
     if (mGrants != nullptr) {
@@ -92,11 +107,29 @@
   }
 
 private:
+  // If the first view says that the zone is out, it is unknown for how long it has been.
+  void updateZone(TimePoint aNow)
+  {
+    const fleet::FleetModel& model = *mState->model;
+    const wire::Node* self = model.node(mSelf);
+    const bool isOut = self != nullptr && self->hasTarget && model.isZoneOut(self->zone);
+    if (!isOut) {
+      mZoneOutSince.reset();
+    } else if (!mZoneOutSince) {
+      mZoneOutSince = mHasSeenZone ? aNow : TimePoint();
+    }
+    mIsServiceOut = isOut && model.isOutOfService(self->target.service);
+    mHasSeenZone = mHasSeenZone || self != nullptr;
+  }
+
   NodeId mSelf;
   fleet::LeaseSettings mLease;
   const SharedView& mShared;
   const fleet::TargetGrants* mGrants = nullptr;
   std::shared_ptr<const ViewState> mState;
+  bool mHasSeenZone = false;              // Some view contained this node.
+  std::optional<TimePoint> mZoneOutSince; // When a view first said that its zone is out.
+  bool mIsServiceOut = false;             // So are the zones of all usable targets of its service.
 };
 
 } // namespace camphorcleat::daemon
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -1093,6 +1093,40 @@
   }
 }
 
+// Guards against requests that run in a zone that operators have taken out (EVAC): they waited at
+// the owner, or for a connection to the target.
+TEST_CASE("an owner refuses requests while the zones of all targets of its service are out")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  const auto state = f.view.state();
+  const auto publishZone = [&](Revision aRevision, bool aIsOut) {
+    auto model = std::make_shared<fleet::FleetModel>(*state->model);
+    wire::Node node;
+    node.id = f.settings.id;
+    node.incarnation = state->incarnation;
+    node.zone = "z";
+    node.target.service = "intake";
+    model->apply(wire::NodeSet{ node });
+    model->apply(wire::ZoneSet{ wire::Zone{ "z", aIsOut, aRevision } });
+    f.view.publish({ model, aRevision, state->incarnation });
+    f.push(ViewPublished{});
+  };
+  publishZone(6, false);
+  f.sendRequest("intake", "", 6);
+  CHECK_FALSE(f.failure(Millis(100)));
+  publishZone(7, true);
+  f.sendRequest("intake", "", 7);
+  const auto refusal = f.failure(Millis(500));
+  REQUIRE(refusal);
+  CHECK(refusal->outcome == wire::Outcome::NotRun);
+  CHECK(refusal->code == ErrorCode::ZoneOut);
+  publishZone(8, false);
+  f.sendRequest("intake", "", 8);
+  CHECK_FALSE(f.failure(Millis(100)));
+}
+
 TEST_CASE("after a planned stop has begun, no new request starts")
 {
   Fixture f;
--- a/packages/fleet/FleetModel.cc
+++ b/packages/fleet/FleetModel.cc
@@ -173,6 +173,21 @@
   return isTargetUsable(aNode) && !isZoneOut(aNode.zone);
 }
 
+bool FleetModel::isOutOfService(const std::string& aService) const
+{
+  bool hasTargetInZoneOut = false;
+  for (const auto& [id, node] : mNodes) {
+    if (node.target.service != aService || !isTargetUsable(node)) {
+      continue;
+    }
+    if (!isZoneOut(node.zone)) {
+      return false;
+    }
+    hasTargetInZoneOut = true;
+  }
+  return hasTargetInZoneOut;
+}
+
 bool FleetModel::mayOwn(const wire::Node& aNode, const std::string& aService) const
 {
   if (aService == kAccountService) {
--- a/packages/fleet/FleetModel.h
+++ b/packages/fleet/FleetModel.h
@@ -97,6 +97,10 @@
   /// service.
   bool mayReceiveRequests(const wire::Node& aNode) const;
 
+  /// Returns whether no target of the service may receive requests because operators have taken the
+  /// zones of all usable ones out of service.
+  bool isOutOfService(const std::string& aService) const;
+
   /// Returns whether a node may currently own partitions of the service.
   bool mayOwn(const wire::Node& aNode, const std::string& aService) const;
 
--- a/packages/fleet/testing/FleetStateTest.cc
+++ b/packages/fleet/testing/FleetStateTest.cc
@@ -173,6 +173,25 @@
             "c", { wire::SetZone{ "a", false }, wire::SetZone{ "b", true } })) == ErrorCode::None);
 }
 
+// Guards against requests that wait for a target although operators have taken out the zones of
+// all.
+TEST_CASE("a service is out of service if the zones of all its usable targets are out")
+{
+  Member member = smallFleet();
+  const fleet::FleetModel& model = member.state.model();
+  CHECK_FALSE(model.isOutOfService("lookup"));
+  member.apply(operatorCommand("a", { wire::SetZone{ "a", true, true } }));
+  CHECK_FALSE(model.isOutOfService("lookup"));
+  member.system(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::TargetDown });
+  CHECK(model.isOutOfService("lookup"));
+  member.system(wire::SetNodeStatus{ 2, 22, wire::NodeStatus::Serving });
+  member.apply(operatorCommand("b", { wire::SetZone{ "b", true, true } }));
+  CHECK(model.isOutOfService("lookup"));
+  CHECK_FALSE(model.isOutOfService("unknown")); // No target at all is another reason.
+  member.apply(operatorCommand("back", { wire::SetZone{ "a", false, true } }));
+  CHECK_FALSE(model.isOutOfService("lookup"));
+}
+
 TEST_CASE("an incarnation is replaced only after it was declared lost, and can't register again")
 {
   Member member = smallFleet();
--- a/packages/traffic/EntryMessages.h
+++ b/packages/traffic/EntryMessages.h
@@ -43,11 +43,15 @@
   FencingToken token = 0; ///< Of the key's grant; 0 if the request has no key.
   Revision revision = 0;  ///< Of the entry's view.
   bool isMoving = false;  ///< The key is being handed over to another node.
+  /// No target may get the request, because operators have taken all their zones out of service.
+  bool isOutOfService = false;
 };
 
 /// Response to LookUpRoute: no owner is known, or no usable target is left.
 struct RouteUnknown
-{};
+{
+  bool isOutOfService = false; ///< As in RouteKnown. Waiting is of no use then.
+};
 
 /// An attempt ended without a complete response.
 struct AttemptFailed
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -102,9 +102,14 @@
   return mViewUntil || mRetryAt;
 }
 
-void EntryRequest::on(TimePoint aNow, const RouteUnknown&)
+void EntryRequest::on(TimePoint aNow, const RouteUnknown& aEvent)
 {
   const LookUp lookUp = std::exchange(mLookUp, LookUp::None);
+  if (lookUp == LookUp::ForAttempt && aEvent.isOutOfService) {
+    fail(AttemptFailed{ 0, wire::Outcome::NotRun, ErrorCode::ZoneOut,
+                        "operators have taken all zones of the service out", Millis(0) });
+    return;
+  }
   const bool hadNoCapacity =
     mLastFailure && mLastFailure->outcome == wire::Outcome::NotRun && !mExclude.empty();
   if (lookUp == LookUp::ForAttempt && mStarted.failsWithoutCapacity && !mStarted.isKeyed &&
@@ -128,7 +133,8 @@
     return;
   }
   const NodeId node = it->second.node;
-  mRefusal = mStarted.isKeyed && aEvent.code == ErrorCode::NotOwner
+  const bool hasNextOwner = aEvent.code == ErrorCode::NotOwner || aEvent.code == ErrorCode::ZoneOut;
+  mRefusal = mStarted.isKeyed && hasNextOwner
                ? std::optional<Refusal>({ node, it->second.token, aEvent.revision, aNow })
                : std::nullopt;
   mAttempts.erase(it);
@@ -226,7 +232,7 @@
 {
   mMayHaveRun = mMayHaveRun || aFailure.outcome != wire::Outcome::NotRun;
   mPossibleRuns += aFailure.outcome != wire::Outcome::NotRun ? 1 : 0;
-  mIsRouteWrong = aFailure.code == ErrorCode::NotOwner;
+  mIsRouteWrong = aFailure.code == ErrorCode::NotOwner || aFailure.code == ErrorCode::ZoneOut;
   mViewUntil.reset();
   mLastFailure = aFailure;
   if (!mAttempts.empty()) {
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -295,6 +295,9 @@
                                            std::to_string(aRequest.partition) + " of " +
                                            aRequest.service };
   }
+  if (mView.isZoneOut(aNow)) {
+    return Refusal{ ErrorCode::ZoneOut, "operators have taken the zone of the target out" };
+  }
   if (!mView.isConfigFresh(aNow)) {
     return Refusal{ ErrorCode::ConfigStale,
                     "the configuration of this daemon was not confirmed recently" };
@@ -469,6 +472,9 @@
   if (isDrained(aNow)) {
     refuseAllWaiting(aNow, ErrorCode::Draining, "the target accepts no new requests");
   }
+  if (!mWaiting.empty() && mView.isZoneOut(aNow)) {
+    refuseAllWaiting(aNow, ErrorCode::ZoneOut, "operators have taken the zone of the target out");
+  }
   for (const auto& it : mQueue.expire(aNow)) {
     if (mWaiting.at(it.id).request.deadline <= aNow) {
       refuseWaiting(aNow, it.id, ErrorCode::DeadlineExceeded,
--- a/packages/traffic/OwnershipView.h
+++ b/packages/traffic/OwnershipView.h
@@ -32,6 +32,10 @@
   /// Returns whether the configuration was confirmed recently enough to accept new work.
   virtual bool isConfigFresh(TimePoint aNow) const = 0;
 
+  /// Returns whether the target may not be sent requests any more because operators have taken its
+  /// zone out of service. While its keys are being handed over, it may for a limited time.
+  virtual bool isZoneOut(TimePoint aNow) const = 0;
+
   /// Returns whether the target itself refuses work without a valid grant.
   virtual bool checksGrants() const = 0;
 };
--- a/packages/traffic/RetryPolicy.cc
+++ b/packages/traffic/RetryPolicy.cc
@@ -11,6 +11,7 @@
   switch (aCode) {
     case ErrorCode::NotOwner:
     case ErrorCode::NoOwner:
+    case ErrorCode::ZoneOut:
     // A key whose owner is lost gets a new owner within 2 s. Refused connection attempts until then
     // put no load on the failed VM, so the retry budget must not limit them.
     case ErrorCode::PeerUnreachable:
--- a/packages/traffic/testing/EntryRequestTest.cc
+++ b/packages/traffic/testing/EntryRequestTest.cc
@@ -235,6 +235,28 @@
   REQUIRE(f.now > deadline - Millis(101));
 }
 
+// Guards against requests that wait for an owner although operators have taken all zones of their
+// service out.
+TEST_CASE("a request is refused at once if its service is out, but never as not run after a run")
+{
+  for (const bool mayHaveRun : { false, true }) {
+    Fixture f;
+    f.start(true, true, false);
+    f.fail(1, mayHaveRun ? wire::Outcome::Unknown : kNotRun,
+           mayHaveRun ? ErrorCode::PeerUnreachable : ErrorCode::ZoneOut);
+    if (f.find<LookUpRoute>() == nullptr) {
+      REQUIRE(f.retriesOnTimer());
+    }
+    f.step(RouteUnknown{ true });
+    REQUIRE(f.find<FailRequest>() != nullptr);
+    CHECK(f.find<FailRequest>()->outcome == (mayHaveRun ? wire::Outcome::Unknown : kNotRun));
+    if (!mayHaveRun) {
+      CHECK(f.find<FailRequest>()->code == ErrorCode::ZoneOut);
+      CHECK(f.find<FailRequest>()->retryAfter > Millis(0));
+    }
+  }
+}
+
 TEST_CASE("final error codes are not retried and other refusals only within the retry budget")
 {
   for (const auto code : { ErrorCode::OverRate, ErrorCode::IdempotencyConflict,
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -96,6 +96,24 @@
   REQUIRE(f.find<Dispatch>()->deadline == second.deadline);
 }
 
+// Guards against requests that run in a zone that operators have taken out (EVAC).
+TEST_CASE("requests are refused as not run while the zone is out, also those that wait")
+{
+  Fixture f(1);
+  f.step(f.request());
+  REQUIRE(f.find<Dispatch>() != nullptr);
+  f.step(f.request());
+  REQUIRE(f.actions.empty());
+  f.view.isOut = true;
+  f.step(Tick{});
+  CHECK(f.isRefused(ErrorCode::ZoneOut));
+  f.step(f.request());
+  CHECK(f.isRefused(ErrorCode::ZoneOut));
+  f.view.isOut = false;
+  f.step(f.request());
+  CHECK(f.find<Refuse>() == nullptr);
+}
+
 TEST_CASE("ownership is checked again when a request leaves the queue")
 {
   Fixture f(1);
--- a/packages/traffic/testing/TrafficBenchmark.cc
+++ b/packages/traffic/testing/TrafficBenchmark.cc
@@ -33,6 +33,7 @@
   std::optional<FencingToken> tokenOf(const std::string&, PartitionId) const override { return 1; }
   TimePoint leaseValidUntil() const override { return TimePoint::max(); }
   bool isConfigFresh(TimePoint) const override { return true; }
+  bool isZoneOut(TimePoint) const override { return false; }
   bool checksGrants() const override { return false; }
 };
 
--- a/packages/traffic/testing/World.h
+++ b/packages/traffic/testing/World.h
@@ -59,12 +59,14 @@
   }
   TimePoint leaseValidUntil() const override { return leaseEnd; }
   bool isConfigFresh(TimePoint) const override { return isFresh; }
+  bool isZoneOut(TimePoint) const override { return isOut; }
   bool checksGrants() const override { return targetChecksGrants; }
 
   std::set<PartitionId> notOwned;
   FencingToken token = 7;
   TimePoint leaseEnd = TimePoint::max();
   bool isFresh = true;
+  bool isOut = false;
   bool targetChecksGrants = false;
 };
 
