Don't carry out an operator's order over a later one (EVAC)

What callers saw: requests ran in a zone whose evacuation had been acknowledged.

Cause: a member that gets an order forwards it to the leader without a precondition, and each copy of an order has a command id of its own. Nothing related the copy to the orders that were accepted since.

The command is refused as superseded, and not recorded, if a later command about the same objects was accepted: for a zone, a later order for it, even one that changed nothing (Zone::orderedAt); for other commands, any change by an operator. The member then starts again as long as the operator waits. A configuration needs none of this, because it names the version that it replaces. An order that is read when its operator has closed the connection isn't carried out.

Why it works: a later order is sent after the operator gave up on the earlier one, and so it is accepted after the revision that the earlier one names.

--- a/packages/base/Errors.h
+++ b/packages/base/Errors.h
@@ -73,6 +73,8 @@
   Internal,
   // Requests, continued.
   ZoneOut, ///< Operators have taken the availability zone of the target out of service.
+  // Control, continued.
+  Superseded, ///< A later command of an operator was accepted first.
 };
 
 template<>
@@ -120,6 +122,7 @@
     { ErrorCode::UsageError, "usage_error" },
     { ErrorCode::Internal, "internal" },
     { ErrorCode::ZoneOut, "zone_out" },
+    { ErrorCode::Superseded, "superseded" },
   };
 };
 
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -103,6 +103,8 @@
   // Commands and reads, executed here or forwarded to the leader.
   void propose(wire::Command aCommand, CommandCallback aCallback);
   void submit(wire::Command aCommand, TimePoint aDeadline, CommandCallback aCallback);
+  void submitInOrder(wire::Command aCommand, TimePoint aDeadline, std::function<bool()> aIsAwaited,
+                     CommandCallback aCallback);
   void read(TimePoint aDeadline, ReadCallback aCallback);
   void requestReadIndex(ReadCallback aCallback);
   void finishRead(std::uint64_t aRead, ErrorCode aCode, NodeId aLeaderHint);
--- a/packages/daemon/ControlOperators.cc
+++ b/packages/daemon/ControlOperators.cc
@@ -5,6 +5,8 @@
 // read index from the leader and evaluates the query on its own state once that index is applied,
 // so that the response includes all commands that were committed before the query.
 
+#include <algorithm>
+
 #include <QCborArray>
 #include <QCborMap>
 #include <QJsonObject>
@@ -70,6 +72,52 @@
   mForwardedCommands[id] = { aDeadline, std::move(aCallback) };
 }
 
+// Submits an operator's command so that no copy of it is carried out over a command that was
+// accepted after the operator gave up on this one. A copy may be held up on its way to the leader
+// for as long as a partition lasts. So it names the revision that a quorum confirmed while the
+// operator was waiting, and is refused if a later command about the same objects has been accepted.
+// A configuration names the version that it replaces instead.
+void ControlDuty::submitInOrder(wire::Command aCommand, TimePoint aDeadline,
+                                std::function<bool()> aIsAwaited, CommandCallback aCallback)
+{
+  const bool isConfiguration =
+    std::any_of(aCommand.bodies.begin(), aCommand.bodies.end(), [](const wire::CommandBody& aBody) {
+      return std::holds_alternative<wire::ReplaceConfiguration>(aBody);
+    });
+  if (isConfiguration || aCommand.expectedRevision) {
+    submit(std::move(aCommand), aDeadline, std::move(aCallback));
+    return;
+  }
+  ReadCallback onRead = [this, command = std::move(aCommand), aDeadline,
+                         isAwaited = std::move(aIsAwaited),
+                         callback = std::move(aCallback)](ErrorCode aCode, NodeId aHint) mutable {
+    if (aCode != ErrorCode::None) {
+      callback({ aCode, "the control leader did not confirm its revision; nothing was changed", 0 },
+               aHint);
+      return;
+    }
+    if (mNow >= aDeadline || !isAwaited()) {
+      callback({ ErrorCode::DeadlineExceeded, "the operator gave up; nothing was changed", 0 },
+               aHint);
+      return;
+    }
+    command.notAfter = mState.revision();
+    wire::Command copy = command;
+    submit(std::move(copy), aDeadline,
+           [this, command = std::move(command), aDeadline, isAwaited = std::move(isAwaited),
+            callback = std::move(callback)](const wire::CommandResult& aResult,
+                                            NodeId aLeaderHint) mutable {
+             if (aResult.code == ErrorCode::Superseded && mNow < aDeadline && isAwaited()) {
+               submitInOrder(std::move(command), aDeadline, std::move(isAwaited),
+                             std::move(callback));
+             } else {
+               callback(aResult, aLeaderHint);
+             }
+           });
+  };
+  read(aDeadline, std::move(onRead));
+}
+
 void ControlDuty::requestReadIndex(ReadCallback aCallback)
 {
   const std::uint64_t read = ++mCounter;
@@ -128,10 +176,10 @@
 
 void ControlDuty::handleCommand(CommandRequest aRequest)
 {
-  submit(std::move(aRequest.command), aRequest.deadline,
-         [reply = aRequest.reply](const wire::CommandResult& aResult, NodeId /*aHint*/) {
-           reply(aResult);
-         });
+  submitInOrder(std::move(aRequest.command), aRequest.deadline, std::move(aRequest.isAwaited),
+                [reply = aRequest.reply](const wire::CommandResult& aResult, NodeId /*aHint*/) {
+                  reply(aResult);
+                });
 }
 
 void ControlDuty::handleDocument(const DocumentRequest& aRequest)
@@ -170,10 +218,10 @@
     dryRun(command, aRequest);
     return;
   }
-  submit(std::move(command), aRequest.deadline,
-         [reply = aRequest.reply](const wire::CommandResult& aResult, NodeId /*aHint*/) {
-           reply(responseJson(aResult, QCborValue()));
-         });
+  submitInOrder(std::move(command), aRequest.deadline, aRequest.isAwaited,
+                [reply = aRequest.reply](const wire::CommandResult& aResult, NodeId /*aHint*/) {
+                  reply(responseJson(aResult, QCborValue()));
+                });
 }
 
 void ControlDuty::dryRun(const wire::Command& aCommand, const OperatorRequest& aRequest)
--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -76,6 +76,7 @@
   std::optional<Revision> expectedRevision;
   bool isDryRun = false;
   TimePoint deadline;
+  std::function<bool()> isAwaited; ///< Whether the operator still waits for the reply. Thread-safe.
   std::function<void(const std::string& aJson)> reply; ///< Thread-safe; called once.
 };
 
@@ -90,6 +91,7 @@
 {
   wire::Command command;
   TimePoint deadline;
+  std::function<bool()> isAwaited; ///< Whether the operator still waits for the reply. Thread-safe.
   std::function<void(const wire::CommandResult&)> reply; ///< Thread-safe; called once.
 };
 
--- a/packages/daemon/OperatorServer.cc
+++ b/packages/daemon/OperatorServer.cc
@@ -6,6 +6,7 @@
 
 #include "base/Codec.h"
 #include "daemon/OperatorJson.h"
+#include "transport/CallerWatch.h"
 
 namespace camphorcleat::daemon {
 
@@ -124,6 +125,7 @@
       request.expectedRevision = body.expectedRevision;
       request.isDryRun = body.isDryRun.value_or(false);
       request.deadline = Clock::now() + kCommandTimeout;
+      request.isAwaited = transport::watchCaller(*aStream);
       request.reply = reply;
       ControlMessage message(std::move(request));
       if (!mRings.control->tryPush(std::move(message))) {
--- a/packages/daemon/testing/ControlDutyTest.cc
+++ b/packages/daemon/testing/ControlDutyTest.cc
@@ -327,6 +327,60 @@
   return out;
 }
 
+/// A control group of one member with an empty log.
+struct SoleMember
+{
+  TemporaryFolder folder;
+  Settings settings = settingsOf(folder.path());
+  Rings rings;
+  PeerRouter router{ settings.id, rings };
+  std::unique_ptr<StorageDuty> storage;
+  std::unique_ptr<ControlDuty> control;
+
+  SoleMember()
+  {
+    auto store =
+      std::make_unique<agreement::FileLogStore>(folder.path() + "/log", std::mt19937_64(2));
+    auto stored = store->open();
+    REQUIRE(stored);
+    auto audit = fleet::AuditTrail::open(folder.path() + "/audit.jsonl", 64U << 20U);
+    REQUIRE(audit);
+    rings.control = std::make_unique<Ring<ControlMessage>>(kControlRingSize);
+    storage = std::make_unique<StorageDuty>(std::move(store), *rings.control);
+    control =
+      std::make_unique<ControlDuty>(settings, rings, router, *storage, *stored, std::move(*audit));
+    storage->start();
+    control->start();
+    readDocument(*rings.control); // Waits until it leads.
+  }
+  ~SoleMember()
+  {
+    control->stop();
+    storage->stop();
+  }
+
+  std::future<wire::CommandResult> order(const std::string& aId, bool aIsOut,
+                                         std::function<bool()> aIsAwaited, Millis aTime)
+  {
+    const auto promise = std::make_shared<std::promise<wire::CommandResult>>();
+    CommandRequest request;
+    request.command.commandId = aId;
+    request.command.issuer = "ops";
+    request.command.bodies.emplace_back(wire::SetZone{ "z", aIsOut, true });
+    request.deadline = Clock::now() + aTime;
+    request.isAwaited = std::move(aIsAwaited);
+    request.reply = [promise](const wire::CommandResult& aResult) { promise->set_value(aResult); };
+    REQUIRE(rings.control->tryPush(std::move(request)));
+    return promise->get_future();
+  }
+};
+
+wire::CommandResult resultOf(std::future<wire::CommandResult> aResult)
+{
+  REQUIRE(aResult.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+  return aResult.get();
+}
+
 // Sends as many requests as a large fleet does within a moment, and returns the answer to the last.
 ControlStatus statusOf(Ring<ControlMessage>& aRing)
 {
@@ -379,6 +433,37 @@
 
 // Guards against a restart that applies every configuration of a day again (CONFIG), because few
 // entries were written, although each of them was a lot of work.
+// Guards against an order that is carried out after its operator gave up and sent a later one
+// (EVAC).
+TEST_CASE("an order that its operator no longer awaits is not carried out")
+{
+  SoleMember member;
+  const auto always = [] { return true; };
+  const auto never = [] { return false; };
+  const wire::CommandResult first = resultOf(member.order("a", true, always, Millis(5000)));
+  REQUIRE(first.code == ErrorCode::None);
+  CHECK(resultOf(member.order("b", false, never, Millis(5000))).code ==
+        ErrorCode::DeadlineExceeded);
+  CHECK(resultOf(member.order("c", false, always, Millis(0))).code == ErrorCode::DeadlineExceeded);
+  const wire::CommandResult last = resultOf(member.order("d", true, always, Millis(5000)));
+  REQUIRE(last.code == ErrorCode::None);
+  CHECK(last.revision == first.revision + 1); // Neither order was added to the log.
+}
+
+// Guards against an order that is refused because another one was carried out while it waited.
+TEST_CASE("orders that are sent at the same time are all carried out")
+{
+  SoleMember member;
+  std::vector<std::future<wire::CommandResult>> results;
+  for (int i = 0; i < 8; ++i) {
+    results.push_back(member.order(
+      "order-" + std::to_string(i), i % 2 == 0, [] { return true; }, Millis(5000)));
+  }
+  for (auto& it : results) {
+    CHECK(resultOf(std::move(it)).code == ErrorCode::None);
+  }
+}
+
 TEST_CASE("a control member takes a snapshot after a series of large configurations")
 {
   const TemporaryFolder folder;
--- a/packages/fleet/FleetState.cc
+++ b/packages/fleet/FleetState.cc
@@ -174,9 +174,29 @@
                                                  ", but the last operators' change has revision " +
                                                  std::to_string(mOperatorRevision));
   }
+  if (aCommand.notAfter && latestCommandLike(aCommand) > *aCommand.notAfter) {
+    return refuse(ErrorCode::Superseded, "a later command was accepted at revision " +
+                                           std::to_string(latestCommandLike(aCommand)));
+  }
   return std::nullopt;
 }
 
+// Returns the revision of the latest accepted operators' command about the same zones, or of any if
+// the command isn't about zones only.
+Revision FleetState::latestCommandLike(const wire::Command& aCommand) const
+{
+  Revision out = 0;
+  for (const auto& it : aCommand.bodies) {
+    const auto* order = std::get_if<wire::SetZone>(&it);
+    if (order == nullptr) {
+      return mOperatorRevision;
+    }
+    const auto zone = mModel.zones().find(order->zone);
+    out = std::max(out, zone == mModel.zones().end() ? 0 : zone->second.orderedAt);
+  }
+  return out;
+}
+
 // Each body is applied before the next one is checked, so the model is copied to restore it if a
 // later body is refused. A single body needs no copy, because the rules do not modify the model. A
 // copy takes about 0.5 MB per keyed service at 16,384 partitions.
@@ -261,7 +281,10 @@
     aOut.result = { ErrorCode::None, std::string(), aRevision };
     mOperatorRevision = aCommand.commandId.empty() ? mOperatorRevision : aRevision;
   }
-  const bool isRecorded = !aCommand.commandId.empty() && !aCommand.bodies.empty() &&
+  // A copy of the command that is sent later may still be accepted.
+  const bool isSuperseded = aVerdict && aVerdict->code == ErrorCode::Superseded;
+  const bool isRecorded = !isSuperseded && !aCommand.commandId.empty() &&
+                          !aCommand.bodies.empty() &&
                           aCommand.commandId.size() <= kMaxCommandIdBytes;
   if (isRecorded) {
     mHistory.add({ aCommand.commandId, commandDigest(aCommand), summaryOf(aCommand), aOut.result });
--- a/packages/fleet/FleetState.h
+++ b/packages/fleet/FleetState.h
@@ -90,6 +90,7 @@
 
 private:
   CommandRules::Verdict checkCommand(const wire::Command& aCommand) const;
+  Revision latestCommandLike(const wire::Command& aCommand) const;
   CommandRules::Verdict applyBodies(Revision aRevision, const wire::Command& aCommand,
                                     AppliedCommand& aOut);
   CommandRules::Verdict applyBody(Revision aRevision, const wire::Command& aCommand,
--- a/packages/fleet/OperatorRules.cc
+++ b/packages/fleet/OperatorRules.cc
@@ -267,15 +267,15 @@
   if (it == mModel.zones().end() && !(aBody.isForced && isValidName(aBody.zone))) {
     return unknown("zone", aBody.zone);
   }
-  if (it != mModel.zones().end() && it->second.isOut == aBody.isOut) {
-    return std::nullopt;
-  }
-  if (aBody.isOut && !aBody.isForced) {
+  const bool isChange = it == mModel.zones().end() || it->second.isOut != aBody.isOut;
+  if (isChange && aBody.isOut && !aBody.isForced) {
     if (auto verdict = checkZoneRemovable(aBody.zone)) {
       return verdict;
     }
   }
-  mOut.emplace_back(wire::ZoneSet{ wire::Zone{ aBody.zone, aBody.isOut } });
+  // An order that changes nothing is recorded as well: it prevents an earlier one that was held up
+  // from being carried out afterwards.
+  mOut.emplace_back(wire::ZoneSet{ wire::Zone{ aBody.zone, aBody.isOut, mRevision } });
   return std::nullopt;
 }
 
--- a/packages/fleet/testing/FleetStateTest.cc
+++ b/packages/fleet/testing/FleetStateTest.cc
@@ -48,6 +48,55 @@
   }
 }
 
+// Guards against an order of an operator that is carried out over a later one that was acknowledged
+// (EVAC): the operator gave up on a copy that a partition held up.
+TEST_CASE("an order for a zone that was held up doesn't replace a later one")
+{
+  for (const bool isOut : { false, true }) {
+    Member member = smallFleet();
+    member.apply(operatorCommand("first", { wire::SetZone{ "a", !isOut, true } }));
+    wire::Command heldUp = operatorCommand("copy-1", { wire::SetZone{ "a", isOut, true } });
+    heldUp.notAfter = member.state.revision();
+    wire::Command resent = operatorCommand("copy-2", { wire::SetZone{ "a", isOut, true } });
+    resent.notAfter = heldUp.notAfter;
+    REQUIRE(member.code(resent) == ErrorCode::None);
+    REQUIRE(member.code(operatorCommand("later", { wire::SetZone{ "a", !isOut, true } })) ==
+            ErrorCode::None);
+    CHECK(member.code(heldUp) == ErrorCode::Superseded);
+    CHECK(member.state.model().isZoneOut("a") == !isOut);
+  }
+}
+
+TEST_CASE("an order for a zone that was held up doesn't replace a later one that changed nothing")
+{
+  Member member = smallFleet();
+  wire::Command heldUp = operatorCommand("copy", { wire::SetZone{ "a", true, true } });
+  heldUp.notAfter = member.state.revision();
+  REQUIRE(member.code(operatorCommand("later", { wire::SetZone{ "a", false, true } })) ==
+          ErrorCode::None);
+  CHECK(member.code(heldUp) == ErrorCode::Superseded);
+  CHECK_FALSE(member.state.model().isZoneOut("a"));
+}
+
+TEST_CASE(
+  "orders for other zones don't supersede an order, and any change supersedes other commands")
+{
+  Member member = smallFleet();
+  wire::Command order = operatorCommand("order", { wire::SetZone{ "a", true, true } });
+  wire::Command account = operatorCommand("account", { wire::CreateAccount{ "acme", 5, 1 } });
+  order.notAfter = member.state.revision();
+  account.notAfter = order.notAfter;
+  member.apply(operatorCommand("other", { wire::SetZone{ "b", true, true } }));
+  CHECK(member.code(account) == ErrorCode::Superseded);
+  CHECK(member.code(order) == ErrorCode::None);
+  // The refused copy isn't recorded, so the operator's resend is not refused for it.
+  account.notAfter = member.state.revision();
+  CHECK(member.code(account) == ErrorCode::None);
+  Member restored;
+  REQUIRE(restored.state.restoreSnapshot(member.state.encodeSnapshot()));
+  CHECK(restored.state.model().zones().at("a").orderedAt == member.state.revision() - 1);
+}
+
 TEST_CASE("a refused command is refused again when it is resent")
 {
   Member member = smallFleet();
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -224,9 +224,11 @@
 {
   std::string name;
   bool isOut = false;
+  Revision orderedAt = 0; ///< Revision of the latest accepted order, even one that changed nothing.
   static constexpr auto fields()
   {
-    return std::make_tuple(field("name", &Zone::name), field("out", &Zone::isOut));
+    return std::make_tuple(field("name", &Zone::name), field("out", &Zone::isOut),
+                           field("ordered_at", &Zone::orderedAt));
   }
 };
 
@@ -724,12 +726,16 @@
   /// If set, the command is refused unless the last change by an operator has this revision.
   std::optional<Revision> expectedRevision;
   std::vector<CommandBody> bodies;
+  /// If set, the command is refused once an operator's command about the same objects was accepted
+  /// after this revision. A copy that was held up on its way can't undo a later command then.
+  std::optional<Revision> notAfter{};
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("command_id", &Command::commandId), field("issuer", &Command::issuer),
       field("issued_at_unix_ms", &Command::issuedAtUnixMillis),
-      field("expected_revision", &Command::expectedRevision), field("bodies", &Command::bodies));
+      field("expected_revision", &Command::expectedRevision), field("bodies", &Command::bodies),
+      field("not_after", &Command::notAfter));
   }
 };
 
