--- a/packages/daemon/OwnerView.h
+++ b/packages/daemon/OwnerView.h
@@ -15,7 +15,8 @@
 namespace camphorcleat::daemon {
 
 /// Time for which the target of a zone that operators take out is still sent requests for keys that
-/// are being handed over. R4 allows 5 s, and other daemons may see the order this much later.
+/// are being handed over. It is counted from the view that shows the order; R4 allows 5 s from the
+/// acknowledgement.
 constexpr Millis kMaxZoneDrain{ 4000 };
 
 /// Combines the published state with the grants sent to the target. Owner thread only.
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -195,8 +195,8 @@
   bool isRetired = false; ///< Set by an operator: the target receives no new requests.
   Announcement target;
   Revision registeredAt = 0;
-  /// The process of the target that was last told that its leaving is acknowledged. It never
-  /// receives requests again, whichever process of the daemon has heard of it.
+  /// The process of the target that said last that it is leaving. It never receives requests again,
+  /// even if another process of the daemon has heard of that.
   std::optional<TargetProcess> leavingTarget{};
   static constexpr auto fields()
   {
