--- a/packages/daemon/testing/ControlDutyTest.cc
+++ b/packages/daemon/testing/ControlDutyTest.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
@@ -370,12 +371,13 @@
     request.deadline = Clock::now() + aTime;
     request.isAwaited = std::move(aIsAwaited);
     request.reply = [promise](const wire::CommandResult& aResult) { promise->set_value(aResult); };
-    REQUIRE(rings.control->tryPush(std::move(request)));
+    const bool isQueued = rings.control->tryPush(std::move(request));
+    REQUIRE(isQueued);
     return promise->get_future();
   }
 };
 
-wire::CommandResult resultOf(std::future<wire::CommandResult> aResult)
+wire::CommandResult resultOf(std::future<wire::CommandResult>&& aResult)
 {
   REQUIRE(aResult.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
   return aResult.get();
@@ -453,14 +455,17 @@
 // Guards against an order that is refused because another one was carried out while it waited.
 TEST_CASE("orders that are sent at the same time are all carried out")
 {
+  constexpr int kOrders = 8;
   SoleMember member;
-  std::vector<std::future<wire::CommandResult>> results;
-  for (int i = 0; i < 8; ++i) {
-    results.push_back(member.order(
-      "order-" + std::to_string(i), i % 2 == 0, [] { return true; }, Millis(5000)));
+  std::array<std::future<wire::CommandResult>, kOrders> results;
+  for (int i = 0; i < kOrders; ++i) {
+    const std::string id = "order-" + std::to_string(i);
+    results.at(i) = member.order(
+      id, i % 2 == 0, [] { return true; }, Millis(5000));
   }
   for (auto& it : results) {
-    CHECK(resultOf(std::move(it)).code == ErrorCode::None);
+    const wire::CommandResult result = resultOf(std::move(it));
+    CHECK(result.code == ErrorCode::None);
   }
 }
 
