Log the steps of a planned stop and the requests that its end cuts off

Each step is logged with the open requests of entry and owner, and request_cut_off names the requests that the end of the process leaves without a response.

--- a/packages/ctl/RequestTrace.cc
+++ b/packages/ctl/RequestTrace.cc
@@ -27,11 +27,24 @@
                                                          "request_not_admitted", "request_failed" };
 
 // Events that change the state on which a daemon bases its decisions.
-constexpr std::array<std::string_view, 16> kContextEvents = {
-  "became_leader",       "configuration_in_force", "daemon_started",    "daemon_stopped",
-  "incarnation_started", "lost_leadership",        "node_lost",         "partitions_changed",
-  "peer_link_lost",      "planned_stop_started",   "settings_reloaded", "target_announced",
-  "target_down",         "target_ended",           "target_leaving",    "was_suspended",
+constexpr std::array<std::string_view, 17> kContextEvents = {
+  "became_leader",
+  "configuration_in_force",
+  "daemon_started",
+  "daemon_stopped",
+  "incarnation_started",
+  "lost_leadership",
+  "node_lost",
+  "partitions_changed",
+  "peer_link_lost",
+  "planned_stop_started",
+  "planned_stop_timed_out",
+  "settings_reloaded",
+  "target_announced",
+  "target_down",
+  "target_ended",
+  "target_leaving",
+  "was_suspended",
 };
 
 struct Cause
--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -50,6 +50,7 @@
   void setFixedAddresses();
   void addGauges();
   void addPeerGauges();
+  void logStop(LogLevel aLevel, const char* aEvent) const;
 
   Settings settings;
   std::mt19937_64 random;
@@ -74,6 +75,7 @@
   std::unique_ptr<OperatorServer> operators;
   std::unique_ptr<MetricsServer> metricsServer;
   bool isStopping = false;
+  TimePoint stopStartedAt;
   bool hasTimedOut = false;
   std::atomic<bool> isDrained{ false };
   TimePoint stopLimit;
@@ -179,6 +181,16 @@
   }
 }
 
+// Logs a step of a planned stop with the requests that are open.
+void Daemon::Impl::logStop(LogLevel aLevel, const char* aEvent) const
+{
+  logEvent(aLevel, aEvent,
+           { { "after_ms", std::to_string(toMillis(Clock::now() - stopStartedAt)) },
+             { "limit_ms", std::to_string(toMillis(settings.drainLimit)) },
+             { "entry_open", std::to_string(entry ? entry->openRequests() : 0) },
+             { "owner_open", std::to_string(owner ? owner->openRequests() : 0) } });
+}
+
 Daemon::Daemon(Settings aSettings, const DialectFactory& aFactory)
   : mImpl(std::make_unique<Impl>(std::move(aSettings), aFactory))
 {
@@ -261,10 +273,11 @@
     return;
   }
   impl.isStopping = true;
-  impl.stopLimit = Clock::now() + impl.settings.drainLimit;
-  impl.acceptUntil = Clock::now() + impl.settings.stopDelay;
+  impl.stopStartedAt = Clock::now();
+  impl.stopLimit = impl.stopStartedAt + impl.settings.drainLimit;
+  impl.acceptUntil = impl.stopStartedAt + impl.settings.stopDelay;
   impl.api.beginStop();
-  logEvent(LogLevel::Info, "planned_stop_started");
+  impl.logStop(LogLevel::Info, "planned_stop_started");
   if (impl.settings.takesCallers() && impl.settings.stopMode == StopMode::HandOver) {
     AgentMessage drain{ fleet::agent::DrainRequested{} };
     impl.rings.agent.tryPush(std::move(drain));
@@ -296,7 +309,7 @@
     return false;
   }
   if (now >= impl.stopLimit) {
-    logEvent(LogLevel::Warning, "planned_stop_timed_out");
+    impl.logStop(LogLevel::Warning, "planned_stop_timed_out");
     impl.hasTimedOut = true;
     return true;
   }
@@ -305,6 +318,7 @@
   }
   if (impl.staleRequestsUntil == TimePoint()) {
     impl.staleRequestsUntil = now + kStaleRequestGrace;
+    impl.logStop(LogLevel::Info, "planned_stop_accepts_no_more");
     if (impl.entry) {
       impl.entry->stopAccepting();
       // If the daemon keeps its keys, other entries still send requests here. The owner then
@@ -319,7 +333,11 @@
   }
   const bool isIdle =
     !impl.entry || (impl.entry->openRequests() == 0 && impl.owner->openRequests() == 0);
-  return now >= impl.staleRequestsUntil && isIdle;
+  if (!isIdle || now < impl.staleRequestsUntil) {
+    return false;
+  }
+  impl.logStop(LogLevel::Info, "planned_stop_drained");
+  return true;
 }
 
 bool Daemon::hasTimedOut() const
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -131,10 +131,26 @@
 {
   mRing.close();
   mThread.stop();
+  logOpenExchanges();
+  mExchanges.clear();
   mAttempts.clear();
   mFrontend.reset();
 }
 
+// Logs the requests whose callers get no response because the process ends.
+void EntryDuty::logOpenExchanges() const
+{
+  for (const auto& [pointer, weak] : mExchanges) {
+    if (const auto exchange = weak.lock()) {
+      logEvent(LogLevel::Warning, "request_cut_off",
+               { { "request", exchange->head().callerRequestId },
+                 { "at_owner", exchange->isAtOwner() ? "yes" : "no" },
+                 { "owner", std::to_string(routeOf(*exchange).node) },
+                 { "after_ms", std::to_string(toMillis(Clock::now() - exchange->startedAt())) } });
+    }
+  }
+}
+
 void EntryDuty::stopAccepting()
 {
   mThread.post([this] {
@@ -249,9 +265,11 @@
   head.callerRequestId = metadata.requestId;
   head.routeRevision = mState->revision;
   traffic::HedgePolicy& hedge = mHedgePolicies[head.service];
-  std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
-                                  plan, traffic::EntryShared{ mRetryBudget, hedge, mRandom })
-    ->start();
+  const auto exchange =
+    std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
+                                    plan, traffic::EntryShared{ mRetryBudget, hedge, mRandom });
+  mExchanges[exchange.get()] = exchange;
+  exchange->start();
 }
 
 // A route or key that was added since the view was confirmed is missing from it.
@@ -480,6 +498,7 @@
 
 void EntryDuty::exchangeFinished(EntryExchange& aExchange, ErrorCode aCode)
 {
+  mExchanges.erase(&aExchange);
   const char* event = aCode == ErrorCode::None ? "request_answered" : "request_failed";
   logEvent(LogLevel::Info, event,
            { { "request", aExchange.head().callerRequestId },
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -95,6 +95,7 @@
   void handle(EntryMessage aMessage);
   void handlePeerMessage(ReceivedMessage aMessage);
   void recordExpectedTime(const wire::ResponseHead& aHead);
+  void logOpenExchanges() const;
   void handleLinkLost(const LinkLost& aLost);
   /// The reason why a request is not admitted.
   struct Rejection
@@ -136,6 +137,7 @@
   std::unique_ptr<traffic::LoadBalancingPolicy> mLoadBalancingPolicy;
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, RunningAttempt> mAttempts;
+  std::map<const EntryExchange*, std::weak_ptr<EntryExchange>> mExchanges; // Not finished yet.
   std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
   std::size_t mMaxAwaitingView = kMinAwaitingView; // Finished ones are removed at this size.
   std::map<NodeId, NodeStats> mStats;
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -89,6 +89,8 @@
   const wire::RequestHead& head() const { return mHead; }
   bool isKeyed() const { return mPlan.isKeyed; }
   TimePoint startedAt() const { return mStartedAt; }
+  /// Returns whether an attempt is at an owner.
+  bool isAtOwner() const { return !mAttempts.empty(); }
 
   /// Buffers the beginning of the body, then starts the first attempt. Call once.
   void start();
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -170,6 +170,11 @@
     }
   });
   mThread.stop();
+  for (const auto& [id, exchange] : mExchanges) {
+    logEvent(LogLevel::Warning, "request_cut_off",
+             { { "request", exchange->head().callerRequestId },
+               { "started", exchange->hasBegun() ? "yes" : "no" } });
+  }
   mExchanges.clear();
   mWatch.reset();
   mOrders.reset();
