PeerHub: a stop delivers what send() and reply() accepted

Shown here for the transport only: messages that a hub accepted just before stop() didn't arrive at a peer that reads.

Cause: stop() closed the sockets at once. Messages in the outbox and in websocketpp's queue were dropped. What the kernel still held was dropped as well when the peer was sending: a socket that is closed with unread input, or that gets bytes after the close, is reset. The daemon counts a response as finished once the hub has accepted its last part.

Change: stop() refuses new messages, writes what open links accepted, shuts down the sending side and reads on until the peer closes, 200 ms at most in all. It doesn't wait for a link on which nothing was written for 200 ms and that the kernel has delivered completely. Messages that arrive meanwhile are dropped, as before. Messages that wait for a link to open are reported as not delivered, as before.

--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -6,9 +6,13 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <future>
 #include <map>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/DutyThread.h"
@@ -29,6 +33,7 @@
 constexpr Millis kMaxBackoff{ 500 };
 constexpr Millis kMinTickInterval{ 5 };
 constexpr const char* kPathPrefix = "/camphorcleat/";
+constexpr const char* kHubStopped = "hub stopped";
 
 // Each message class (Lane) has its own link to a peer. The path of the link's WebSocket handshake
 // states the class: "/camphorcleat/control" or "/camphorcleat/data".
@@ -57,6 +62,9 @@
 // Longest time for which requests that were read late wait for the bytes behind them.
 constexpr Millis kMaxHold{ 200 };
 
+// Limit of a stop: for writing what was accepted and for peers to read it.
+constexpr Millis kStopLimit{ 200 };
+
 // How often a time limit of one peer and lane may be doubled.
 constexpr int kMaxTimeoutFactor = 8;
 
@@ -96,6 +104,11 @@
   std::map<PeerLinkTable::Key, PeerHistory> histories;
   unsigned short port = 0;
   bool isStarted = false;
+  // Accessed on the hub's thread only.
+  bool isStopping = false;
+  bool isStopped = false;
+  boost::asio::steady_timer stopTimer{ thread.context() };
+  std::promise<void> stopped;
   std::array<std::atomic<std::uint64_t>, std::variant_size_v<wire::PeerMessage>> sentBytes{};
 
   Impl(PeerHubConfig aConfig, PeerHandler& aHandler)
@@ -152,8 +165,8 @@
     const LinkPtr link = links.addAccepted();
     configureSocket(link, socket);
     setNoDelay(*socket);
-    if (links.acceptedCount() > config.maxAcceptedLinks) {
-      closeLink(link, "limit of accepted links reached");
+    if (isStopping || links.acceptedCount() > config.maxAcceptedLinks) {
+      closeLink(link, isStopping ? kHubStopped : "limit of accepted links reached");
       return;
     }
     socket->set_validate_handler([this, link](const websocketpp::connection_hdl&) {
@@ -222,7 +235,9 @@
       [this, aLink, socket = std::weak_ptr<PeerSocket>(aSocket)](
         const websocketpp::connection_hdl&) { onSocketOpen(aLink, socket.lock()); });
     const auto onClosed = [this, aLink](const websocketpp::connection_hdl&) {
-      closeLink(aLink, aLink->socket ? aLink->socket->get_ec().message() : "closed");
+      const auto ec = aLink->socket ? aLink->socket->get_ec() : websocketpp::lib::error_code();
+      const bool isAnswer = aLink->hasStoppedSending && ec == websocketpp::transport::error::eof;
+      closeLink(aLink, isAnswer ? kHubStopped : ec.message());
     };
     aSocket->set_fail_handler(onClosed);
     aSocket->set_close_handler(onClosed);
@@ -234,7 +249,7 @@
                                             const std::string&) { return maySendPong(*aLink); });
     aSocket->setOnWritten([this, link = std::weak_ptr<PeerLink>(aLink)] {
       if (const auto it = link.lock()) {
-        onWritten(*it);
+        onWritten(it);
       }
     });
   }
@@ -273,16 +288,24 @@
 
   // Returns whether a ping is answered. If a write has been blocked for receiveTimeout, it isn't: a
   // peer that sends pings and reads nothing would otherwise grow the queue of pongs without bound.
+  // During a stop, a write could fail and end the connection before the peer has read all.
   bool maySendPong(const PeerLink& aLink) const
   {
+    if (isStopping) {
+      return false;
+    }
     const TimePoint since = aLink.socket ? aLink.socket->writingSince() : TimePoint::min();
     return since == TimePoint::max() || Clock::now() - since < config.receiveTimeout;
   }
 
-  void onWritten(PeerLink& aLink)
+  void onWritten(const LinkPtr& aLink)
   {
-    if (aLink.socket) {
-      links.setSocketBytes(aLink, aLink.socket->get_buffered_amount());
+    if (!aLink->socket) {
+      return;
+    }
+    links.setSocketBytes(*aLink, aLink->socket->get_buffered_amount());
+    if (isStopping) {
+      stopSendingSoon(aLink);
     }
   }
 
@@ -300,7 +323,7 @@
 
   void onFrame(const LinkPtr& aLink, const PeerSocket::message_type& aFrame)
   {
-    if (aLink->isLost) {
+    if (aLink->isLost || isStopping) {
       return;
     }
     if (aFrame.get_opcode() != websocketpp::frame::opcode::binary) {
@@ -519,6 +542,9 @@
     if (aLink->wasDialed || aLink->isOpen) {
       handler.onLinkLost(aLink->id, aLink->peer, aLink->lane, aLink->wasDialed, !aLink->isOpen);
     }
+    if (isStopping) {
+      finishStop();
+    }
   }
 
   void delayNextDial(const PeerLink& aLink)
@@ -538,18 +564,80 @@
     }
   }
 
-  void shutDown()
+  // Stops the hub. The promise is fulfilled when all links are closed.
+  void beginStop()
   {
     ticker.stop();
     websocketpp::lib::error_code ec;
     if (server.is_listening()) {
       server.stop_listening(ec);
     }
+    isStopping = true;
+    stopTimer.expires_after(kStopLimit);
+    stopTimer.async_wait([this](const boost::system::error_code& aEc) {
+      for (const auto& it : aEc ? std::vector<LinkPtr>() : links.all()) {
+        closeLink(it, "hub stopped before the peer has read all");
+      }
+    });
     for (const auto& it : links.all()) {
-      closeLink(it, "hub stopped");
+      if (!it->isOpen) {
+        closeLink(it, kHubStopped);
+        continue;
+      }
+      it->held.clear();
+      flush(it); // A sender may have queued a message and not posted its flush yet.
+      stopSendingSoon(it);
+    }
+    finishStop();
+  }
+
+  void finishStop()
+  {
+    if (!isStopped && links.isEmpty()) {
+      isStopped = true;
+      stopTimer.cancel();
+      stopped.set_value();
     }
   }
 
+  // Runs after writes that are queued: websocketpp queues the next write when one has ended.
+  void stopSendingSoon(const LinkPtr& aLink)
+  {
+    thread.post([this, aLink] { stopSending(aLink); });
+  }
+
+  // Shuts down the sending side when all is written. The peer then reads to the end and closes.
+  // Until then the connection stays open and is read, because closing a socket with unread input
+  // resets it, and the peer could lose what it hasn't read.
+  void stopSending(const LinkPtr& aLink)
+  {
+    if (aLink->isLost || aLink->hasStoppedSending || hasUnwritten(*aLink->socket)) {
+      return;
+    }
+    aLink->hasStoppedSending = true;
+    const bool isAwaited = mayBeUnread(*aLink->socket);
+    boost::system::error_code ec;
+    aLink->socket->get_raw_socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec || !isAwaited) {
+      closeLink(aLink, kHubStopped);
+    }
+  }
+
+  static bool hasUnwritten(const PeerSocket& aSocket)
+  {
+    return aSocket.get_buffered_amount() > 0 || aSocket.writingSince() != TimePoint::max();
+  }
+
+  // Returns whether the peer may still have to read something: the kernel hasn't delivered it, or
+  // has done so only lately. A stop doesn't wait for an idle peer that is unresponsive.
+  static bool mayBeUnread(PeerSocket& aSocket)
+  {
+    int undelivered = 0;
+    const bool isKnown =
+      ::ioctl(aSocket.get_raw_socket().native_handle(), SIOCOUTQ, &undelivered) == 0;
+    return !isKnown || undelivered > 0 || Clock::now() - aSocket.lastWritten() < kStopLimit;
+  }
+
   SendStatus notifyThread(const PeerLinkTable::QueueResult& aQueued)
   {
     if (aQueued.needsDial) {
@@ -586,7 +674,8 @@
 {
   mImpl->links.close();
   if (std::exchange(mImpl->isStarted, false)) {
-    mImpl->thread.post([impl = mImpl.get()] { impl->shutDown(); });
+    mImpl->thread.post([impl = mImpl.get()] { impl->beginStop(); });
+    mImpl->stopped.get_future().wait();
   }
   mImpl->thread.stop();
 }
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -130,8 +130,10 @@
   /// AddressError. Not thread-safe.
   Result<void> start();
 
-  /// Closes all links, reports their loss and joins the hub's thread. Messages that are still
-  /// waiting are dropped. Idempotent. Not thread-safe; must not be called from the handler.
+  /// Refuses new messages, writes those that were accepted for open links, closes all links when
+  /// their peers have read them or after 200 ms, reports their loss and joins the hub's thread.
+  /// Messages that arrive meanwhile, or that wait for a link to open, are dropped. Idempotent. Not
+  /// thread-safe; must not be called from the handler.
   void stop();
 
   /// Sets the address ("ip:port") of a node; an empty address removes it. If the address changes,
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -217,6 +217,12 @@
   return out;
 }
 
+bool PeerLinkTable::isEmpty() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mLinks.empty();
+}
+
 std::size_t PeerLinkTable::acceptedCount() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -84,6 +84,7 @@
   /// than PeerSocket::lastReceived().
   TimePoint firstUnansweredPing;
   bool isLost = false;
+  bool hasStoppedSending = false; ///< The sending side of its connection is shut down.
   /// From the first request that was read late until the bytes that arrived behind it are read.
   std::vector<HeldMessage> held;
 };
@@ -155,6 +156,9 @@
   /// Returns all links, dialed and accepted, open or not.
   std::vector<std::shared_ptr<PeerLink>> all() const;
 
+  /// Returns whether there are no links, open or not.
+  bool isEmpty() const;
+
   /// Returns the number of accepted links, open or not.
   std::size_t acceptedCount() const;
 
--- a/packages/transport/PeerSocket.h
+++ b/packages/transport/PeerSocket.h
@@ -54,6 +54,9 @@
   /// Returns when the current write started; TimePoint::max() if there is none.
   TimePoint writingSince() const { return mWritingSince; }
 
+  /// Returns when the latest write ended, or when the connection was created if there was none.
+  TimePoint lastWritten() const { return mLastWritten; }
+
   // websocketpp prescribes these names. NOLINTBEGIN(readability-identifier-naming)
   void async_read_at_least(size_t aMinBytes, char* aBuffer, size_t aBytes,
                            websocketpp::transport::read_handler aHandler)
@@ -88,6 +91,7 @@
     mWritingSince = Clock::now();
     return [this, handler = std::move(aHandler)](const std::error_code& aEc) {
       mWritingSince = TimePoint::max();
+      mLastWritten = Clock::now();
       handler(aEc);
       if (mOnWritten) {
         mOnWritten();
@@ -98,6 +102,7 @@
   std::function<void()> mOnWritten;
   TimePoint mLastReceived = Clock::now();
   TimePoint mWritingSince = TimePoint::max();
+  TimePoint mLastWritten = Clock::now();
 };
 
 template<class Config>
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -531,6 +531,132 @@
   REQUIRE(!a.hub.isConnected(2, Lane::Control));
 }
 
+// Guards against a response that its owner counts as delivered and its entry never gets (LOST),
+// because the owner's daemon stopped while the last messages waited in its hub.
+TEST_CASE("messages accepted before a stop arrive at a peer that reads, even one that is sending")
+{
+  const bool isSending = GENERATE(false, true);
+  CAPTURE(isSending);
+  NodeFixture a(configOf(1));
+  NodeFixture b(configOf(2));
+  b.hub.setAddress(1, addressOf(a.hub));
+  REQUIRE(b.hub.send(1, Lane::Data, numbered(1)).status == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  std::atomic<bool> isStopping{ false };
+  std::thread sender([&] {
+    while (isSending && !isStopping) {
+      if (b.hub.send(1, Lane::Data, chunk(0, 16U << 10U)).status != SendStatus::Accepted) {
+        std::this_thread::sleep_for(Millis(1));
+      }
+    }
+  });
+  const bool hasReceived =
+    !isSending || waitFor([&] { return a.handler.count() > 10; }); // So that more is on its way.
+  constexpr std::uint64_t kCount = 40;
+  std::uint64_t accepted = 0;
+  for (std::uint64_t i = 0; i < kCount; ++i) {
+    const auto status = a.hub.reply(a.handler.lastLink(), chunk(i, 16U << 10U));
+    accepted += status == SendStatus::Accepted ? 1 : 0;
+  }
+  a.hub.stop();
+  isStopping = true;
+  sender.join();
+  REQUIRE(hasReceived);
+  REQUIRE(accepted == kCount);
+  CHECK(waitFor([&] { return !b.handler.losses().empty(); }));
+  const auto got = b.handler.messages();
+  REQUIRE(got.size() == kCount);
+  for (std::uint64_t i = 0; i < kCount; ++i) {
+    REQUIRE(std::get<wire::BodyChunk>(got[i]).sequence == i);
+  }
+}
+
+// Guards against the same loss where the bytes are in the kernel already: closing a socket with
+// unread input resets the connection.
+TEST_CASE("a peer that reads slowly while it sends gets all that was accepted before a stop")
+{
+  const Millis pause = GENERATE(Millis(0), Millis(300)); // Before the stop, without reading.
+  CAPTURE(pause.count());
+  NodeFixture a(configOf(1));
+  RawPeer peer(a.hub, "/camphorcleat/data");
+  peer.sayHello();
+  peer.socket.readUntil("tbilisi");
+  const std::string message = binaryFrame(wire::encodePeerMessage(numbered(1)));
+  peer.socket.write(message);
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  constexpr std::uint64_t kCount = 64;
+  constexpr std::size_t kBytes = 16U << 10U;
+  for (std::uint64_t i = 0; i < kCount; ++i) {
+    REQUIRE(a.hub.reply(a.handler.lastLink(), chunk(i, kBytes)) == SendStatus::Accepted);
+  }
+  std::this_thread::sleep_for(pause);
+  std::thread stopper([&] { a.hub.stop(); });
+  std::string got;
+  for (std::string buf = peer.socket.readSome(); !buf.empty(); buf = peer.socket.readSome()) {
+    got += buf;
+    peer.socket.write(message);
+    std::this_thread::sleep_for(Millis(2));
+  }
+  peer.socket.close();
+  stopper.join();
+  CHECK(!peer.socket.wasReset());
+  CHECK(static_cast<std::size_t>(std::count(got.begin(), got.end(), 'x')) >= kCount * kBytes);
+}
+
+// Guards against a stop that waits for a peer that never reads: the platform would end the process.
+TEST_CASE("a peer that doesn't read holds up a stop for a bounded time only")
+{
+  NodeFixture a(configOf(1));
+  RawPeer peer(a.hub, "/camphorcleat/data");
+  peer.sayHello();
+  peer.socket.readUntil("tbilisi");
+  peer.socket.write(binaryFrame(wire::encodePeerMessage(numbered(1))));
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  const LinkId link = a.handler.lastLink();
+  int refused = 0;
+  while (refused < 50) { // More than the buffers of the kernel hold.
+    const bool isAccepted = a.hub.reply(link, chunk(0, 64U << 10U)) == SendStatus::Accepted;
+    refused = isAccepted ? 0 : refused + 1;
+    std::this_thread::sleep_for(Millis(isAccepted ? 0 : 2));
+  }
+  const TimePoint start = Clock::now();
+  a.hub.stop();
+  CHECK(Clock::now() - start < Millis(500));
+  CHECK(a.handler.losses().size() == 1);
+  CHECK(a.hub.reply(link, numbered(1)) == SendStatus::Unreachable);
+}
+
+// Guards against restarts that become slower by the time limit of a stop.
+TEST_CASE("a stop waits neither for peers that have received all nor for idle ones that stall")
+{
+  const bool isStalled = GENERATE(false, true);
+  CAPTURE(isStalled);
+  auto config = configOf(1);
+  config.pingInterval = Millis(5000); // A ping would be unanswered.
+  config.receiveTimeout = Millis(10000);
+  std::vector<Duration> durations;
+  for (int i = 0; i < 7; ++i) {
+    NodeFixture b(configOf(2));
+    FreezingProxy proxy(b.hub.port());
+    NodeFixture a(config);
+    a.hub.setAddress(2, proxy.address());
+    a.hub.send(2, Lane::Control, numbered(1));
+    a.hub.send(2, Lane::Data, numbered(1));
+    REQUIRE(waitFor([&] { return b.handler.count() == 2; }));
+    if (isStalled) {
+      std::this_thread::sleep_for(Millis(300));
+      proxy.freeze();
+    }
+    const TimePoint start = Clock::now();
+    a.hub.stop();
+    durations.push_back(Clock::now() - start);
+    CHECK(a.handler.losses().size() == 2);
+  }
+  std::sort(durations.begin(), durations.end());
+  const Duration median = durations[durations.size() / 2];
+  CHECK(std::chrono::duration_cast<Micros>(median).count() <= 10000);
+}
+
 TEST_CASE("a changed address closes the link to the old address")
 {
   NodeFixture a(configOf(1));
