Refuse requests that wait when their daemon's planned stop can't await them

Callers saw no answer, or 502, for requests that were still queued at an owner when the time limit of their entry's stop ended the entry (LOST).

Cause: the limit ends the daemon whatever is open, and nothing bounded what may still start by it. A request with a deadline after the limit stayed in the queue of its owner, here or elsewhere, until the limit.

Change: in the first half of the limit requests start, the second half is left for their runs. At the half, the entry refuses what is at no owner and withdraws the rest (WithdrawRequest): the owner refuses it as not run unless it has started at the target. An owner that stops does the same with its own queue. Requests that end before the limit are left alone.

Evidence: unit tests of EntryRequest, EntryExchange, OwnerLogic and OwnerDuty, which need the new messages and so don't compile on the code before.

--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -30,6 +30,10 @@
 // These are refused as "not run" for this time before the process exits.
 constexpr Millis kStaleRequestGrace{ 300 };
 
+// A request starts at a target in the first part of a planned stop's time, so that it can end in
+// the second.
+constexpr int kLastStartDivisor = 2;
+
 std::mt19937_64 seededRandom()
 {
   std::random_device source;
@@ -51,6 +55,10 @@
   void addGauges();
   void addPeerGauges();
   void logStop(LogLevel aLevel, const char* aEvent) const;
+  TimePoint lastStart() const
+  {
+    return stopStartedAt + (stopLimit - stopStartedAt) / kLastStartDivisor;
+  }
 
   Settings settings;
   std::mt19937_64 random;
@@ -186,7 +194,7 @@
 {
   logEvent(aLevel, aEvent,
            { { "after_ms", std::to_string(toMillis(Clock::now() - stopStartedAt)) },
-             { "limit_ms", std::to_string(toMillis(settings.drainLimit)) },
+             { "limit_ms", std::to_string(toMillis(stopLimit - stopStartedAt)) },
              { "entry_open", std::to_string(entry ? entry->openRequests() : 0) },
              { "owner_open", std::to_string(owner ? owner->openRequests() : 0) } });
 }
@@ -284,8 +292,9 @@
   } else {
     impl.isDrained = true;
   }
-  EntryMessage stop{ BeginStop{} };
-  impl.rings.entry.tryPush(std::move(stop));
+  if (impl.entry) {
+    impl.entry->beginStop(impl.lastStart(), impl.stopLimit);
+  }
 }
 
 void Daemon::reload(const Settings& aSettings)
@@ -323,7 +332,7 @@
       impl.entry->stopAccepting();
       // If the daemon keeps its keys, other entries still send requests here. The owner then
       // refuses new work and finishes running requests.
-      OwnerMessage stop{ BeginStop{} };
+      OwnerMessage stop{ BeginStop{ impl.lastStart(), impl.stopLimit } };
       impl.rings.owner.tryPush(std::move(stop));
     }
     if (impl.rings.control) {
--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -55,9 +55,13 @@
   std::vector<NodeId> seeds;
 };
 
-/// A planned stop has begun: accept no new work and finish running requests.
+/// A planned stop has begun: accept no new work and finish running requests. A request that may run
+/// after `end` is refused unless it starts by `lastStart`.
 struct BeginStop
-{};
+{
+  TimePoint lastStart = TimePoint::max();
+  TimePoint end = TimePoint::max();
+};
 
 /// The storage thread of the replicated log persisted a batch, or its first attempt failed and it
 /// repeats the batch.
@@ -145,7 +149,7 @@
 using OwnerMessage =
   std::variant<ReceivedMessage, LinkOpened, LinkLost, ViewPublished, fleet::agent::StopPartition,
                TargetHeartbeat, TargetDeregistration, BeginStop>;
-using EntryMessage = std::variant<ReceivedMessage, LinkLost, ViewPublished, BeginStop>;
+using EntryMessage = std::variant<ReceivedMessage, LinkLost, ViewPublished>;
 
 // Capacities in messages. docs/design.md, section 10, explains them.
 constexpr std::size_t kAgentRingSize = 4096;
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -140,15 +140,42 @@
 // Logs the requests whose callers get no response because the process ends.
 void EntryDuty::logOpenExchanges() const
 {
+  for (const auto& it : openExchanges()) {
+    logEvent(LogLevel::Warning, "request_cut_off",
+             { { "request", it->head().callerRequestId },
+               { "at_owner", it->isAtOwner() ? "yes" : "no" },
+               { "owner", std::to_string(routeOf(*it).node) },
+               { "after_ms", std::to_string(toMillis(Clock::now() - it->startedAt())) } });
+  }
+}
+
+// The exchanges may finish, and so leave mExchanges, while the caller uses them.
+std::vector<std::shared_ptr<EntryExchange>> EntryDuty::openExchanges() const
+{
+  std::vector<std::shared_ptr<EntryExchange>> out;
   for (const auto& [pointer, weak] : mExchanges) {
-    if (const auto exchange = weak.lock()) {
-      logEvent(LogLevel::Warning, "request_cut_off",
-               { { "request", exchange->head().callerRequestId },
-                 { "at_owner", exchange->isAtOwner() ? "yes" : "no" },
-                 { "owner", std::to_string(routeOf(*exchange).node) },
-                 { "after_ms", std::to_string(toMillis(Clock::now() - exchange->startedAt())) } });
+    if (auto exchange = weak.lock()) {
+      out.push_back(std::move(exchange));
     }
   }
+  return out;
+}
+
+void EntryDuty::beginStop(TimePoint aLastStart, TimePoint aEnd)
+{
+  mThread.post([this, aLastStart, aEnd] {
+    mStop = StopTimes{ aLastStart, aEnd };
+    mFrontend->beginDrain();
+    for (const auto& it : openExchanges()) {
+      it->withdrawAt(withdrawalTime(it->endsBy()));
+    }
+  });
+}
+
+// A request that ends before the daemon does needs no withdrawal.
+TimePoint EntryDuty::withdrawalTime(TimePoint aEndsBy) const
+{
+  return mStop && aEndsBy > mStop->end ? mStop->lastStart : TimePoint::max();
 }
 
 void EntryDuty::stopAccepting()
@@ -178,8 +205,6 @@
         waiting->viewChanged();
       }
     }
-  } else if (std::holds_alternative<BeginStop>(aMessage)) {
-    mFrontend->beginDrain();
   }
 }
 
@@ -265,6 +290,7 @@
   head.callerRequestId = metadata.requestId;
   head.routeRevision = mState->revision;
   traffic::HedgePolicy& hedge = mHedgePolicies[head.service];
+  plan.withdrawAt = withdrawalTime(plan.deadline + traffic::EntryRequest::kOwnerResultGrace);
   const auto exchange =
     std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
                                     plan, traffic::EntryShared{ mRetryBudget, hedge, mRandom });
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -44,6 +44,11 @@
   /// Stops the thread and closes open connections. Idempotent.
   void stop();
 
+  /// Begins a planned stop that ends at aEnd. Connections without a request are closed, and each
+  /// response ends its connection. A request that may be open after aEnd is refused unless it has
+  /// started at a target by aLastStart. Thread-safe.
+  void beginStop(TimePoint aLastStart, TimePoint aEnd);
+
   /// Closes the listener; running requests continue. Thread-safe.
   void stopAccepting();
 
@@ -96,6 +101,8 @@
   void handlePeerMessage(ReceivedMessage aMessage);
   void recordExpectedTime(const wire::ResponseHead& aHead);
   void logOpenExchanges() const;
+  std::vector<std::shared_ptr<EntryExchange>> openExchanges() const;
+  TimePoint withdrawalTime(TimePoint aEndsBy) const;
   void handleLinkLost(const LinkLost& aLost);
   /// The reason why a request is not admitted.
   struct Rejection
@@ -138,6 +145,13 @@
   std::shared_ptr<const ViewState> mState;
   std::unordered_map<RequestId, RunningAttempt> mAttempts;
   std::map<const EntryExchange*, std::weak_ptr<EntryExchange>> mExchanges; // Not finished yet.
+  /// The times of a planned stop, as in beginStop().
+  struct StopTimes
+  {
+    TimePoint lastStart;
+    TimePoint end;
+  };
+  std::optional<StopTimes> mStop;
   std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
   std::size_t mMaxAwaitingView = kMinAwaitingView; // Finished ones are removed at this size.
   std::map<NodeId, NodeStats> mStats;
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -90,6 +90,7 @@
   started.bridgeUntil = mPlan.bridgeUntil;
   started.lossBridgeUntil = mPlan.lossBridgeUntil;
   started.failsWithoutCapacity = mPlan.failsWithoutCapacity;
+  started.withdrawAt = mPlan.withdrawAt;
   started.hasIdempotencyKey = !mHead.idempotencyKey.empty();
   started.deadline = mPlan.deadline;
   started.isResend = mHead.isResend;
@@ -117,6 +118,8 @@
     startAttempt(*start);
   } else if (const auto* cancel = std::get_if<traffic::CancelAttempt>(&aAction)) {
     cancelAttempt(cancel->attempt);
+  } else if (const auto* withdraw = std::get_if<traffic::WithdrawAttempt>(&aAction)) {
+    withdrawAttempt(withdraw->attempt);
   } else if (const auto* timer = std::get_if<traffic::SetTimer>(&aAction)) {
     setTimer(timer->at);
   } else if (const auto* forward = std::get_if<traffic::ForwardResponse>(&aAction)) {
@@ -393,6 +396,19 @@
   }
 }
 
+TimePoint EntryExchange::endsBy() const
+{
+  return mPlan.deadline + traffic::EntryRequest::kOwnerResultGrace;
+}
+
+void EntryExchange::withdrawAt(TimePoint aTime)
+{
+  mPlan.withdrawAt = aTime; // Used if the body is still being read.
+  if (!mIsFinished) {
+    step(traffic::WithdrawalDue{ aTime });
+  }
+}
+
 std::optional<transport::LinkId> EntryExchange::linkOf(const RequestId& aId) const
 {
   const auto it = mAttempts.find(aId);
@@ -411,6 +427,14 @@
   mHost.attemptEnded(id, false);
 }
 
+void EntryExchange::withdrawAttempt(unsigned aNumber)
+{
+  const auto it = findAttempt(aNumber);
+  if (it != mAttempts.end()) {
+    mHost.replyTo(it->second.link, wire::WithdrawRequest{ it->first });
+  }
+}
+
 void EntryExchange::setTimer(TimePoint aWhen)
 {
   mTimer.expires_at(aWhen);
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -75,6 +75,8 @@
   /// Whether an unkeyed request fails at once if no target has capacity for it. Otherwise it is
   /// retried until its deadline.
   bool failsWithoutCapacity = false;
+  /// See traffic::WithdrawalDue.
+  TimePoint withdrawAt = TimePoint::max();
 };
 
 /// Entry thread only.
@@ -107,6 +109,12 @@
   /// Handles a change of the view, after EntryExchangeHost::awaitView().
   void viewChanged();
 
+  /// Returns until when the request may be open: the owner reports its outcome by then.
+  TimePoint endsBy() const;
+
+  /// Withdraws the request at this time unless it has started at a target by then.
+  void withdrawAt(TimePoint aTime);
+
   /// Returns the connection that an attempt uses, or nullopt if the attempt has ended.
   std::optional<transport::LinkId> linkOf(const RequestId& aId) const;
 
@@ -132,6 +140,7 @@
   void lookUpRoute(const traffic::LookUpRoute& aLookUp);
   void startAttempt(const traffic::StartAttempt& aStart);
   void cancelAttempt(unsigned aNumber);
+  void withdrawAttempt(unsigned aNumber);
   void forwardResponse(unsigned aNumber);
   void setTimer(TimePoint aWhen);
   void sendBufferedBody(const RequestId& aId, Attempt& aAttempt);
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -198,8 +198,10 @@
     handleHeartbeat(*heartbeat);
   } else if (const auto* leaving = std::get_if<TargetDeregistration>(&aMessage)) {
     handleDeregistration(*leaving);
-  } else if (std::holds_alternative<BeginStop>(aMessage)) {
-    step(traffic::BeginDrain{});
+  } else if (const auto* stopping = std::get_if<BeginStop>(&aMessage)) {
+    mIsStopping = true;
+    step(traffic::BeginDrain{ stopping->lastStart, stopping->end });
+    acceptAwaitingGrant();
   }
 }
 
@@ -220,6 +222,8 @@
     }
   } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage.message)) {
     cancelRequest(cancel->id);
+  } else if (const auto* withdraw = std::get_if<wire::WithdrawRequest>(&aMessage.message)) {
+    withdrawRequest(withdraw->id);
   } else if (const auto* request = std::get_if<wire::TokenRequest>(&aMessage.message)) {
     handleTokenRequest(aMessage, *request);
   } else if (const auto* reply = std::get_if<wire::TokenReply>(&aMessage.message)) {
@@ -309,7 +313,7 @@
 {
   const PartitionId partition = partitionOf(aHead);
   const TimePoint now = Clock::now();
-  if (aHead.key.empty() || mView.leaseValidUntil() <= now || mView.isZoneOut(now) ||
+  if (mIsStopping || aHead.key.empty() || mView.leaseValidUntil() <= now || mView.isZoneOut(now) ||
       mView.tokenOf(aHead.service, partition)) {
     return false;
   }
@@ -418,6 +422,16 @@
   }
 }
 
+void OwnerDuty::withdrawRequest(const RequestId& aId)
+{
+  if (mAwaitingGrant.erase(aId) > 0) {
+    refuse({ aId, wire::Outcome::NotRun, ErrorCode::Draining,
+             "the daemon that received the request is stopping", Millis(0) });
+    return;
+  }
+  step(traffic::RequestWithdrawn{ aId });
+}
+
 void OwnerDuty::cancelRequest(const RequestId& aId)
 {
   OwnerExchange* exchange = find(aId);
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -118,6 +118,7 @@
   void updateHomes();
   void updateHeldGrants();
   void cancelRequest(const RequestId& aId);
+  void withdrawRequest(const RequestId& aId);
   bool isAccountKeyValid(const wire::RequestHead& aHead) const;
   void handleStopPartition(const fleet::agent::StopPartition& aStop);
 
@@ -203,6 +204,7 @@
   LoopDelay mLoopDelay;
   std::unordered_map<RequestId, std::shared_ptr<OwnerExchange>> mExchanges;
   std::unordered_map<RequestId, AwaitingGrant> mAwaitingGrant; // At most maxQueuedRequests.
+  bool mIsStopping = false;                                    // BeginStop was received.
   std::map<TokenRequestId, TimePoint> mTokenRequests; // Pending ones, with the time of sending.
   std::map<fleet::ServicePartition, FencingToken> mStoppingPartitions; // Being handed over.
   TimePoint mNextLoadReport;
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -37,6 +37,7 @@
   Duty operator()(const wire::CommandReply& /*aBody*/) const { return Duty::AgentAndControl; }
   Duty operator()(const wire::RequestHead& /*aBody*/) const { return Duty::Owner; }
   Duty operator()(const wire::CancelRequest& /*aBody*/) const { return Duty::Owner; }
+  Duty operator()(const wire::WithdrawRequest& /*aBody*/) const { return Duty::Owner; }
   Duty operator()(const wire::TokenRequest& /*aBody*/) const { return Duty::Owner; }
   Duty operator()(const wire::TokenReply& /*aBody*/) const { return Duty::Owner; }
   Duty operator()(const wire::ResponseHead& /*aBody*/) const { return Duty::Entry; }
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -126,6 +126,8 @@
       credits.push_back(*credit);
     } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage)) {
       cancelled.push_back(cancel->id);
+    } else if (const auto* withdraw = std::get_if<wire::WithdrawRequest>(&aMessage)) {
+      withdrawn.push_back(withdraw->id);
     }
     return transport::SendStatus::Accepted;
   }
@@ -158,6 +160,7 @@
   std::vector<wire::BodyChunk> chunks;
   std::vector<wire::Credit> credits;
   std::vector<RequestId> cancelled;
+  std::vector<RequestId> withdrawn;
   std::optional<ErrorCode> end;
 };
 
@@ -612,6 +615,21 @@
   CHECK(run.caller->status == 0);
 }
 
+// Guards against requests that still wait when the daemon of their entry ends (LOST, issue 44).
+TEST_CASE("a stop withdraws a request from its owner, also one whose body is still being read")
+{
+  Run run("POST", 100);
+  run.exchange->withdrawAt(Clock::now() + Millis(50));
+  run.caller->deliverBody(100, true);
+  REQUIRE(run.host.heads.size() == 1);
+  CHECK(run.host.withdrawn.empty());
+  run.runFor(Millis(100));
+  CHECK(run.host.withdrawn == run.host.ids);
+  run.refuse(wire::Outcome::NotRun, ErrorCode::Draining);
+  CHECK(run.caller->status == 503);
+  CHECK(run.caller->outcome == "not-run");
+}
+
 // Guards against requests that are held until their deadline (SHORT): the timer of the retry was
 // replaced by an earlier one, because the attempt failed within the step that started it.
 TEST_CASE("a request whose first attempt can't be sent is tried again before its deadline")
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -1127,6 +1127,22 @@
   CHECK_FALSE(f.failure(Millis(100)));
 }
 
+// Guards against requests that stay at an owner for an entry whose daemon ends (LOST, issue 44).
+TEST_CASE("a withdrawn request that waits for its key is refused as not run")
+{
+  Fixture f;
+  f.publishGrants(5, 7, 41);
+  f.exchangeHeartbeat(Millis(0), "lookup");
+  f.publishGrants(6, 7, 43);
+  f.sendRequest("lookup", "", 6, Millis(0), "k");
+  CHECK_FALSE(f.failure(Millis(50)));
+  f.send(wire::WithdrawRequest{ { 9, f.counter } });
+  const auto failed = f.failure(Millis(2000));
+  REQUIRE(failed);
+  CHECK(failed->outcome == wire::Outcome::NotRun);
+  CHECK(failed->code == ErrorCode::Draining);
+}
+
 TEST_CASE("after a planned stop has begun, no new request starts")
 {
   Fixture f;
--- a/packages/traffic/EntryMessages.h
+++ b/packages/traffic/EntryMessages.h
@@ -34,6 +34,8 @@
   /// Whether an unkeyed request fails at once if no target has capacity for it. Otherwise it is
   /// retried until its deadline.
   bool failsWithoutCapacity = false;
+  /// See WithdrawalDue.
+  TimePoint withdrawAt = TimePoint::max();
 };
 
 /// Response to LookUpRoute: send the attempt to this node.
@@ -84,12 +86,20 @@
 struct TimerFired
 {};
 
+/// The daemon is stopping. From this time on, the request is refused unless it has started at a
+/// target, so that the requests that have started can end before the daemon does.
+struct WithdrawalDue
+{
+  TimePoint at;
+};
+
 /// The caller closed its connection.
 struct CallerDisconnected
 {};
 
-using EntryEvent = std::variant<Started, RouteKnown, RouteUnknown, AttemptFailed, AttemptHead,
-                                AttemptDone, ViewChanged, TimerFired, CallerDisconnected>;
+using EntryEvent =
+  std::variant<Started, RouteKnown, RouteUnknown, AttemptFailed, AttemptHead, AttemptDone,
+               ViewChanged, TimerFired, WithdrawalDue, CallerDisconnected>;
 
 // Actions.
 
@@ -119,6 +129,12 @@
   std::uint32_t attempt = 0;
 };
 
+/// Ask the owner to refuse an attempt that it hasn't started. AttemptFailed follows if it does.
+struct WithdrawAttempt
+{
+  std::uint32_t attempt = 0;
+};
+
 /// Send TimerFired at this time. Replaces the previous timer.
 struct SetTimer
 {
@@ -140,8 +156,8 @@
   Millis retryAfter{ 0 }; ///< When the caller may retry; 0 means no advice.
 };
 
-using EntryAction = std::variant<LookUpRoute, AwaitView, StartAttempt, CancelAttempt, SetTimer,
-                                 ForwardResponse, FailRequest>;
+using EntryAction = std::variant<LookUpRoute, AwaitView, StartAttempt, CancelAttempt,
+                                 WithdrawAttempt, SetTimer, ForwardResponse, FailRequest>;
 
 } // namespace camphorcleat::traffic
 
--- a/packages/traffic/EntryRequest.cc
+++ b/packages/traffic/EntryRequest.cc
@@ -58,6 +58,10 @@
     failAtDeadline();
     return;
   }
+  if (aEvent.withdrawAt <= aNow) {
+    withdraw();
+    return;
+  }
   lookUpRoute(LookUp::ForAttempt);
 }
 
@@ -183,6 +187,10 @@
     failAtDeadline();
     return;
   }
+  if (mStarted.withdrawAt <= aNow && !mIsWithdrawn) {
+    withdraw();
+    return;
+  }
   if (mViewUntil && mStarted.bridgeUntil <= aNow) {
     fail(*mLastFailure);
     return;
@@ -206,6 +214,14 @@
   }
 }
 
+void EntryRequest::on(TimePoint aNow, const WithdrawalDue& aEvent)
+{
+  mStarted.withdrawAt = aEvent.at;
+  if (aEvent.at <= aNow && !mForwarded && !mIsWithdrawn) {
+    withdraw();
+  }
+}
+
 void EntryRequest::on(TimePoint, const CallerDisconnected&)
 {
   cancelAllBut(0);
@@ -240,7 +256,7 @@
   }
   mHedgeAt.reset();
   mLookUp = LookUp::None;
-  if (!planRetry(aNow, aFailure)) {
+  if (mIsWithdrawn || !planRetry(aNow, aFailure)) {
     fail(aFailure);
   } else if (mRefusal) {
     lookUpRoute(LookUp::ForAttempt); // The view may have changed since the attempt started.
@@ -308,6 +324,23 @@
   mActions.emplace_back(ForwardResponse{ aAttempt });
 }
 
+void EntryRequest::withdraw()
+{
+  mIsWithdrawn = true;
+  mRetryAt.reset();
+  mHedgeAt.reset();
+  mViewUntil.reset();
+  if (mAttempts.empty()) {
+    mLookUp = LookUp::None;
+    fail(AttemptFailed{ 0, wire::Outcome::NotRun, ErrorCode::Draining, "this daemon is stopping",
+                        Millis(0) });
+    return;
+  }
+  for (const auto& [number, attempt] : mAttempts) {
+    mActions.emplace_back(WithdrawAttempt{ number });
+  }
+}
+
 void EntryRequest::failAtDeadline()
 {
   mMayHaveRun = mMayHaveRun || !mAttempts.empty();
@@ -361,6 +394,9 @@
   }
   const Duration grace = mAttempts.empty() ? Duration::zero() : Duration(kOwnerResultGrace);
   TimePoint at = mStarted.deadline + grace;
+  if (!mIsWithdrawn) {
+    at = std::min(at, mStarted.withdrawAt);
+  }
   for (const auto& it : { mRetryAt, mHedgeAt, mViewUntil }) {
     at = it ? std::min(at, *it) : at;
   }
--- a/packages/traffic/EntryRequest.h
+++ b/packages/traffic/EntryRequest.h
@@ -78,6 +78,7 @@
   void on(TimePoint aNow, const AttemptDone& aEvent);
   void on(TimePoint aNow, const ViewChanged& aEvent);
   void on(TimePoint aNow, const TimerFired& aEvent);
+  void on(TimePoint aNow, const WithdrawalDue& aEvent);
   void on(TimePoint aNow, const CallerDisconnected& aEvent);
 
   void lookUpRoute(LookUp aPurpose);
@@ -85,6 +86,7 @@
   bool planRetry(TimePoint aNow, const AttemptFailed& aFailure);
   bool mustWait(const RouteKnown& aRoute);
   void forwardResponse(TimePoint aNow, std::uint32_t aAttempt);
+  void withdraw();
   void failAtDeadline();
   void fail(const AttemptFailed& aFailure);
   // Cancels all attempts except aAttempt; 0 cancels all, since attempts are numbered from 1.
@@ -103,6 +105,7 @@
   Started mStarted;
   bool mIsStarted = false;
   bool mIsFinished = false;
+  bool mIsWithdrawn = false; // No further attempt starts.
   bool mMayHaveRun = false;
   std::uint32_t mPossibleRuns = 0; // Number of failed attempts that may have run.
   bool mIsRouteWrong = false;
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -173,6 +173,14 @@
   }
 }
 
+void OwnerLogic::on(TimePoint aNow, const RequestWithdrawn& aEvent)
+{
+  if (mWaiting.count(aEvent.id) != 0) {
+    refuseWaiting(aNow, aEvent.id, ErrorCode::Draining,
+                  "the daemon that received the request is stopping");
+  }
+}
+
 void OwnerLogic::on(TimePoint aNow, const TokenReplyArrived& aEvent)
 {
   const TokenCache::AcceptResult result = mTokens.accept(aNow, aEvent.reply, aEvent.sentAt);
@@ -269,9 +277,10 @@
   }
 }
 
-void OwnerLogic::on(TimePoint aNow, const BeginDrain&)
+void OwnerLogic::on(TimePoint aNow, const BeginDrain& aEvent)
 {
   mIsLeaving = true;
+  mStop = aEvent;
   if (!mDrainSince) {
     mDrainSince = aNow;
   }
@@ -472,6 +481,7 @@
   if (isDrained(aNow)) {
     refuseAllWaiting(aNow, ErrorCode::Draining, "the target accepts no new requests");
   }
+  refuseAfterLastStart(aNow);
   if (!mWaiting.empty() && mView.isZoneOut(aNow)) {
     refuseAllWaiting(aNow, ErrorCode::ZoneOut, "operators have taken the zone of the target out");
   }
@@ -488,6 +498,24 @@
   }
 }
 
+// Refuses the waiting requests that may run for longer than the daemon, if their last start has
+// passed.
+void OwnerLogic::refuseAfterLastStart(TimePoint aNow)
+{
+  if (aNow < mStop.lastStart) {
+    return;
+  }
+  std::vector<RequestId> late;
+  for (const auto& [id, waiting] : mWaiting) {
+    if (waiting.request.deadline + mConfig.responseGrace > mStop.end) {
+      late.push_back(id);
+    }
+  }
+  for (const auto& id : late) {
+    refuseWaiting(aNow, id, ErrorCode::Draining, "this daemon is stopping");
+  }
+}
+
 void OwnerLogic::cancelOverdue(TimePoint aNow)
 {
   while (!mCancelTimes.empty() && mCancelTimes.begin()->first <= aNow) {
@@ -587,6 +615,9 @@
     if (mDrainSince) {
       earliest(*mDrainSince + mConfig.drainQueueTime);
     }
+    if (mStop.lastStart > aNow) {
+      earliest(mStop.lastStart);
+    }
   }
   return at;
 }
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -114,6 +114,7 @@
 
   void on(TimePoint aNow, const RequestArrived& aEvent);
   void on(TimePoint aNow, const RequestCancelled& aEvent);
+  void on(TimePoint aNow, const RequestWithdrawn& aEvent);
   void on(TimePoint aNow, const TokenReplyArrived& aEvent);
   void on(TimePoint aNow, const TokenHomeUnreachable& aEvent);
   void on(TimePoint aNow, const TargetReport& aEvent);
@@ -145,6 +146,7 @@
   bool isDrained(TimePoint aNow) const;
   void runPendingWork(TimePoint aNow);
   void expireQueue(TimePoint aNow);
+  void refuseAfterLastStart(TimePoint aNow);
   void cancelOverdue(TimePoint aNow);
   void dispatchAll(TimePoint aNow);
   void dispatchOne(TimePoint aNow, const QueuedRequest& aQueued);
@@ -169,6 +171,7 @@
   std::map<PartitionKey, FencingToken> mStopped;
   std::set<PartitionKey> mStopping; // Stopped partitions with requests still running.
   bool mIsLeaving = false; // BeginDrain was received; unlike a drain of the target, it is final.
+  BeginDrain mStop;
   bool mIsDrainReported = false;
   std::optional<TimePoint> mDrainSince; // Start of a drain by BeginDrain or by the target.
   std::uint64_t mStep = 0;              // Number of the current step.
--- a/packages/traffic/OwnerMessages.h
+++ b/packages/traffic/OwnerMessages.h
@@ -44,6 +44,12 @@
   RequestId id;
 };
 
+/// The daemon of the entry is stopping. The request is refused unless it was dispatched.
+struct RequestWithdrawn
+{
+  RequestId id;
+};
+
 /// The home of an account replied to a token request.
 struct TokenReplyArrived
 {
@@ -103,17 +109,22 @@
   PartitionId partition = 0;
 };
 
-/// The daemon or its target is shutting down.
+/// The daemon is stopping: no new request is accepted. A queued one that may run after `end` is
+/// refused unless it starts by `lastStart`.
 struct BeginDrain
-{};
+{
+  TimePoint lastStart = TimePoint::max();
+  TimePoint end = TimePoint::max();
+};
 
 /// Lets OwnerLogic do its time-driven work; see OwnerLogic::nextWake().
 struct Tick
 {};
 
-using OwnerEvent = std::variant<RequestArrived, RequestCancelled, TokenReplyArrived,
-                                TokenHomeUnreachable, TargetReport, TargetConnectionReset,
-                                ResponseStarted, RequestEnded, StopPartition, BeginDrain, Tick>;
+using OwnerEvent =
+  std::variant<RequestArrived, RequestCancelled, RequestWithdrawn, TokenReplyArrived,
+               TokenHomeUnreachable, TargetReport, TargetConnectionReset, ResponseStarted,
+               RequestEnded, StopPartition, BeginDrain, Tick>;
 
 // Actions.
 
--- a/packages/traffic/testing/EntryRequestTest.cc
+++ b/packages/traffic/testing/EntryRequestTest.cc
@@ -331,6 +331,52 @@
   REQUIRE(hedges <= 500);
 }
 
+// Guards against requests that still wait when the daemon of their entry ends (LOST, issue 44).
+TEST_CASE("a request that hasn't started by the last start of a stop is withdrawn for good")
+{
+  Fixture f;
+  SECTION("it is queued at an owner")
+  {
+    f.start(true, true, false);
+    f.step(WithdrawalDue{ f.now + Millis(1'000) });
+    REQUIRE(f.find<WithdrawAttempt>() == nullptr);
+    f.now = f.timer;
+    f.step(TimerFired{});
+    REQUIRE(f.find<WithdrawAttempt>() != nullptr);
+    CHECK(f.find<WithdrawAttempt>()->attempt == 1);
+    REQUIRE(f.find<FailRequest>() == nullptr);
+    f.fail(1, kNotRun, ErrorCode::Draining);
+  }
+  SECTION("it waits for an owner")
+  {
+    f.step(Started{ true, true, false, f.now + Millis(10'000), false });
+    f.step(RouteUnknown{});
+    f.step(WithdrawalDue{ f.now });
+  }
+  SECTION("it arrives later")
+  {
+    Started started;
+    started.deadline = f.now + Millis(10'000);
+    started.withdrawAt = f.now;
+    f.step(started);
+    CHECK(f.find<LookUpRoute>() == nullptr);
+  }
+  REQUIRE(f.find<FailRequest>() != nullptr);
+  CHECK(f.find<FailRequest>()->outcome == kNotRun);
+  CHECK(f.find<FailRequest>()->code == ErrorCode::Draining);
+}
+
+// Guards against a stop that ends requests which their target has started.
+TEST_CASE("a withdrawn request that has started at its target gets its response")
+{
+  Fixture f;
+  f.start(true, false, false);
+  f.step(WithdrawalDue{ f.now });
+  REQUIRE(f.find<WithdrawAttempt>() != nullptr);
+  f.step(AttemptHead{ 1 });
+  CHECK(f.find<ForwardResponse>() != nullptr);
+}
+
 TEST_CASE("random events never break the rules for retries and outcomes")
 {
   for (const auto seed : seeds(3'000)) {
@@ -365,7 +411,7 @@
     check();
     for (int i = 0; i < 60 && !f.request.isFinished(); ++i) {
       const auto attempt = static_cast<std::uint32_t>(started.empty() ? 0 : *started.rbegin());
-      switch (random() % 9) {
+      switch (random() % 10) {
         case 0:
         case 1:
         case 2:
@@ -395,6 +441,11 @@
         case 7:
           f.now += Millis(random() % 50);
           break;
+        case 8:
+          if (random() % 10 == 0) {
+            f.step(WithdrawalDue{ f.now + Millis(random() % 100) });
+          }
+          break;
         default:
           f.retriesOnTimer();
           break;
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -114,6 +114,45 @@
   CHECK(f.find<Refuse>() == nullptr);
 }
 
+// Guards against requests that stay queued for an entry whose daemon ends (LOST, issue 44).
+TEST_CASE("a withdrawn request is refused as not run if it is queued, and continues if it runs")
+{
+  Fixture f(1);
+  const auto running = f.request();
+  f.step(running);
+  REQUIRE(f.find<Dispatch>() != nullptr);
+  const auto queued = f.request();
+  f.step(queued);
+  f.step(RequestWithdrawn{ queued.id });
+  CHECK(f.isRefused(ErrorCode::Draining));
+  f.step(RequestWithdrawn{ running.id });
+  CHECK(f.actions.empty());
+}
+
+// Guards against requests that are cut because they start too late in a stop of their owner (LOST).
+TEST_CASE("a stopping owner starts no request after the last start that may run for longer than it")
+{
+  OwnerConfig config;
+  config.drainQueueTime = Millis(5'000);
+  Fixture f(1, config);
+  const auto running = f.request();
+  f.step(running);
+  auto brief = f.request();
+  brief.deadline = f.now + Millis(1'500);
+  f.step(brief);
+  f.step(f.request());
+  f.step(BeginDrain{ f.now + Millis(500), f.now + Millis(2'000) });
+  CHECK(f.actions.empty());
+  REQUIRE(f.logic.nextWake() == f.now + Millis(500));
+  f.now += Millis(500);
+  f.step(Tick{});
+  CHECK(f.isRefused(ErrorCode::Draining));
+  CHECK(f.actions.size() == 1);
+  f.step(RequestEnded{ running.id, wire::Outcome::Answered, ErrorCode::None, std::nullopt });
+  REQUIRE(f.find<Dispatch>() != nullptr);
+  CHECK(f.find<Dispatch>()->id == brief.id);
+}
+
 TEST_CASE("ownership is checked again when a request leaves the queue")
 {
   Fixture f(1);
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -362,6 +362,15 @@
   static constexpr auto fields() { return std::make_tuple(field("id", &CancelRequest::id)); }
 };
 
+/// The daemon of the entry is stopping. The owner refuses the request as not run unless it has
+/// started at the target.
+struct WithdrawRequest
+{
+  static constexpr const char* kName = "withdraw_request";
+  RequestId id;
+  static constexpr auto fields() { return std::make_tuple(field("id", &WithdrawRequest::id)); }
+};
+
 // Rate tokens: between a daemon that dispatches requests of an account and the account's home, the
 // daemon that grants its rate tokens.
 
@@ -421,10 +430,11 @@
   }
 };
 
-using PeerMessage = std::variant<Hello, LogFrame, JoinRequest, JoinReply, LeaseRenew, LeaseReply,
-                                 ViewUpdate, ViewSnapshot, CommandSubmit, CommandReply, ReadSubmit,
-                                 ReadReply, RequestHead, ResponseHead, BodyChunk, Credit,
-                                 RequestFailed, CancelRequest, TokenRequest, TokenReply>;
+using PeerMessage =
+  std::variant<Hello, LogFrame, JoinRequest, JoinReply, LeaseRenew, LeaseReply, ViewUpdate,
+               ViewSnapshot, CommandSubmit, CommandReply, ReadSubmit, ReadReply, RequestHead,
+               ResponseHead, BodyChunk, Credit, RequestFailed, CancelRequest, TokenRequest,
+               TokenReply, WithdrawRequest>;
 
 } // namespace camphorcleat::wire
 
