Answer open requests at the time limit of a planned stop

Callers whose requests were open when the limit ended the daemon got a closed connection, or 502 although no owner had the request: the daemon closed its links to the owners and then its callers' connections, and what the entry's thread made of the lost links in between decided.

Change: at the limit the entry answers each open request, as not run if no owner has it and otherwise with an unknown outcome, and the daemon ends when these answers are written, 200 ms later at most.

EntryExchangeTest covers the three states of a request.

--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -34,6 +34,9 @@
 // the second.
 constexpr int kLastStartDivisor = 2;
 
+// After the time limit of a planned stop, the final responses to callers are written for this time.
+constexpr Millis kFinalResponseTime{ 200 };
+
 std::mt19937_64 seededRandom()
 {
   std::random_device source;
@@ -55,6 +58,7 @@
   void addGauges();
   void addPeerGauges();
   void logStop(LogLevel aLevel, const char* aEvent) const;
+  bool advanceTimedOutStop(TimePoint aNow);
   TimePoint lastStart() const
   {
     return stopStartedAt + (stopLimit - stopStartedAt) / kLastStartDivisor;
@@ -199,6 +203,19 @@
              { "owner_open", std::to_string(owner ? owner->openRequests() : 0) } });
 }
 
+// Gives the callers whose requests are open a response. Returns whether it was written.
+bool Daemon::Impl::advanceTimedOutStop(TimePoint aNow)
+{
+  if (!hasTimedOut) {
+    hasTimedOut = true;
+    logStop(LogLevel::Warning, "planned_stop_timed_out");
+    if (entry) {
+      entry->endOpenRequests();
+    }
+  }
+  return !entry || entry->openRequests() == 0 || aNow >= stopLimit + kFinalResponseTime;
+}
+
 Daemon::Daemon(Settings aSettings, const DialectFactory& aFactory)
   : mImpl(std::make_unique<Impl>(std::move(aSettings), aFactory))
 {
@@ -318,9 +335,7 @@
     return false;
   }
   if (now >= impl.stopLimit) {
-    impl.logStop(LogLevel::Warning, "planned_stop_timed_out");
-    impl.hasTimedOut = true;
-    return true;
+    return impl.advanceTimedOutStop(now);
   }
   if (!impl.isDrained || now < impl.acceptUntil) {
     return false;
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -186,6 +186,15 @@
   });
 }
 
+void EntryDuty::endOpenRequests()
+{
+  mThread.post([this] {
+    for (const auto& it : openExchanges()) {
+      it->end();
+    }
+  });
+}
+
 std::size_t EntryDuty::openRequests() const
 {
   return mFrontend ? mFrontend->openRequests() : 0;
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -52,6 +52,10 @@
   /// Closes the listener; running requests continue. Thread-safe.
   void stopAccepting();
 
+  /// Ends all requests whose response hasn't begun: as not run, or with an unknown outcome if an
+  /// owner has them. Thread-safe.
+  void endOpenRequests();
+
   /// Returns the number of requests without a complete response. Thread-safe.
   std::size_t openRequests() const;
 
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -401,6 +401,15 @@
   return mPlan.deadline + traffic::EntryRequest::kOwnerResultGrace;
 }
 
+void EntryExchange::end()
+{
+  if (!mForwardedAttempt) {
+    const bool mayHaveRun = mMayHaveRun || isAtOwner();
+    fail(mayHaveRun ? wire::Outcome::Unknown : wire::Outcome::NotRun, ErrorCode::Draining,
+         "the time limit of this daemon's stop has passed", Millis(0));
+  }
+}
+
 void EntryExchange::withdrawAt(TimePoint aTime)
 {
   mPlan.withdrawAt = aTime; // Used if the body is still being read.
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -112,6 +112,10 @@
   /// Returns until when the request may be open: the owner reports its outcome by then.
   TimePoint endsBy() const;
 
+  /// Ends the request unless its response has begun: as not run, or with an unknown outcome if it
+  /// is at an owner.
+  void end();
+
   /// Withdraws the request at this time unless it has started at a target by then.
   void withdrawAt(TimePoint aTime);
 
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -630,6 +630,33 @@
   CHECK(run.caller->outcome == "not-run");
 }
 
+// Guards against connections that are closed without a response at the end of a stop (LOST).
+TEST_CASE("the end of a stop gives each open request a response")
+{
+  SECTION("an owner has it")
+  {
+    Run run("POST");
+    run.exchange->end();
+    CHECK(run.caller->status == 502);
+    CHECK(run.host.cancelled == run.host.ids);
+  }
+  SECTION("no owner has it")
+  {
+    Run run("POST", 100);
+    run.exchange->end();
+    CHECK(run.caller->status == 503);
+    CHECK(run.caller->outcome == "not-run");
+  }
+  SECTION("its response has begun")
+  {
+    Run run("POST");
+    run.sendResponseHead();
+    run.exchange->end();
+    run.sendResponseBody(0, "whole", true, 5);
+    CHECK(run.caller->isComplete);
+  }
+}
+
 // Guards against requests that are held until their deadline (SHORT): the timer of the retry was
 // replaced by an earlier one, because the attempt failed within the step that started it.
 TEST_CASE("a request whose first attempt can't be sent is tried again before its deadline")
