Refuse requests that are read after a stopping daemon has closed its listener

Callers whose request was complete only seconds after SIGTERM, on a connection that was open before, got no whole answer (LOST): it was read, passed on, and at work at another node's server when the time limit of the stop ended the entry.

Cause: closing the listener and idle connections stops no request on a connection whose head is still arriving. Such requests were accepted up to the limit.

Change: after stop_delay_ms the entry refuses what it reads as not run, so that the caller sends it to another VM.

--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -181,6 +181,7 @@
 void EntryDuty::stopAccepting()
 {
   mThread.post([this] {
+    mIsRefusing = true;
     mFrontend->beginDrain();
     mFrontend->stopAccepting();
   });
@@ -269,7 +270,8 @@
   ExchangePlan plan;
   plan.deadline =
     Clock::now() + std::min(metadata.deadline.value_or(mSettings.defaultDeadline), kMaxDeadline);
-  auto rejection = admit(*aStream, metadata, head, plan);
+  auto rejection = mIsRefusing ? Rejection{ ErrorCode::Draining, "this daemon is stopping" }
+                               : admit(*aStream, metadata, head, plan);
   if (rejection && mayBeKnownByNow(rejection->code)) {
     rejection = Rejection{ ErrorCode::ConfigStale,
                            "this daemon can't confirm that it is unknown: " + rejection->message };
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -49,7 +49,7 @@
   /// started at a target by aLastStart. Thread-safe.
   void beginStop(TimePoint aLastStart, TimePoint aEnd);
 
-  /// Closes the listener; running requests continue. Thread-safe.
+  /// Closes the listener and refuses requests that are read from now on. Thread-safe.
   void stopAccepting();
 
   /// Ends all requests whose response hasn't begun: as not run, or with an unknown outcome if an
@@ -156,6 +156,7 @@
     TimePoint end;
   };
   std::optional<StopTimes> mStop;
+  bool mIsRefusing = false;
   std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
   std::size_t mMaxAwaitingView = kMinAwaitingView; // Finished ones are removed at this size.
   std::map<NodeId, NodeStats> mStats;
