Derive the time limit of a planned stop from the platform's kill time

drain_ms was 5.5 s for every deployment. Where the platform kills a process 10 s after SIGTERM, a stop cut off requests with 4 s to spare, and at a moment at which the platform's rules don't excuse it. kill_after_s takes the time from the platform's settings; a stop ends half a second before.

Evidence: SettingsTest.

--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/Daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 #include <random>
@@ -299,8 +300,8 @@
   }
   impl.isStopping = true;
   impl.stopStartedAt = Clock::now();
-  impl.stopLimit = impl.stopStartedAt + impl.settings.drainLimit;
-  impl.acceptUntil = impl.stopStartedAt + impl.settings.stopDelay;
+  impl.stopLimit = impl.stopStartedAt + impl.settings.stopLimit();
+  impl.acceptUntil = std::min(impl.stopStartedAt + impl.settings.stopDelay, impl.lastStart());
   impl.api.beginStop();
   impl.logStop(LogLevel::Info, "planned_stop_started");
   if (impl.settings.takesCallers() && impl.settings.stopMode == StopMode::HandOver) {
--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -312,6 +312,10 @@
       millis(&S::defaultDeadline, 10, 10 * kMinuteMillis) },
     { "limits", "drain_ms", "30000", "Longest duration of a planned stop.",
       millis(&S::drainLimit, 100, 60 * kMinuteMillis) },
+    { "limits", "kill_after_s", "0",
+      "Time from SIGTERM until the platform kills the process. If set, a planned stop ends 0.5 s "
+      "before, and drain_ms isn't used.",
+      seconds(&S::killAfter) },
     { "limits", "stop_delay_ms", "0", "Time for which a planned stop continues to accept callers.",
       millis(&S::stopDelay, 0, kMinuteMillis) },
     { "limits", "target_drain_ms", "2000",
--- a/packages/daemon/Settings.h
+++ b/packages/daemon/Settings.h
@@ -7,6 +7,7 @@
 #ifndef CAMPHORCLEAT_DAEMON_SETTINGS_H_
 #define CAMPHORCLEAT_DAEMON_SETTINGS_H_
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -71,7 +72,8 @@
   std::size_t maxQueuedRequests = 0;
   std::uint64_t maxBodyBytes = 0;
   Millis defaultDeadline{};
-  Millis drainLimit{};  ///< Longest duration of a planned stop.
+  Millis drainLimit{};  ///< Longest duration of a planned stop, unless killAfter is set.
+  Millis killAfter{};   ///< Time from SIGTERM until the process is killed; 0: never.
   Millis stopDelay{};   ///< Time for which a planned stop continues to accept callers.
   Millis targetDrain{}; ///< Time for which requests may start after a target has begun to drain.
   /// Period over which the dialect counts an account's requests for its rate limit. If 0, the limit
@@ -88,6 +90,16 @@
   LogLevel logLevel = LogLevel::Info;
   LogFormat logFormat = LogFormat::Text;
 
+  /// Time between the end of a planned stop and killAfter, in which the last responses are written
+  /// and the threads end.
+  static constexpr Millis kKillMargin{ 500 };
+
+  /// Returns the longest duration of a planned stop.
+  Millis stopLimit() const
+  {
+    return killAfter > Millis(0) ? std::max(killAfter - kKillMargin, Millis(0)) : drainLimit;
+  }
+
   bool isControlMember() const { return !dataFolder.empty(); }
   bool hasTarget() const { return !targetAddress.empty(); }
   bool takesCallers() const { return !callersAddress.empty(); }
--- a/packages/daemon/testing/SettingsTest.cc
+++ b/packages/daemon/testing/SettingsTest.cc
@@ -74,6 +74,18 @@
   CHECK_FALSE(settings->isControlMember());
 }
 
+// Guards against stops that end long before, or not until, the platform kills the process (LOST).
+TEST_CASE("the time limit of a planned stop follows the time after which the process is killed")
+{
+  const auto stopLimit = [](const std::string& aLimits) {
+    return parseSettings("a.ini", kGood + "[limits]\n" + aLimits).value().stopLimit();
+  };
+  CHECK(stopLimit("drain_ms = 4000\n") == Millis(4000));
+  CHECK(stopLimit("kill_after_s = 6\n") == Millis(5500));
+  CHECK(stopLimit("kill_after_s = 10\n") == Millis(9500));
+  CHECK(stopLimit("kill_after_s = 0.2\n") == Millis(0));
+}
+
 TEST_CASE("all errors are reported together, with file, line, section and key")
 {
   const auto faults = faultsOf("[fleet]\n"
@@ -193,7 +205,7 @@
     }
   }
   CHECK(faultsOf(text).empty());
-  CHECK(rows == 44);
+  CHECK(rows == 45);
   for (const char* it : { "| fleet | name | required |", "| lease | length_ms | 1000 |",
                           "| control | data_folder |  |", "| peers | NODE |" }) {
     INFO(it);
