Tell entries which requests a stopping owner hasn't read

Callers got 502 with an unknown outcome for requests that may not be repeated and that no daemon had even read: their owner's daemon ended while they were on their way.

Cause: a closed link says nothing about the requests on it, so the entry has to take all of them as possibly run.

Change: at its end a daemon first stops receiving, lets the owner answer what was received, and then ends each link on which every request has an answer with a Goodbye. All answers precede it, so the entry takes what is unanswered as not run. A link on which a request is still open gets none.

Evidence: PeerHubTest, 'a stop tells its peers that the requests it hasn't read don't run' (there is no such message on the code before).

--- a/packages/daemon/Daemon.cc
+++ b/packages/daemon/Daemon.cc
@@ -389,15 +389,19 @@
   if (impl.operators) {
     impl.operators->stop();
   }
+  // The owner still answers what the hub has received, and the hub delivers the answers.
+  if (impl.hub) {
+    impl.hub->stopReceiving();
+  }
+  if (impl.owner) {
+    impl.owner->stop();
+  }
   if (impl.hub) {
     impl.hub->stop();
   }
   if (impl.entry) {
     impl.entry->stop();
   }
-  if (impl.owner) {
-    impl.owner->stop();
-  }
 }
 
 } // namespace camphorcleat::daemon
--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -42,7 +42,7 @@
 {
   transport::LinkId link = 0;
   NodeId peer = kNoNode;
-  bool neverOpened = false; ///< None of the messages queued for it was delivered.
+  bool isNotRun = false; ///< The peer runs none of the requests that it hasn't answered.
 };
 
 /// The agent thread published a new view of the fleet's state.
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -259,7 +259,7 @@
     }
   }
   for (const auto& [id, exchange] : lost) {
-    exchange->linkLost(id, aLost.neverOpened);
+    exchange->linkLost(id, aLost.isNotRun);
   }
 }
 
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -379,11 +379,11 @@
                                aFailed.retryAfter, aFailed.revision });
 }
 
-void EntryExchange::linkLost(const RequestId& aId, bool aNeverOpened)
+void EntryExchange::linkLost(const RequestId& aId, bool aIsNotRun)
 {
   wire::RequestFailed failed;
   failed.id = aId;
-  failed.outcome = aNeverOpened ? wire::Outcome::NotRun : wire::Outcome::Unknown;
+  failed.outcome = aIsNotRun ? wire::Outcome::NotRun : wire::Outcome::Unknown;
   failed.code = ErrorCode::PeerUnreachable;
   failed.message = "the connection to the owner's daemon was lost";
   handle(aId, failed);
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -104,7 +104,7 @@
   void handle(const RequestId& aId, const wire::RequestFailed& aFailed);
 
   /// Handles the loss of the connection that an attempt uses.
-  void linkLost(const RequestId& aId, bool aNeverOpened);
+  void linkLost(const RequestId& aId, bool aIsNotRun);
 
   /// Handles a change of the view, after EntryExchangeHost::awaitView().
   void viewChanged();
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -23,6 +23,7 @@
 struct DutyOf
 {
   Duty operator()(const wire::Hello& /*aBody*/) const { return Duty::None; }
+  Duty operator()(const wire::Goodbye& /*aBody*/) const { return Duty::None; }
   Duty operator()(const wire::LogFrame& /*aBody*/) const { return Duty::Control; }
   Duty operator()(const wire::JoinRequest& /*aBody*/) const { return Duty::Control; }
   Duty operator()(const wire::JoinReply& /*aBody*/) const { return Duty::Control; }
@@ -134,9 +135,9 @@
 }
 
 void PeerRouter::onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane /*aLane*/,
-                            bool /*aWasDialed*/, bool aNeverOpened)
+                            bool /*aWasDialed*/, bool aIsNotRun)
 {
-  const LinkLost lost{ aLink, aPeer, aNeverOpened };
+  const LinkLost lost{ aLink, aPeer, aIsNotRun };
   push<AgentMessage>(&mRings.agent, lost);
   push<ControlMessage>(mRings.control.get(), lost);
   const bool isOwnerNotified = mRings.owner.isClosed() || push<OwnerMessage>(&mRings.owner, lost);
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -44,7 +44,7 @@
   void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
                  wire::PeerMessage aMessage) override;
   void onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane aLane, bool aWasDialed,
-                  bool aNeverOpened) override;
+                  bool aIsNotRun) override;
 
 private:
   Duration maxUnread() const;
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -196,9 +196,9 @@
   }
 
   void onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane aLane, bool aWasDialed,
-                  bool aNeverOpened) override
+                  bool aIsNotRun) override
   {
-    mRouter.onLinkLost(aLink, aPeer, aLane, aWasDialed, aNeverOpened);
+    mRouter.onLinkLost(aLink, aPeer, aLane, aWasDialed, aIsNotRun);
   }
 
   bool waitUntilBusy(Millis aTime)
@@ -230,7 +230,7 @@
   }
 
   void onLinkLost(transport::LinkId /*aLink*/, NodeId /*aPeer*/, transport::Lane /*aLane*/,
-                  bool /*aWasDialed*/, bool /*aNeverOpened*/) override
+                  bool /*aWasDialed*/, bool /*aIsNotRun*/) override
   {
   }
 
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -105,6 +105,7 @@
   unsigned short port = 0;
   bool isStarted = false;
   // Accessed on the hub's thread only.
+  bool isReceiving = true;
   bool isStopping = false;
   bool isStopped = false;
   boost::asio::steady_timer stopTimer{ thread.context() };
@@ -323,7 +324,7 @@
 
   void onFrame(const LinkPtr& aLink, const PeerSocket::message_type& aFrame)
   {
-    if (aLink->isLost || isStopping) {
+    if (aLink->isLost || !isReceiving) {
       return;
     }
     if (aFrame.get_opcode() != websocketpp::frame::opcode::binary) {
@@ -346,6 +347,9 @@
       closeLink(aLink, aLink->isOpen ? "second hello received" : "message before hello received");
     } else if (hello != nullptr) {
       onHello(aLink, *hello);
+    } else if (std::holds_alternative<wire::Goodbye>(message)) {
+      aLink->hasPeerSaidGoodbye = true;
+      closeLink(aLink, "peer said goodbye");
     } else {
       links.recordRequestEvent(*aLink, requestEventOf(message));
       deliverOrHold(aLink, std::move(message));
@@ -540,7 +544,8 @@
     links.remove(*aLink);
     closeSocket(std::exchange(aLink->socket, nullptr));
     if (aLink->wasDialed || aLink->isOpen) {
-      handler.onLinkLost(aLink->id, aLink->peer, aLink->lane, aLink->wasDialed, !aLink->isOpen);
+      handler.onLinkLost(aLink->id, aLink->peer, aLink->lane, aLink->wasDialed,
+                         !aLink->isOpen || aLink->hasPeerSaidGoodbye);
     }
     if (isStopping) {
       finishStop();
@@ -564,6 +569,28 @@
     }
   }
 
+  // Drops the messages that arrive from now on, and those that are held.
+  void stopReceiving()
+  {
+    isReceiving = false;
+    for (const auto& it : links.all()) {
+      for (const auto& held : std::exchange(it->held, {})) {
+        const RequestEvent event = requestEventOf(held.message);
+        if (event.kind == RequestEvent::Kind::Started) {
+          links.recordRequestEvent(*it, { RequestEvent::Kind::Ended, event.request });
+        }
+      }
+    }
+  }
+
+  // Queues the last message of a link on which all requests that were received are answered.
+  void sayGoodbye(const LinkPtr& aLink)
+  {
+    if (!aLink->wasDialed && aLink->lane == Lane::Data && !links.hasRunningRequests(*aLink)) {
+      sendFrame(aLink, wire::encodePeerMessage(wire::Goodbye{}));
+    }
+  }
+
   // Stops the hub. The promise is fulfilled when all links are closed.
   void beginStop()
   {
@@ -573,6 +600,7 @@
       server.stop_listening(ec);
     }
     isStopping = true;
+    stopReceiving();
     stopTimer.expires_after(kStopLimit);
     stopTimer.async_wait([this](const boost::system::error_code& aEc) {
       for (const auto& it : aEc ? std::vector<LinkPtr>() : links.all()) {
@@ -584,8 +612,10 @@
         closeLink(it, kHubStopped);
         continue;
       }
-      it->held.clear();
       flush(it); // A sender may have queued a message and not posted its flush yet.
+      if (!it->isLost) {
+        sayGoodbye(it);
+      }
       stopSendingSoon(it);
     }
     finishStop();
@@ -670,6 +700,19 @@
   return {};
 }
 
+void PeerHub::stopReceiving()
+{
+  if (!mImpl->isStarted) {
+    return;
+  }
+  std::promise<void> done;
+  mImpl->thread.post([impl = mImpl.get(), &done] {
+    impl->stopReceiving();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 void PeerHub::stop()
 {
   mImpl->links.close();
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -107,11 +107,11 @@
   virtual void onMessage(LinkId aLink, NodeId aFrom, Lane aLane, wire::PeerMessage aMessage) = 0;
 
   /// Reports that a link is lost. Called once, after the link's last message, for each link that
-  /// was dialed or from which a Hello arrived. aNeverOpened: nothing was sent on the link, so the
-  /// messages accepted for it were certainly not delivered. May run before the send() that returns
-  /// the link's id has returned.
+  /// was dialed or from which a Hello arrived. aIsNotRun: the peer has run none of the requests
+  /// that it hasn't answered and won't, because the link never opened or the peer has said goodbye.
+  /// May run before the send() that returns the link's id has returned.
   virtual void onLinkLost(LinkId aLink, NodeId aPeer, Lane aLane, bool aWasDialed,
-                          bool aNeverOpened) = 0;
+                          bool aIsNotRun) = 0;
 };
 
 class PeerHub
@@ -130,8 +130,13 @@
   /// AddressError. Not thread-safe.
   Result<void> start();
 
+  /// Drops messages that arrive from now on. When it has returned, the handler gets no more of
+  /// them. Not thread-safe; must not be called from the handler.
+  void stopReceiving();
+
   /// Refuses new messages, writes those that were accepted for open links, closes all links when
   /// their peers have read them or after 200 ms, reports their loss and joins the hub's thread.
+  /// Says goodbye to the peers whose requests are all answered, as far as the handler got them.
   /// Messages that arrive meanwhile, or that wait for a link to open, are dropped. Idempotent. Not
   /// thread-safe; must not be called from the handler.
   void stop();
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -84,6 +84,7 @@
   /// than PeerSocket::lastReceived().
   TimePoint firstUnansweredPing;
   bool isLost = false;
+  bool hasPeerSaidGoodbye = false;
   bool hasStoppedSending = false; ///< The sending side of its connection is shut down.
   /// From the first request that was read late until the bytes that arrived behind it are read.
   std::vector<HeldMessage> held;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -21,7 +21,7 @@
   LinkId link;
   NodeId peer;
   bool wasDialed;
-  bool neverOpened;
+  bool isNotRun;
 };
 
 struct Opening
@@ -47,10 +47,10 @@
     mLastSender = aFrom;
     mMessages.push_back(std::move(aMessage));
   }
-  void onLinkLost(LinkId aLink, NodeId aPeer, Lane, bool aWasDialed, bool aNeverOpened) override
+  void onLinkLost(LinkId aLink, NodeId aPeer, Lane, bool aWasDialed, bool aIsNotRun) override
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    mLosses.push_back({ aLink, aPeer, aWasDialed, aNeverOpened });
+    mLosses.push_back({ aLink, aPeer, aWasDialed, aIsNotRun });
   }
 
   std::size_t count() const
@@ -312,7 +312,7 @@
   const Loss loss = a.handler.losses()[0];
   REQUIRE(loss.link == first.link);
   REQUIRE(loss.wasDialed);
-  REQUIRE(!loss.neverOpened); // The message may have been delivered.
+  REQUIRE(!loss.isNotRun); // The message may have been delivered.
 
   const auto second = a.hub.send(2, Lane::Control, numbered(3));
   REQUIRE(second.link != first.link);
@@ -440,7 +440,7 @@
   REQUIRE(sent.status == SendStatus::Accepted);
   REQUIRE(waitFor([&] { return !a.handler.losses().empty(); }));
   REQUIRE(a.handler.losses()[0].link == sent.link);
-  REQUIRE(a.handler.losses()[0].neverOpened);
+  REQUIRE(a.handler.losses()[0].isNotRun);
   done.set_value();
 }
 
@@ -456,7 +456,7 @@
   a.hub.setAddress(2, "127.0.0.1:" + std::to_string(port));
   const auto first = a.hub.send(2, Lane::Control, numbered(1));
   REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
-  REQUIRE(a.handler.losses()[0].neverOpened);
+  REQUIRE(a.handler.losses()[0].isNotRun);
   REQUIRE(a.handler.losses()[0].link == first.link);
 
   auto config = configOf(2);
@@ -571,6 +571,30 @@
   }
 }
 
+// Guards against an unknown outcome (502) of requests that a stopping owner has never read.
+TEST_CASE("a stop tells its peers that the requests it hasn't read don't run")
+{
+  const bool isAnswered = GENERATE(false, true);
+  CAPTURE(isAnswered);
+  NodeFixture a(configOf(1));
+  NodeFixture b(configOf(2));
+  b.hub.setAddress(1, addressOf(a.hub));
+  REQUIRE(b.hub.send(1, Lane::Data, request(1)).status == SendStatus::Accepted);
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  if (isAnswered) {
+    wire::RequestFailed failed;
+    failed.id = { 1, 1 };
+    REQUIRE(a.hub.reply(a.handler.lastLink(), failed) == SendStatus::Accepted);
+  }
+  a.hub.stopReceiving();
+  REQUIRE(b.hub.send(1, Lane::Data, request(2)).status == SendStatus::Accepted);
+  std::this_thread::sleep_for(Millis(50)); // The request arrives.
+  a.hub.stop();
+  REQUIRE(waitFor([&] { return b.handler.losses().size() == 1; }));
+  CHECK(a.handler.count() == 1);
+  CHECK(b.handler.losses()[0].isNotRun == isAnswered); // Otherwise, request 1 may run.
+}
+
 // Guards against the same loss where the bytes are in the kernel already: closing a socket with
 // unread input resets the connection.
 TEST_CASE("a peer that reads slowly while it sends gets all that was accepted before a stop")
@@ -743,7 +767,7 @@
   a.hub.setAddress(2, addressOf(b.hub));
   REQUIRE(a.hub.send(2, Lane::Control, numbered(1)).status == SendStatus::Accepted);
   REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
-  REQUIRE(a.handler.losses()[0].neverOpened);
+  REQUIRE(a.handler.losses()[0].isNotRun);
   REQUIRE(b.handler.count() == 0);
 }
 
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -371,6 +371,14 @@
   static constexpr auto fields() { return std::make_tuple(field("id", &WithdrawRequest::id)); }
 };
 
+/// The last message of a daemon that ends. It has answered all requests of this link that it has
+/// read, so it doesn't run the others.
+struct Goodbye
+{
+  static constexpr const char* kName = "goodbye";
+  static constexpr auto fields() { return std::make_tuple(); }
+};
+
 // Rate tokens: between a daemon that dispatches requests of an account and the account's home, the
 // daemon that grants its rate tokens.
 
@@ -434,7 +442,7 @@
   std::variant<Hello, LogFrame, JoinRequest, JoinReply, LeaseRenew, LeaseReply, ViewUpdate,
                ViewSnapshot, CommandSubmit, CommandReply, ReadSubmit, ReadReply, RequestHead,
                ResponseHead, BodyChunk, Credit, RequestFailed, CancelRequest, TokenRequest,
-               TokenReply, WithdrawRequest>;
+               TokenReply, WithdrawRequest, Goodbye>;
 
 } // namespace camphorcleat::wire
 
