HttpFrontend: closing it doesn't cut off complete responses

Cause: a request is open until its response is written to the kernel. The session then discards input until its caller closes the connection, but the frontend may be destroyed at once, since no request is open. If the caller is still sending (the rest of a request body, or its next requests), the closed socket is reset, and what the caller hasn't read is lost.

Change: the destructor discards the input of such connections until their callers close them, for at most 200 ms. Other connections are closed at once.

--- a/packages/transport/HttpFrontend.cc
+++ b/packages/transport/HttpFrontend.cc
@@ -3,8 +3,10 @@
 #include "transport/HttpFrontend.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +28,9 @@
 // accept() can fail because the process has no free file descriptor. An immediate retry would fail
 // again.
 constexpr Millis kAcceptRetryDelay{ 100 };
+// Longest time for which the destructor waits for callers to read complete responses.
+constexpr Millis kCloseLimit{ 200 };
+constexpr std::size_t kDiscardBytes = 64U << 10U;
 
 HttpLimits clampLimits(HttpLimits aLimits)
 {
@@ -155,11 +160,41 @@
     boost::system::error_code ec;
     acceptor.close(ec);
     const auto sessions = std::exchange(state->sessions, {});
+    std::vector<pollfd> lingering;
+    for (const auto& it : sessions) {
+      if (it->isLingering()) {
+        lingering.push_back(pollfd{ it->nativeSocket(), POLLIN, 0 });
+      } else {
+        it->close(false);
+      }
+    }
+    awaitCallers(std::move(lingering));
     for (const auto& it : sessions) {
       it->close(false);
     }
     state->sessionCount = 0;
   }
+
+  // Discards input until the callers close their connections or kCloseLimit has passed. A socket
+  // that is closed earlier is reset if its caller is still sending, and the response is cut off.
+  static void awaitCallers(std::vector<pollfd> aSockets)
+  {
+    const TimePoint end = Clock::now() + kCloseLimit;
+    std::vector<char> buf(kDiscardBytes);
+    const auto hasEnded = [&](const pollfd& aSocket) {
+      if (aSocket.revents == 0) {
+        return false;
+      }
+      const ssize_t n = ::recv(aSocket.fd, buf.data(), buf.size(), MSG_DONTWAIT);
+      return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    };
+    for (TimePoint now = Clock::now(); !aSockets.empty() && now < end; now = Clock::now()) {
+      const auto left = static_cast<int>(toMillis(end - now)) + 1;
+      if (::poll(aSockets.data(), aSockets.size(), left) > 0) {
+        aSockets.erase(std::remove_if(aSockets.begin(), aSockets.end(), hasEnded), aSockets.end());
+      }
+    }
+  }
 };
 
 HttpFrontend::HttpFrontend(asio::io_context& aIo, std::string aListenAddress, HttpLimits aLimits,
--- a/packages/transport/HttpFrontend.h
+++ b/packages/transport/HttpFrontend.h
@@ -134,7 +134,9 @@
   HttpFrontend(boost::asio::io_context& aIo, std::string aListenAddress, HttpLimits aLimits,
                HttpHandler& aHandler);
 
-  /// Closes all connections. Must be called on the io_context's thread, or while no thread runs it.
+  /// Closes all connections. Waits for at most 200 ms until the callers of complete responses on
+  /// connections that aren't kept have read them. Must be called on the io_context's thread, or
+  /// while no thread runs it.
   ~HttpFrontend();
 
   HttpFrontend(const HttpFrontend&) = delete;
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -61,6 +61,9 @@
   /// Returns whether the session waits for the next request.
   bool isIdle() const { return mPhase == Phase::Idle; }
 
+  /// Returns whether the last response is sent and the caller hasn't closed the connection yet.
+  bool isLingering() const { return mPhase == Phase::Lingering; }
+
   /// Returns the file descriptor, to be polled for a close by the caller.
   int nativeSocket() { return mSocket.native_handle(); }
 
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "TransportFakes.h"
 #include "transport/HttpFrontend.h"
 #include "transport/HttpHeaders.h"
@@ -452,6 +454,82 @@
   REQUIRE_THROWS(BlockingSocket(server.frontend->port()));
 }
 
+// Guards against a complete response that is cut off at the end of a planned stop (LOST): closing a
+// socket with unread input resets the connection.
+TEST_CASE("a complete response reaches its caller although the frontend is closed right after it")
+{
+  ServerFixture server;
+  const std::string body(256U << 10U, 'r');
+  server.handler.setCallback([&](const Stream& aStream) { aStream->sendResponse(200, {}, body); });
+  runOn(server.thread, [&] { server.frontend->beginDrain(); });
+  const std::string post = "POST /a HTTP/1.1\r\nHost: x\r\n";
+  std::string request = kGet;
+  std::string more; // Sent while the response is read.
+  SECTION("no request body") {}
+  SECTION("request body that is unread")
+  {
+    request = post + "Content-Length: 300000\r\n\r\n" + std::string(300000, 'a');
+  }
+  SECTION("chunked request body that the caller is still sending")
+  {
+    more = "5\r\nhello\r\n";
+    request = post + "Transfer-Encoding: chunked\r\n\r\n" + more;
+  }
+  SECTION("next request that was sent before the response")
+  {
+    request += kGet;
+  }
+  SECTION("next requests that are sent after the drain began")
+  {
+    more = kGet;
+  }
+  BlockingSocket caller(server.frontend->port());
+  caller.write(request);
+  bool hasResponded = false;
+  std::thread closer([&] {
+    hasResponded = waitFor(
+      [&] { return server.handler.requests() == 1 && server.frontend->openRequests() == 0; });
+    runOn(server.thread, [&] { server.frontend.reset(); });
+  });
+  std::string got;
+  for (std::string buf = caller.readSome(16U << 10U); !buf.empty();
+       buf = caller.readSome(16U << 10U)) {
+    got += buf;
+    caller.write(more);
+    std::this_thread::sleep_for(Millis(1));
+  }
+  caller.close();
+  closer.join();
+  CHECK(hasResponded);
+  CHECK(!caller.wasReset());
+  CHECK(std::count(got.begin(), got.end(), 'r') >= static_cast<std::ptrdiff_t>(body.size()));
+  CHECK(server.handler.requests() == 1);
+}
+
+// Guards against a stop that waits for callers without bound.
+TEST_CASE("closing the frontend waits only for callers of responses, and for a bounded time")
+{
+  ServerFixture server;
+  BlockingSocket idle(server.frontend->port());
+  idle.write(kGet);
+  REQUIRE(idle.readUntil("/a").find("200 OK") != std::string::npos);
+  BlockingSocket silent(server.frontend->port());
+  REQUIRE(waitFor([&] { return server.frontend->openConnections() == 2; }));
+  Millis limit(100);
+  std::unique_ptr<BlockingSocket> unread;
+  SECTION("idle and silent callers") {}
+  SECTION("caller that keeps its connection open after the last response")
+  {
+    unread = std::make_unique<BlockingSocket>(server.frontend->port());
+    unread->write("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    REQUIRE(unread->readUntil("/a").find("200 OK") != std::string::npos);
+    limit = Millis(500);
+  }
+  const TimePoint start = Clock::now();
+  runOn(server.thread, [&] { server.frontend.reset(); });
+  CHECK(Clock::now() - start < limit);
+}
+
 TEST_CASE("at the connection limit an idle connection is closed for a new one, a busy one is kept")
 {
   HttpLimits limits;
