HttpSession: a response cut off that ends with its connection is reset

What callers saw: an HTTP/1.0 caller got the first part of a response and a normal end of the connection, so the part looked like the whole (R7), when the frontend was closed or the caller had read nothing for bodyIdleTimeout.

Cause: close() ends the connection with a FIN, which is the end mark of a response without a length and without chunks.

Change: close() resets the connection while such a response is incomplete.

--- a/packages/transport/HttpSession.cc
+++ b/packages/transport/HttpSession.cc
@@ -637,11 +637,12 @@
     return;
   }
   const auto self = shared_from_this();
+  const bool looksComplete = isRunning() && mHeadSent && mFraming == BodyFraming::CloseDelimited;
   unregisterRequest();
   mPhase = Phase::Closed;
   mReadDeadline = TimePoint::max();
   boost::system::error_code ec;
-  if (aReset) {
+  if (aReset || looksComplete) {
     mSocket.set_option(asio::socket_base::linger(true, 0), ec);
   }
   mSocket.close(ec);
--- a/packages/transport/HttpSession.h
+++ b/packages/transport/HttpSession.h
@@ -77,7 +77,8 @@
   /// Closes the connection if it waits for the next request.
   void closeIfIdle();
 
-  /// Closes the connection immediately, with a TCP reset if aReset.
+  /// Closes the connection immediately, with a TCP reset if aReset or if a truncated response would
+  /// look complete.
   void close(bool aReset);
 
   // The methods of CallerStream that act on the connection. aRequestNumber counts the requests of
--- a/packages/transport/testing/HttpFrontendTest.cc
+++ b/packages/transport/testing/HttpFrontendTest.cc
@@ -530,6 +530,38 @@
   CHECK(Clock::now() - start < limit);
 }
 
+// Guards against a truncated response that looks complete (R7).
+TEST_CASE("a response that ends with its connection is reset when the frontend cuts it off")
+{
+  HttpLimits limits;
+  limits.bodyIdleTimeout = Millis(200);
+  ServerFixture server(limits);
+  Stream pendingStream;
+  std::string data = "part";
+  SECTION("frontend closed") {}
+  SECTION("caller that stops reading for too long")
+  {
+    data = std::string(32U << 20U, 'a'); // More than the kernel buffers.
+  }
+  server.handler.setCallback([&](Stream aStream) {
+    pendingStream = std::move(aStream);
+    pendingStream->sendHead(200, {}, std::nullopt);
+    pendingStream->sendBody(data, false, nullptr);
+  });
+  BlockingSocket caller(server.frontend->port());
+  caller.write("GET /a HTTP/1.0\r\n\r\n");
+  if (data == "part") {
+    REQUIRE(caller.readUntil("part").find("200 OK") != std::string::npos);
+    runOn(server.thread, [&] { server.frontend.reset(); });
+  } else {
+    REQUIRE(waitFor([&] { return server.handler.requests() == 1; }));
+    REQUIRE(waitFor([&] { return server.frontend->openRequests() == 0; }));
+  }
+  caller.readAll();
+  CHECK(caller.wasReset());
+  runOn(server.thread, [&] { pendingStream.reset(); });
+}
+
 TEST_CASE("at the connection limit an idle connection is closed for a new one, a busy one is kept")
 {
   HttpLimits limits;
