Don't take requests as not run whose answer may have been dropped

Change: the router remembers the links of which it has dropped a message for the entry, and reports their loss without 'not run'.

--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -111,12 +111,16 @@
   if (const auto* head = std::get_if<wire::RequestHead>(&aMessage)) {
     request = head->id;
   }
+  const bool isForEntry = std::visit(DutyOf{}, aMessage) == Duty::Entry;
   if (dispatch({ aLink, aFrom, std::move(aMessage), maxUnread() })) {
     return;
   }
   if (request) {
     refuseOverloaded(aLink, *request);
   }
+  if (isForEntry) {
+    mIncompleteLinks.insert(aLink);
+  }
 }
 
 Duration PeerRouter::maxUnread() const
@@ -137,7 +141,8 @@
 void PeerRouter::onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane /*aLane*/,
                             bool /*aWasDialed*/, bool aIsNotRun)
 {
-  const LinkLost lost{ aLink, aPeer, aIsNotRun };
+  const bool isComplete = mIncompleteLinks.erase(aLink) == 0;
+  const LinkLost lost{ aLink, aPeer, aIsNotRun && isComplete };
   push<AgentMessage>(&mRings.agent, lost);
   push<ControlMessage>(mRings.control.get(), lost);
   const bool isOwnerNotified = mRings.owner.isClosed() || push<OwnerMessage>(&mRings.owner, lost);
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -6,6 +6,8 @@
 #ifndef CAMPHORCLEAT_DAEMON_PEERROUTER_H_
 #define CAMPHORCLEAT_DAEMON_PEERROUTER_H_
 
+#include <set>
+
 #include "daemon/DutyMessages.h"
 #include "transport/PeerHub.h"
 
@@ -55,6 +57,9 @@
   NodeId mSelf;
   Rings& mRings;
   transport::PeerHub* mHub = nullptr;
+  /// Open links of which a message for the entry was dropped, so that its requests without an
+  /// answer may have had one. Hub's thread only.
+  std::set<transport::LinkId> mIncompleteLinks;
 };
 
 } // namespace camphorcleat::daemon
