Break off long bodies that still arrive when a stopping daemon can't await their runs

Callers that send a body of more than 64 KiB slowly got 502 at the time limit of their entry's stop, while their request was at work at a server (LOST).

Cause: such a request is passed on before its body is complete, so neither the refusals after the listener is closed nor the withdrawal reached it: its run began when the rest had arrived, too late to end before the daemon.

Change: WithdrawRequest says whether the caller is still sending the body. The owner then cancels a request that has started and has no response yet, and the caller gets its 502 before a server works on it.

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -440,7 +440,8 @@
 {
   const auto it = findAttempt(aNumber);
   if (it != mAttempts.end()) {
-    mHost.replyTo(it->second.link, wire::WithdrawRequest{ it->first });
+    const bool isBodyRead = !mHead.hasBody || mIsBodyBuffered || mIsUnsentLast || mIsBodySent;
+    mHost.replyTo(it->second.link, wire::WithdrawRequest{ it->first, !isBodyRead });
   }
 }
 
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -223,7 +223,7 @@
   } else if (const auto* cancel = std::get_if<wire::CancelRequest>(&aMessage.message)) {
     cancelRequest(cancel->id);
   } else if (const auto* withdraw = std::get_if<wire::WithdrawRequest>(&aMessage.message)) {
-    withdrawRequest(withdraw->id);
+    withdrawRequest(*withdraw);
   } else if (const auto* request = std::get_if<wire::TokenRequest>(&aMessage.message)) {
     handleTokenRequest(aMessage, *request);
   } else if (const auto* reply = std::get_if<wire::TokenReply>(&aMessage.message)) {
@@ -422,14 +422,20 @@
   }
 }
 
-void OwnerDuty::withdrawRequest(const RequestId& aId)
+void OwnerDuty::withdrawRequest(const wire::WithdrawRequest& aWithdraw)
 {
-  if (mAwaitingGrant.erase(aId) > 0) {
-    refuse({ aId, wire::Outcome::NotRun, ErrorCode::Draining,
+  const RequestId id = aWithdraw.id;
+  if (mAwaitingGrant.erase(id) > 0) {
+    refuse({ id, wire::Outcome::NotRun, ErrorCode::Draining,
              "the daemon that received the request is stopping", Millis(0) });
     return;
   }
-  step(traffic::RequestWithdrawn{ aId });
+  step(traffic::RequestWithdrawn{ id });
+  // A run that begins when the rest of the body has arrived would outlast the entry.
+  const OwnerExchange* exchange = find(id);
+  if (aWithdraw.isBodyIncomplete && exchange != nullptr && !exchange->hasResponse()) {
+    cancelRequest(id);
+  }
 }
 
 void OwnerDuty::cancelRequest(const RequestId& aId)
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -118,7 +118,7 @@
   void updateHomes();
   void updateHeldGrants();
   void cancelRequest(const RequestId& aId);
-  void withdrawRequest(const RequestId& aId);
+  void withdrawRequest(const wire::WithdrawRequest& aWithdraw);
   bool isAccountKeyValid(const wire::RequestHead& aHead) const;
   void handleStopPartition(const fleet::agent::StopPartition& aStop);
 
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -97,6 +97,9 @@
 
   bool hasBegun() const { return mHasBegun; }
 
+  /// Returns whether the head of the target's response has arrived.
+  bool hasResponse() const { return mStatus != 0; }
+
   /// Cancels the exchange with the target if it is running.
   void cancel();
 
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -128,6 +128,7 @@
       cancelled.push_back(cancel->id);
     } else if (const auto* withdraw = std::get_if<wire::WithdrawRequest>(&aMessage)) {
       withdrawn.push_back(withdraw->id);
+      isWithdrawnBodyIncomplete = withdraw->isBodyIncomplete;
     }
     return transport::SendStatus::Accepted;
   }
@@ -161,6 +162,7 @@
   std::vector<wire::Credit> credits;
   std::vector<RequestId> cancelled;
   std::vector<RequestId> withdrawn;
+  bool isWithdrawnBodyIncomplete = false; // Of the last withdrawal.
   std::optional<ErrorCode> end;
 };
 
@@ -630,6 +632,24 @@
   CHECK(run.caller->outcome == "not-run");
 }
 
+// Guards against runs that begin late in a stop, when the rest of a long body has arrived (LOST).
+TEST_CASE("a withdrawal says whether the caller is still sending the body")
+{
+  const bool isComplete = GENERATE(false, true);
+  CAPTURE(isComplete);
+  Run run("POST", std::nullopt);
+  run.caller->deliverBody(kFirstCreditBytes, false);
+  REQUIRE(run.host.heads.size() == 1);
+  run.acceptBody();
+  run.acceptBody(); // Credit for the rest.
+  if (isComplete) {
+    run.caller->deliverBody(10, true);
+  }
+  run.exchange->withdrawAt(Clock::now());
+  REQUIRE(run.host.withdrawn == run.host.ids);
+  CHECK(run.host.isWithdrawnBodyIncomplete != isComplete);
+}
+
 // Guards against connections that are closed without a response at the end of a stop (LOST).
 TEST_CASE("the end of a stop gives each open request a response")
 {
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -1136,13 +1136,47 @@
   f.publishGrants(6, 7, 43);
   f.sendRequest("lookup", "", 6, Millis(0), "k");
   CHECK_FALSE(f.failure(Millis(50)));
-  f.send(wire::WithdrawRequest{ { 9, f.counter } });
+  f.send(wire::WithdrawRequest{ { 9, f.counter }, false });
   const auto failed = f.failure(Millis(2000));
   REQUIRE(failed);
   CHECK(failed->outcome == wire::Outcome::NotRun);
   CHECK(failed->code == ErrorCode::Draining);
 }
 
+// Guards against runs that begin late in a stop, when the rest of a long body has arrived, and are
+// cut off at its end (LOST, issue 44).
+TEST_CASE("a withdrawn request is cancelled at its target only while its body is incomplete")
+{
+  const bool isComplete = GENERATE(false, true);
+  CAPTURE(isComplete);
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  wire::RequestHead head;
+  head.id = { 9, ++f.counter };
+  head.service = "intake";
+  head.method = "POST";
+  head.path = "/";
+  head.hasBody = true;
+  head.deadline = Millis(30'000);
+  head.routeRevision = 5;
+  f.send(head);
+  wire::BodyChunk chunk;
+  chunk.id = head.id;
+  chunk.direction = wire::Direction::ToTarget;
+  chunk.data = Bytes("part");
+  chunk.totalBytes = 4;
+  chunk.isLast = isComplete;
+  f.send(chunk);
+  REQUIRE(f.target.accept(Millis(2000)) == 1);
+  f.send(wire::WithdrawRequest{ head.id, !isComplete });
+  const auto failed = f.failure(isComplete ? Millis(200) : Millis(2000));
+  REQUIRE(failed.has_value() != isComplete);
+  if (failed) {
+    CHECK(failed->outcome == wire::Outcome::Unknown);
+  }
+}
+
 TEST_CASE("after a planned stop has begun, no new request starts")
 {
   Fixture f;
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -363,12 +363,18 @@
 };
 
 /// The daemon of the entry is stopping. The owner refuses the request as not run unless it has
-/// started at the target.
+/// started at the target. One that has started is cancelled if its caller is still sending the body
+/// and its response hasn't begun.
 struct WithdrawRequest
 {
   static constexpr const char* kName = "withdraw_request";
   RequestId id;
-  static constexpr auto fields() { return std::make_tuple(field("id", &WithdrawRequest::id)); }
+  bool isBodyIncomplete = false;
+  static constexpr auto fields()
+  {
+    return std::make_tuple(field("id", &WithdrawRequest::id),
+                           field("body_incomplete", &WithdrawRequest::isBodyIncomplete));
+  }
 };
 
 /// The last message of a daemon that ends. It has answered all requests of this link that it has
