--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -313,7 +313,7 @@
     { "limits", "drain_ms", "30000", "Longest duration of a planned stop.",
       millis(&S::drainLimit, 100, 60 * kMinuteMillis) },
     { "limits", "kill_after_s", "0",
-      "Time from SIGTERM until the platform kills the process. If set, a planned stop ends 0.5 s "
+      "Time from SIGTERM until the platform kills the process. If set, a planned stop ends 0.7 s "
       "before, and drain_ms isn't used.",
       seconds(&S::killAfter) },
     { "limits", "stop_delay_ms", "0", "Time for which a planned stop continues to accept callers.",
--- a/packages/daemon/Settings.h
+++ b/packages/daemon/Settings.h
@@ -90,9 +90,9 @@
   LogLevel logLevel = LogLevel::Info;
   LogFormat logFormat = LogFormat::Text;
 
-  /// Time between the end of a planned stop and killAfter, in which the last responses are written
-  /// and the threads end.
-  static constexpr Millis kKillMargin{ 500 };
+  /// Time between the limit of a planned stop and killAfter: 200 ms each for the last responses,
+  /// the links and the callers' connections, and 100 ms for the threads to end.
+  static constexpr Millis kKillMargin{ 700 };
 
   /// Returns the longest duration of a planned stop.
   Millis stopLimit() const
