--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -246,6 +247,40 @@
   std::promise<wire::RequestFailed> mFailure;
 };
 
+/// Counts the bytes of response bodies and records the end of the last one.
+class ResponseCounter final : public transport::PeerHandler
+{
+public:
+  void onLinkOpened(transport::LinkId /*aLink*/, transport::Lane /*aLane*/, Duration /*aSentAt*/,
+                    Duration /*aReceivedAt*/) override
+  {
+  }
+
+  void onMessage(transport::LinkId /*aLink*/, NodeId /*aFrom*/, transport::Lane /*aLane*/,
+                 wire::PeerMessage aMessage) override
+  {
+    if (const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage)) {
+      mBytes += chunk->data.size();
+      mHasEnded = mHasEnded || chunk->isLast;
+    }
+  }
+
+  void onLinkLost(transport::LinkId /*aLink*/, NodeId /*aPeer*/, transport::Lane /*aLane*/,
+                  bool /*aWasDialed*/, bool /*aNeverOpened*/) override
+  {
+    mIsLost = true;
+  }
+
+  std::size_t bytes() const { return mBytes; }
+  bool hasEnded() const { return mHasEnded; }
+  bool isLost() const { return mIsLost; }
+
+private:
+  std::atomic<std::size_t> mBytes{ 0 };
+  std::atomic<bool> mHasEnded{ false };
+  std::atomic<bool> mIsLost{ false };
+};
+
 // Returns a binary WebSocket frame with a mask of zero.
 std::string clientFrame(const std::string& aPayload)
 {
@@ -802,6 +837,55 @@
   CHECK(failed->code == ErrorCode::DeadlineExceeded);
 }
 
+// Guards against a response that its owner counts as finished and its entry never gets (LOST),
+// because the owner's daemon stops at once.
+TEST_CASE("a finished response reaches its entry although the owner's daemon stops")
+{
+  using transport::testing::waitFor;
+  const int round = GENERATE(range(0, 5)); // The loss depends on the threads' timing.
+  CAPTURE(round);
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), f.router);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+  ResponseCounter counter;
+  transport::PeerHub entryHub(hubConfig(2), counter);
+  REQUIRE(entryHub.start());
+  entryHub.setAddress(1, "127.0.0.1:" + std::to_string(ownerHub->port()));
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(5000);
+  head.routeRevision = 5;
+  head.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  const auto sent = entryHub.send(1, transport::Lane::Data, head);
+  REQUIRE(f.target.accept(Millis(2000)) == 1);
+  const std::string body(200U << 10U, 'r');
+  f.target.write(responseTo("2-1", body));
+  std::atomic<bool> isStopping{ false };
+  std::thread sender([&] { // Parts of other requests, which the owner ignores.
+    wire::BodyChunk other;
+    other.id = { 2, 2 };
+    other.data = Bytes(body);
+    while (!isStopping) {
+      entryHub.reply(sent.link, other);
+    }
+  });
+  const bool isFinished = waitFor([&] { return f.owner.openRequests() == 0; });
+  ownerHub->stop();
+  isStopping = true;
+  sender.join();
+  CHECK(isFinished);
+  CHECK(waitFor([&] { return counter.isLost(); }));
+  CHECK(counter.bytes() == body.size());
+  CHECK(counter.hasEnded());
+}
+
 // Guards against work for a caller that has left (GONE): the cancellation already waits behind the
 // request when the owner's thread handles the request.
 TEST_CASE("a request whose cancellation arrived before it was handled isn't sent to the target")
