--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -705,12 +705,12 @@
   if (!mImpl->isStarted) {
     return;
   }
-  std::promise<void> done;
-  mImpl->thread.post([impl = mImpl.get(), &done] {
+  const auto done = std::make_shared<std::promise<void>>();
+  mImpl->thread.post([impl = mImpl.get(), done] {
     impl->stopReceiving();
-    done.set_value();
+    done->set_value();
   });
-  done.get_future().wait();
+  done->get_future().wait();
 }
 
 void PeerHub::stop()
