--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -659,7 +659,8 @@
   }
 
   // Returns whether the peer may still have to read something: the kernel hasn't delivered it, or
-  // has done so only lately. A stop doesn't wait for an idle peer that is unresponsive.
+  // has done so only lately. So a stop doesn't wait for an unresponsive peer on a link that is idle
+  // and gets no goodbye.
   static bool mayBeUnread(PeerSocket& aSocket)
   {
     int undelivered = 0;
