--- a/review/common-2/Server.h
+++ b/review/common-2/Server.h
@@ -62,11 +62,20 @@
     double workSeconds = 0.02;
     bool isSharded = true;
     double heartbeatSeconds = 0.87;
+    double coldSeconds = 0; // Since the start.
+  };
+
+  // A request that reached the server and wasn't answered with 421.
+  struct Arrival
+  {
+    std::string id;
+    double at = 0;
   };
 
   explicit Server(Settings aSettings)
     : mSettings(std::move(aSettings))
     , mBorn(unixMillis())
+    , mStartedAt(secondsSinceStart())
   {
     mListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
@@ -107,11 +116,18 @@
   std::size_t largestResponse() const { return mLargestResponse; }
   std::size_t largestRowCount() const { return mLargestRowCount; }
   std::size_t tooLargeCount() const { return mTooLargeCount; }
+  double coldUntil() const { return mStartedAt + mSettings.coldSeconds; }
+  std::vector<Arrival> arrivals() const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mArrivals;
+  }
   std::size_t runCount() const { return mRunCount; }
   std::size_t misdirectedCount() const { return mMisdirectedCount; }
 
 private:
   static constexpr std::size_t kMaxResponseBytes = 4096;
+  static constexpr double kRetrySeconds = 0.1;
 
   static const Row* rowOf(const std::vector<Row>& aRows, int aKey)
   {
@@ -135,6 +151,11 @@
       if (answer.status / 100 == 2 && answer.isComplete) {
         mustHurry = acknowledge(answer.body, sentAt);
       }
+      if (answer.status == 0 && secondsSinceStart() - sentAt < kRetrySeconds) {
+        // Nobody listens. Another attempt follows soon, since there is no other node to call.
+        sleepSeconds(kRetrySeconds);
+        continue;
+      }
       const double next = mustHurry ? secondsSinceStart() + 0.08
                                     : std::max(sentAt + mSettings.heartbeatSeconds,
                                                secondsSinceStart() + 0.02);
@@ -150,8 +171,9 @@
     std::string out = "{\"service\":\"" + mSettings.service + "\",\"address\":\"" + mSettings.ip +
                       ":" + std::to_string(mSettings.appPort) + "\",\"zone\":\"" + mSettings.zone +
                       "\",\"version\":\"v1\",\"slots\":" + std::to_string(mSettings.slots) +
-                      ",\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":" +
-                      std::to_string(++mSequence) + ",\"born\":" + std::to_string(mBorn);
+                      ",\"state\":\"ready\",\"warmup_left_s\":" +
+                      std::to_string(std::max(0.0, coldUntil() - secondsSinceStart())) +
+                      ",\"sequence\":" + std::to_string(++mSequence) + ",\"born\":" + std::to_string(mBorn);
     if (mSettings.isSharded) {
       std::string rows;
       if (secondsSinceStart() < mHoldUntil) {
@@ -271,6 +293,10 @@
                  "\r\nContent-Length: 0\r\n\r\n";
       } else {
         ++mRunCount;
+        {
+          const std::lock_guard<std::mutex> lock(mMutex);
+          mArrivals.push_back({ id, secondsSinceStart() });
+        }
         sleepSeconds(mSettings.workSeconds);
         const std::string body = "run by " + mSettings.id + " for " + id;
         answer = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: seal-" + id +
@@ -284,6 +310,7 @@
 
   const Settings mSettings;
   const long long mBorn;
+  const double mStartedAt;
   int mListener = -1;
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mOpenConnections{ 0 };
@@ -294,6 +321,7 @@
   unsigned mHandoverCount = 0;
   std::vector<Row> mHeld;
   std::vector<Row> mReleased;
+  std::vector<Arrival> mArrivals;
   std::vector<long long> mFences = std::vector<long long>(65536);
   double mHoldUntil = 0;
   std::atomic<std::size_t> mLargestResponse{ 0 };
