--- a/review/common-2/Server.h
+++ b/review/common-2/Server.h
@@ -62,7 +62,9 @@
     double workSeconds = 0.02;
     bool isSharded = true;
     double heartbeatSeconds = 0.87;
-    double coldSeconds = 0; // Since the start.
+    double coldSeconds = 0;  // Since the start.
+    double coldFactor = 1;   // Work takes this many times as long while the server is cold.
+    double lateSeconds = 0;  // Delay of the 504 after the request's deadline.
   };
 
   // A request that reached the server and wasn't answered with 421.
@@ -297,7 +299,18 @@
           const std::lock_guard<std::mutex> lock(mMutex);
           mArrivals.push_back({ id, secondsSinceStart() });
         }
-        sleepSeconds(mSettings.workSeconds);
+        const double work = mSettings.workSeconds *
+                            (secondsSinceStart() < coldUntil() ? mSettings.coldFactor : 1);
+        const double left = std::atof(request.header("Deadline-Ms").c_str()) / 1000;
+        if (left > 0 && work > left) {
+          sleepSeconds(left + mSettings.lateSeconds);
+          if (!connection.send("HTTP/1.1 504 Gateway Timeout\r\nAttempt-Id: " + id +
+                               "\r\nServer-Seal: seal-" + id + "\r\nContent-Length: 0\r\n\r\n")) {
+            return;
+          }
+          continue;
+        }
+        sleepSeconds(work);
         const std::string body = "run by " + mSettings.id + " for " + id;
         answer = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: seal-" + id +
                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
