--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -49,14 +49,8 @@
   return out;
 }
 
-} // namespace
-
-int main(int aCount, char** aArguments)
+int run()
 {
-  if (aCount != 2) {
-    return kCouldNotRun;
-  }
-  Record::instance().open(aArguments[1]);
   const char* variable = getenv("TROUBLE");
   const std::string trouble = variable == nullptr ? "1" : variable;
   const bool isReplaced = trouble == "1";
@@ -150,3 +144,10 @@
   note("held: version 2 was read after %.1f s", readAfter);
   return kHeld;
 }
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  return runCase(aCount, aArguments, run);
+}
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -131,14 +131,8 @@
   return most;
 }
 
-} // namespace
-
-int main(int aCount, char** aArguments)
+int run()
 {
-  if (aCount != 2) {
-    return kCouldNotRun;
-  }
-  Record::instance().open(aArguments[1]);
   const char* variable = getenv("TROUBLE");
   const bool isKilled = variable == nullptr || std::string(variable) != "0";
 
@@ -200,3 +194,10 @@
   note("held: at most %d requests in one second, bound %.0f", most, bound);
   return kHeld;
 }
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  return runCase(aCount, aArguments, run);
+}
--- a/review/common-2/Rig.h
+++ b/review/common-2/Rig.h
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -98,11 +99,30 @@
   Record::instance().write(buf);
 }
 
+// Thrown if the case can't run. runCase() ends with kCouldNotRun then, after all destructors.
+struct CouldNotRun
+{
+};
+
 [[noreturn]] inline void cannotRun(const std::string& aReason)
 {
   note("could not run: %s", aReason.c_str());
   std::fprintf(stderr, "could not run: %s\n", aReason.c_str());
-  std::exit(kCouldNotRun);
+  throw CouldNotRun();
+}
+
+// aArguments: the program and the path of the record.
+inline int runCase(int aCount, char** aArguments, int (*aCase)())
+{
+  if (aCount != 2) {
+    return kCouldNotRun;
+  }
+  Record::instance().open(aArguments[1]);
+  try {
+    return aCase();
+  } catch (const CouldNotRun&) {
+    return kCouldNotRun;
+  }
 }
 
 // ---------------------------------------------------------------- HTTP
@@ -424,6 +444,7 @@
                                        const_cast<char*>(path.c_str()), nullptr };
     mPid = ::fork();
     if (mPid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives a case that is killed.
       const int log = ::open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(log, 1);
       ::dup2(log, 2);
