--- a/review/common-2/Rig.h
+++ b/review/common-2/Rig.h
@@ -15,7 +15,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -427,6 +426,64 @@
   cannotRun("deploy/system.toml has no role " + aRole);
 }
 
+// A process that ends the daemons and removes the folder when the case itself ends, also if that was
+// killed. It learns of them through a pipe, whose other end only the case holds.
+class Guard
+{
+public:
+  static Guard& instance()
+  {
+    static Guard sGuard;
+    return sGuard;
+  }
+  void start(const std::string& aFolder)
+  {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) {
+      cannotRun("no pipe");
+    }
+    mPid = ::fork();
+    if (mPid == 0) {
+      ::setsid();
+      ::close(ends[1]);
+      std::set<pid_t> running;
+      for (pid_t it = 0; ::read(ends[0], &it, sizeof(it)) == sizeof(it);) {
+        if (it > 0) {
+          running.insert(it);
+        } else {
+          running.erase(-it);
+        }
+      }
+      for (const pid_t it : running) {
+        ::kill(it, SIGKILL);
+      }
+      ::usleep(200'000);
+      std::error_code ec;
+      std::filesystem::remove_all(aFolder, ec);
+      ::_exit(0);
+    }
+    ::close(ends[0]);
+    mPipe = ends[1];
+  }
+  void started(pid_t aPid) { write(aPid); }
+  void ended(pid_t aPid) { write(-aPid); }
+  void stop()
+  {
+    ::close(mPipe);
+    ::waitpid(mPid, nullptr, 0);
+  }
+
+private:
+  void write(pid_t aPid)
+  {
+    if (::write(mPipe, &aPid, sizeof(aPid)) != sizeof(aPid)) {
+      cannotRun("the guard has ended");
+    }
+  }
+  pid_t mPid = 0;
+  int mPipe = -1;
+};
+
 class Process
 {
 public:
@@ -444,13 +501,13 @@
                                        const_cast<char*>(path.c_str()), nullptr };
     mPid = ::fork();
     if (mPid == 0) {
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives a case that is killed.
       const int log = ::open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(log, 1);
       ::dup2(log, 2);
       ::execve(words[0], words.data(), environment.data());
       ::_exit(127);
     }
+    Guard::instance().started(mPid);
   }
   bool isRunning()
   {
@@ -459,6 +516,7 @@
     }
     int status = 0;
     if (::waitpid(mPid, &status, WNOHANG) == mPid) {
+      Guard::instance().ended(mPid);
       mStatus = status;
       mPid = 0;
     }
@@ -523,6 +581,7 @@
       cannotRun("no temporary folder");
     }
     mFolder = folder;
+    Guard::instance().start(mFolder);
     mSubnet = "127." + std::to_string(20 + ::getpid() % 200) + "." +
               std::to_string(::getpid() / 200 % 250) + ".";
     for (int* port : { &ports.control, &ports.outbound, &ports.readiness, &ports.peers, &ports.app,
@@ -552,6 +611,7 @@
       }
     }
     std::filesystem::remove_all(mFolder, ec);
+    Guard::instance().stop();
   }
 
   Machine& add(const std::string& aName, const std::string& aZone, const std::string& aService)
