--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -170,7 +170,9 @@
 void ControlDuty::tick()
 {
   stepLog(agreement::Tick{});
-  mLeader.setMembers(memberIds());
+  const std::vector<NodeId> members = memberIds();
+  logMembershipIfChanged(members);
+  mLeader.setMembers(members);
   stepLeader(fleet::control::Tick{});
   expirePending();
   requestJoinIfNeeded();
@@ -186,6 +188,20 @@
   return out;
 }
 
+void ControlDuty::logMembershipIfChanged(const std::vector<NodeId>& aMembers)
+{
+  if (aMembers == mLoggedMembers) {
+    return;
+  }
+  mLoggedMembers = aMembers;
+  std::string list;
+  for (const NodeId it : aMembers) {
+    list += (list.empty() ? "" : ",") + std::to_string(it);
+  }
+  logEvent(LogLevel::Info, "membership_changed",
+           { { "members", list }, { "term", std::to_string(mLog.term()) } });
+}
+
 // A member that was removed while it was partitioned is not informed unless a leader sends to it,
 // so it also requests to join when it knows no leader.
 void ControlDuty::requestJoinIfNeeded()
@@ -204,9 +220,17 @@
   if (to == kNoNode) {
     to = mKnownMembers[mNextJoinMember++ % mKnownMembers.size()];
   }
-  if (to != mSettings.id) {
-    mRouter.send(to, transport::Lane::Control, wire::JoinRequest{});
+  if (to == mSettings.id) {
+    return;
+  }
+  if (to != mJoinRequestedOf) {
+    mJoinRequestedOf = to;
+    logEvent(LogLevel::Info, "join_requested",
+             { { "node", std::to_string(to) },
+               { "is_leader", to == mLog.leader() ? "yes" : "unknown" },
+               { "term", std::to_string(mLog.term()) } });
   }
+  mRouter.send(to, transport::Lane::Control, wire::JoinRequest{});
 }
 
 void ControlDuty::handle(ControlMessage aMessage)
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -74,6 +74,7 @@
   void run();
   void tick();
   void requestJoinIfNeeded();
+  void logMembershipIfChanged(const std::vector<NodeId>& aMembers);
   std::vector<NodeId> memberIds() const;
   void handle(ControlMessage aMessage);
   void handlePeerMessage(ReceivedMessage aMessage);
@@ -148,6 +149,8 @@
   std::vector<NodeId> mKnownMembers; // Control daemons that may accept a JoinRequest.
   std::size_t mNextJoinMember = 0;
   TimePoint mNextJoinRequestAt;
+  NodeId mJoinRequestedOf = kNoNode;  // Named by the latest join_requested line.
+  std::vector<NodeId> mLoggedMembers; // Named by the latest membership_changed line.
   TimePoint mLeaderKnownAt;
   std::map<std::uint64_t, CommandCallback> mUnappendedProposals; // Proposals without a log index.
   std::map<LogIndex, PendingProposal> mProposals;
