agreement: JoinSchedule decides whom to ask for admission to the group

Taken out of ControlDuty, unchanged, so that the simulated group can use the same decision: its join requests went to the current leader, whoever that was, and couldn't show a node that asks the wrong one.

--- a/packages/agreement/testing/SimulatedGroup.h
+++ b/packages/agreement/testing/SimulatedGroup.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <utility>
 
+#include "agreement/JoinSchedule.h"
 #include "agreement/LogNode.h"
 #include "base/Codec.h"
 #include "base/Hash.h"
@@ -61,6 +62,7 @@
   {
     for (NodeId id = 1; id <= aSize; ++id) {
       mConfig.initialMembership.members.push_back(wire::Member{ id, 0 });
+      mInitialMembers.push_back(id);
     }
     for (NodeId id = 1; id <= aSize; ++id) {
       mMachines[id].disk.store = newIncarnation(mRandom);
@@ -71,7 +73,7 @@
   /// Adds a node that knows no members and requests to join.
   void addJoiner(NodeId aId)
   {
-    mJoiners.insert(aId);
+    mJoiners.emplace(aId, JoinSchedule(aId, mInitialMembers));
     mMachines[aId].disk.store = newIncarnation(mRandom);
     restart(aId);
   }
@@ -234,24 +236,43 @@
 
 private:
   static constexpr std::int64_t kTickMillis = 5;
-  static constexpr std::int64_t kJoinRequestMillis = 400;
   static constexpr Millis kWriteRetry{ 50 };
   static constexpr std::size_t kStateBytes = 70000; // Needs two chunks.
 
-  // Delivers the join requests to the current leader, unless the connection is blocked.
+  // Join requests and their replies arrive at once, unless the connection is blocked.
   void sendJoinRequests()
   {
-    if (toMillis(mNow.time_since_epoch()) % kJoinRequestMillis != 0) {
+    for (auto& [id, schedule] : mJoiners) {
+      if (isUp(id) && mMachines[id].pausedUntil <= mNow) {
+        requestJoin(id, schedule, schedule.next(mNow, node(id).leader(), memberIds(id)));
+      }
+    }
+  }
+
+  void requestJoin(NodeId aFrom, JoinSchedule& aSchedule, NodeId aTo)
+  {
+    const bool isReached = aTo != kNoNode && isUp(aTo) && mMachines[aTo].pausedUntil <= mNow &&
+                           mBlockedLinks.count({ aFrom, aTo }) == 0;
+    if (!isReached) {
       return;
     }
-    for (const NodeId it : mJoiners) {
-      const NodeId to = leader();
-      if (isUp(it) && to != kNoNode && mBlockedLinks.count({ it, to }) == 0) {
-        step(to, JoinRequested{ it });
-      }
+    step(aTo, JoinRequested{ aFrom });
+    if (mBlockedLinks.count({ aTo, aFrom }) == 0) {
+      requestJoin(
+        aFrom, aSchedule,
+        aSchedule.onReply(aTo, node(aTo).leader(), memberIds(aTo), node(aFrom).leader()));
     }
   }
 
+  std::vector<NodeId> memberIds(NodeId aId)
+  {
+    std::vector<NodeId> out;
+    for (const auto& it : node(aId).membership().members) {
+      out.push_back(it.id);
+    }
+    return out;
+  }
+
   struct Machine
   {
     StoredState disk; ///< The persisted state.
@@ -497,7 +518,8 @@
 
   std::mt19937_64 mRandom;
   LogNodeConfig mConfig;
-  std::set<NodeId> mJoiners;
+  std::vector<NodeId> mInitialMembers;
+  std::map<NodeId, JoinSchedule> mJoiners;
   Faults mFaults;
   TimePoint mNow;
   std::map<NodeId, Machine> mMachines;
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -42,12 +42,6 @@
 // Interval at which records that could not be written to the audit trail are written again.
 constexpr Millis kAuditRetry{ 1000 };
 
-// A node that is not a member requests to join at once. A member does so if it has known no leader
-// for this time, because it may have been removed; see requestJoinIfNeeded().
-constexpr Millis kLeaderlessTimeout{ 1500 };
-constexpr Millis kJoinRequestInterval{ 400 };
-constexpr std::size_t kMaxKnownMembers = 16;
-
 // Only a node with an empty store may create a group. Its initial members are the configured seeds,
 // which are the same on all of them.
 std::vector<NodeId> initialMembers(const Settings& aSettings, const agreement::StoredState& aStored)
@@ -116,7 +110,7 @@
   , mLog(logConfig(aSettings, aStored), aStored, std::mt19937_64(mRandom()))
   , mLeader(aSettings.lease, mState.model(), std::make_unique<fleet::Planner>())
   , mAudit(std::move(aAudit))
-  , mKnownMembers(aSettings.knownMembers())
+  , mJoin(aSettings.id, aSettings.knownMembers())
 {
 }
 
@@ -175,7 +169,7 @@
   mLeader.setMembers(members);
   stepLeader(fleet::control::Tick{});
   expirePending();
-  requestJoinIfNeeded();
+  requestJoinIfNeeded(members);
   writeAudit({});
 }
 
@@ -202,35 +196,26 @@
            { { "members", list }, { "term", std::to_string(mLog.term()) } });
 }
 
-// A member that was removed while it was partitioned is not informed unless a leader sends to it,
-// so it also requests to join when it knows no leader.
-void ControlDuty::requestJoinIfNeeded()
+void ControlDuty::requestJoinIfNeeded(const std::vector<NodeId>& aMembers)
 {
-  const std::vector<NodeId> members = memberIds();
-  const bool isMember = std::find(members.begin(), members.end(), mSettings.id) != members.end();
-  if (mLog.leader() != kNoNode) {
-    mLeaderKnownAt = mNow;
-  }
-  const bool isDue = !isMember || mNow - mLeaderKnownAt >= kLeaderlessTimeout;
-  if (!mSettings.hasAddressIds() || !isDue || mNow < mNextJoinRequestAt) {
-    return;
-  }
-  mNextJoinRequestAt = mNow + kJoinRequestInterval;
-  NodeId to = mLog.leader();
-  if (to == kNoNode) {
-    to = mKnownMembers[mNextJoinMember++ % mKnownMembers.size()];
+  if (mSettings.hasAddressIds()) {
+    requestJoin(mJoin.next(mNow, mLog.leader(), aMembers));
   }
-  if (to == mSettings.id) {
+}
+
+void ControlDuty::requestJoin(NodeId aNode)
+{
+  if (aNode == kNoNode) {
     return;
   }
-  if (to != mJoinRequestedOf) {
-    mJoinRequestedOf = to;
+  if (aNode != mJoinRequestedOf) {
+    mJoinRequestedOf = aNode;
     logEvent(LogLevel::Info, "join_requested",
-             { { "node", std::to_string(to) },
-               { "is_leader", to == mLog.leader() ? "yes" : "unknown" },
+             { { "node", std::to_string(aNode) },
+               { "is_leader", aNode == mLog.leader() ? "yes" : "unknown" },
                { "term", std::to_string(mLog.term()) } });
   }
-  mRouter.send(to, transport::Lane::Control, wire::JoinRequest{});
+  mRouter.send(aNode, transport::Lane::Control, wire::JoinRequest{});
 }
 
 void ControlDuty::handle(ControlMessage aMessage)
@@ -248,8 +233,7 @@
   } else if (auto* request = std::get_if<OperatorRequest>(&aMessage)) {
     handleOperator(std::move(*request));
   } else if (const auto* changed = std::get_if<SeedsChanged>(&aMessage)) {
-    mKnownMembers.insert(mKnownMembers.begin(), changed->seeds.begin(), changed->seeds.end());
-    mKnownMembers.resize(std::min(mKnownMembers.size(), kMaxKnownMembers));
+    mJoin.addKnown(changed->seeds);
   } else if (auto* command = std::get_if<CommandRequest>(&aMessage)) {
     handleCommand(std::move(*command));
   } else if (const auto* document = std::get_if<DocumentRequest>(&aMessage)) {
@@ -270,16 +254,7 @@
     stepLog(agreement::JoinRequested{ aMessage.from });
     mRouter.reply(link, wire::JoinReply{ mLog.leader(), memberIds() });
   } else if (const auto* join = std::get_if<wire::JoinReply>(&aMessage.message)) {
-    for (const NodeId it : join->members) {
-      if (mKnownMembers.size() < kMaxKnownMembers &&
-          std::find(mKnownMembers.begin(), mKnownMembers.end(), it) == mKnownMembers.end()) {
-        mKnownMembers.push_back(it);
-      }
-    }
-    if (join->leaderHint != kNoNode && join->leaderHint != aMessage.from &&
-        join->leaderHint != mSettings.id && mLog.leader() == kNoNode) {
-      mRouter.send(join->leaderHint, transport::Lane::Control, wire::JoinRequest{});
-    }
+    requestJoin(mJoin.onReply(aMessage.from, join->leaderHint, join->members, mLog.leader()));
   } else if (const auto* renew = std::get_if<wire::LeaseRenew>(&aMessage.message)) {
     stepLeader(fleet::control::RenewArrived{ link, *renew });
   } else if (auto* submit = std::get_if<wire::CommandSubmit>(&aMessage.message)) {
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -16,6 +16,7 @@
 #include <QCborArray>
 #include <QCborValue>
 
+#include "agreement/JoinSchedule.h"
 #include "agreement/LogNode.h"
 #include "daemon/OperatorJson.h"
 #include "daemon/PeerRouter.h"
@@ -73,7 +74,8 @@
 
   void run();
   void tick();
-  void requestJoinIfNeeded();
+  void requestJoinIfNeeded(const std::vector<NodeId>& aMembers);
+  void requestJoin(NodeId aNode);
   void logMembershipIfChanged(const std::vector<NodeId>& aMembers);
   std::vector<NodeId> memberIds() const;
   void handle(ControlMessage aMessage);
@@ -146,12 +148,9 @@
   LogIndex mBacklogAfter = 0;             // Last index applied then.
   std::uint64_t mCounter = 0; // Last number used for a proposal, read or forwarded request.
   LogIndex mAppliedIndex = 0;
-  std::vector<NodeId> mKnownMembers; // Control daemons that may accept a JoinRequest.
-  std::size_t mNextJoinMember = 0;
-  TimePoint mNextJoinRequestAt;
+  agreement::JoinSchedule mJoin;
   NodeId mJoinRequestedOf = kNoNode;  // Named by the latest join_requested line.
   std::vector<NodeId> mLoggedMembers; // Named by the latest membership_changed line.
-  TimePoint mLeaderKnownAt;
   std::map<std::uint64_t, CommandCallback> mUnappendedProposals; // Proposals without a log index.
   std::map<LogIndex, PendingProposal> mProposals;
   std::map<std::uint64_t, ReadCallback> mReads;
