--- a/packages/agreement/testing/JoinTest.cc
+++ b/packages/agreement/testing/JoinTest.cc
@@ -80,6 +80,62 @@
   CHECK(group.violation().empty());
 }
 
+// Guards against a node that goes on asking a leader that is gone, so that it never becomes a voter
+// and the group later loses its quorum with fewer disks than it tolerates (CONFIG, RECOVER).
+TEST_CASE("nodes that replace the leader in turn become voters")
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    SimulatedGroup group(seed, 5, joinConfig());
+    group.run(Millis(1500));
+    for (const NodeId successor : { 6U, 7U, 8U }) {
+      const NodeId replaced = group.leader();
+      REQUIRE(replaced != kNoNode);
+      group.addJoiner(successor);
+      proposeEntries(group, 100);
+      group.crashPermanently(replaced);
+      proposeEntries(group, 1200);
+      REQUIRE(group.leader() != kNoNode);
+      CHECK(isVoter(group, successor));
+      CHECK_FALSE(isVoter(group, replaced));
+    }
+    // As many disks as a group of five tolerates.
+    const NodeId leader = group.leader();
+    int lost = 0;
+    for (NodeId id = 8; id >= 1 && lost < 2; --id) {
+      if (group.isUp(id) && id != leader) {
+        group.loseDisk(id);
+        group.restart(id);
+        ++lost;
+      }
+    }
+    group.crash(leader);
+    group.restart(leader);
+    proposeEntries(group, 600);
+    CHECK(group.leader() != kNoNode);
+    CHECK(group.violation().empty());
+  }
+}
+
+// Guards against requests that are sent to a leader that is gone for as long as the node isn't a
+// voter.
+TEST_CASE("a node that isn't a voter forgets a leader that is silent")
+{
+  LogNodeConfig config = joinConfig();
+  config.voters = 3;
+  SimulatedGroup group(11, 3, config);
+  group.addJoiner(4);
+  group.run(Millis(1500));
+  proposeEntries(group, 20);
+  const NodeId leader = group.leader();
+  REQUIRE(group.node(4).leader() == leader);
+  for (const NodeId id : { 1U, 2U, 3U }) {
+    group.blockLink(id, 4);
+  }
+  group.run(Millis(600));
+  CHECK(group.node(4).leader() == kNoNode);
+}
+
 TEST_CASE("random faults during membership changes violate no invariant")
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
