JoinSchedule: ask the present members, and follow one hint in an interval

A node remembered up to 16 nodes that had once been named to it, and no more, so after as many replacements it asked only nodes that may be gone; it didn't ask the members that its own log names; and two members that name each other as the leader were asked in turn as fast as the network carries it. Not seen by callers so far. The nodes of the latest reply now replace those of earlier ones.

--- a/packages/agreement/JoinSchedule.cc
+++ b/packages/agreement/JoinSchedule.cc
@@ -1,6 +1,7 @@
 #include "agreement/JoinSchedule.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace camphorcleat::agreement {
@@ -28,26 +29,35 @@
     return kNoNode;
   }
   mNextRequestAt = aNow + kJoinRequestInterval;
-  const NodeId to = aLeader != kNoNode ? aLeader : nextCandidate();
-  return to == mSelf ? kNoNode : to;
+  mMayFollowHint = true;
+  return aLeader != kNoNode && aLeader != mSelf ? aLeader : nextCandidate(aMembers);
 }
 
-NodeId JoinSchedule::nextCandidate()
+NodeId JoinSchedule::nextCandidate(const std::vector<NodeId>& aMembers)
 {
-  return mKnown.empty() ? kNoNode : mKnown[mNextCandidate++ % mKnown.size()];
+  std::vector<NodeId> candidates;
+  const std::array<const std::vector<NodeId>*, 3> lists = { &mKnown, &mReported, &aMembers };
+  for (const auto* list : lists) {
+    for (const NodeId it : *list) {
+      if (it != mSelf && std::find(candidates.begin(), candidates.end(), it) == candidates.end()) {
+        candidates.push_back(it);
+      }
+    }
+  }
+  return candidates.empty() ? kNoNode : candidates[mNextCandidate++ % candidates.size()];
 }
 
 NodeId JoinSchedule::onReply(NodeId aFrom, NodeId aLeaderHint, const std::vector<NodeId>& aReported,
                              NodeId aLeader)
 {
-  for (const NodeId it : aReported) {
-    if (mKnown.size() < kMaxKnownNodes &&
-        std::find(mKnown.begin(), mKnown.end(), it) == mKnown.end()) {
-      mKnown.push_back(it);
-    }
-  }
+  mReported = aReported;
+  mReported.resize(std::min(mReported.size(), kMaxKnownNodes));
   const bool isUseful = aLeaderHint != kNoNode && aLeaderHint != aFrom && aLeaderHint != mSelf;
-  return isUseful && aLeader == kNoNode ? aLeaderHint : kNoNode;
+  if (!isUseful || aLeader != kNoNode || !mMayFollowHint) {
+    return kNoNode;
+  }
+  mMayFollowHint = false;
+  return aLeaderHint;
 }
 
 } // namespace camphorcleat::agreement
--- a/packages/agreement/JoinSchedule.h
+++ b/packages/agreement/JoinSchedule.h
@@ -15,7 +15,7 @@
 
 namespace camphorcleat::agreement {
 
-/// Maximum number of nodes that are remembered besides the membership.
+/// Maximum number of nodes that are remembered from the settings, and from one reply.
 constexpr std::size_t kMaxKnownNodes = 16;
 constexpr Millis kJoinRequestInterval{ 400 };
 /// A member that has known no leader for this time requests to join, because it may have been
@@ -38,16 +38,19 @@
   NodeId next(TimePoint aNow, NodeId aLeader, const std::vector<NodeId>& aMembers);
 
   /// Handles a node's reply to a join request, with the leader and the membership that it knows.
-  /// Returns the node to send the request to at once, or kNoNode.
+  /// Returns the node to send the request to at once, or kNoNode. At most one hint is followed in
+  /// each interval, because members may name each other.
   NodeId onReply(NodeId aFrom, NodeId aLeaderHint, const std::vector<NodeId>& aReported,
                  NodeId aLeader);
 
 private:
-  NodeId nextCandidate();
+  NodeId nextCandidate(const std::vector<NodeId>& aMembers);
 
   NodeId mSelf;
   std::vector<NodeId> mKnown;
+  std::vector<NodeId> mReported; // By the latest reply.
   std::size_t mNextCandidate = 0;
+  bool mMayFollowHint = false;
   TimePoint mNextRequestAt;
   TimePoint mLeaderKnownAt;
 };
