--- a/packages/agreement/LogNodeElection.cc
+++ b/packages/agreement/LogNodeElection.cc
@@ -26,8 +26,8 @@
 void LogNode::startPreVote()
 {
   resetElectionTimer();
-  // Nodes that can't stand for election forget a silent leader as well. It may be gone for good, and
-  // they would go on sending it commands and join requests.
+  // Nodes that can't stand for election forget a silent leader as well. It may be gone for good,
+  // and they would go on sending it commands and join requests.
   mLeader = kNoNode;
   if (!isMember()) {
     return; // Not a voter, or the leader has not yet accepted the new store.
--- a/packages/agreement/testing/SimulatedGroup.h
+++ b/packages/agreement/testing/SimulatedGroup.h
@@ -258,9 +258,8 @@
     }
     step(aTo, JoinRequested{ aFrom });
     if (mBlockedLinks.count({ aTo, aFrom }) == 0) {
-      requestJoin(
-        aFrom, aSchedule,
-        aSchedule.onReply(aTo, node(aTo).leader(), memberIds(aTo), node(aFrom).leader()));
+      requestJoin(aFrom, aSchedule,
+                  aSchedule.onReply(aTo, node(aTo).leader(), memberIds(aTo), node(aFrom).leader()));
     }
   }
 
