A restarted daemon counts what its earlier process may have sent to a cold target

An earlier process sent at most one allowance in the window before that moment, so no second holds more than one. The time counts from the start of the process, not from the first heartbeat, so most of it has passed when the target is first known. A warm target is served at once.

OwnerDutyTest 'a cold target is rate limited even if its heartbeat arrived before the view' took a daemon that has just started; it now waits for 1.1 s first and demands the same 5 requests.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -60,6 +60,7 @@
   config.drainQueueTime = aSettings.targetDrain;
   config.refusesLate = aSettings.refusesLate;
   config.responseGrace = kResponseGrace;
+  config.processStart = Clock::now();
   return config;
 }
 
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -541,6 +541,9 @@
 
 using Fixture = FixtureOf<HeartbeatDialect>;
 
+// After this time, a cold target gets requests that don't add to those of an earlier process.
+constexpr Millis kEarlierProcessTime{ 1100 };
+
 } // namespace
 
 TEST_CASE("a request for a service that the target doesn't run is refused as not run")
@@ -734,6 +737,7 @@
   "a cold target is rate limited even if its heartbeat arrived before the view with its rate")
 {
   Fixture f;
+  std::this_thread::sleep_for(kEarlierProcessTime);
   f.exchangeHeartbeat(Millis(5000));
   f.publish(5);
   for (int i = 0; i < 60; ++i) {
@@ -742,6 +746,20 @@
   CHECK(f.target.accept(Millis(500)) == 5);
 }
 
+// Guards against more requests in a second than a cold target bears (FAILBACK): a restarted daemon
+// doesn't know what its earlier process sent.
+TEST_CASE("a daemon that has just started sends a cold target nothing for a second")
+{
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(5000));
+  for (int i = 0; i < 60; ++i) {
+    f.sendRequest("intake", "", 5);
+  }
+  CHECK(f.target.accept(Millis(500)) == 0);
+  CHECK(f.target.accept(Millis(1000)) == 5);
+}
+
 std::string responseTo(const std::string& aRequestId, const std::string& aBody)
 {
   const std::string name =
--- a/packages/traffic/AdmissionController.h
+++ b/packages/traffic/AdmissionController.h
@@ -27,8 +27,11 @@
     : AdmissionController(AdmissionLimit::Config())
   {
   }
-  explicit AdmissionController(const AdmissionLimit::Config& aConfig)
+  /// aProcessStart: see ColdStartRateLimit.
+  explicit AdmissionController(const AdmissionLimit::Config& aConfig,
+                               TimePoint aProcessStart = TimePoint())
     : mAdaptiveLimit(aConfig)
+    , mRateLimit(aProcessStart)
   {
   }
 
--- a/packages/traffic/ColdStartRateLimit.cc
+++ b/packages/traffic/ColdStartRateLimit.cc
@@ -55,7 +55,14 @@
 
 std::optional<TimePoint> ColdStartRateLimit::nextDispatch(TimePoint aNow) const
 {
-  if (!isCold(aNow) || mDispatches.size() < limit()) {
+  if (!isCold(aNow)) {
+    return std::nullopt;
+  }
+  const TimePoint earlierCounted = mProcessStart + kWindow;
+  if (aNow < earlierCounted && aNow < mReportedColdUntil) {
+    return std::min(earlierCounted, mReportedColdUntil);
+  }
+  if (mDispatches.size() < limit()) {
     return std::nullopt;
   }
   const TimePoint free = mDispatches[mDispatches.size() - limit()] + kWindow;
--- a/packages/traffic/ColdStartRateLimit.h
+++ b/packages/traffic/ColdStartRateLimit.h
@@ -2,7 +2,8 @@
 //
 // SlowStartLimit bounds the number of requests in flight at a cold target. This class is for
 // targets that announce a maximum rate instead. The daemon is the only sender of its target, so
-// counting its own dispatches is exact.
+// counting its own dispatches is exact, except for those of an earlier process of the daemon. It
+// may have sent as many as the target bears right before this process started.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_COLDSTARTRATELIMIT_H_
 #define CAMPHORCLEAT_TRAFFIC_COLDSTARTRATELIMIT_H_
@@ -19,12 +20,22 @@
 class ColdStartRateLimit
 {
 public:
+  /// aProcessStart is a time after which no earlier process of this daemon sent requests.
+  explicit ColdStartRateLimit(TimePoint aProcessStart = TimePoint())
+    : mProcessStart(aProcessStart)
+  {
+  }
+
   /// Sets the maximum number of requests in any second while the target is cold; 0 means no limit.
   void configure(double aRequestsPerSecond) { mRequestsPerSecond = aRequestsPerSecond; }
 
   /// Records a report of the target that it stays cold for aTime; zero means that it is warm. The
   /// report replaces the assumption that recordDispatch() makes about an idle target.
-  void report(TimePoint aNow, Duration aTime) { mColdUntil = aNow + aTime; }
+  void report(TimePoint aNow, Duration aTime)
+  {
+    mColdUntil = aNow + aTime;
+    mReportedColdUntil = mColdUntil;
+  }
 
   bool isCold(TimePoint aNow) const { return mRequestsPerSecond > 0 && aNow < mColdUntil; }
 
@@ -43,8 +54,10 @@
   std::size_t limit() const;
   bool wasIdle(TimePoint aNow) const;
 
+  TimePoint mProcessStart;
   double mRequestsPerSecond = 0;
-  TimePoint mColdUntil;
+  TimePoint mColdUntil; // Reported or assumed.
+  TimePoint mReportedColdUntil;
   TimePoint mLastDispatch;
   std::deque<TimePoint> mDispatches; // Of the last second, oldest first; at most kMaxDispatches.
 };
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -36,7 +36,7 @@
   : mConfig(aConfig)
   , mView(aView)
   , mQueue(aConfig.maxQueued)
-  , mAdmission(aConfig.admission)
+  , mAdmission(aConfig.admission, aConfig.processStart)
   , mTokens(aDrawer, aConfig.tokens)
   , mIdempotencyStore(aConfig.idempotency)
 {
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -47,6 +47,8 @@
   Millis minLease{ 150 };
   /// Whether requests are refused at once if no response is expected within their objective.
   bool refusesLate = false;
+  /// When this process of the daemon started. Until then an earlier one may have sent requests.
+  TimePoint processStart;
   AdmissionLimit::Config admission;
   TokenCache::Config tokens;
   IdempotencyStore::Config idempotency;
--- a/packages/traffic/testing/PriorityQueueTest.cc
+++ b/packages/traffic/testing/PriorityQueueTest.cc
@@ -157,6 +157,42 @@
   CHECK(starts.size() >= 60);
 }
 
+// Guards against more requests in a second than a cold target bears (FAILBACK): processes of the
+// daemon that follow each other don't know what the earlier ones sent.
+TEST_CASE("a cold target never gets more than its cold rate from a daemon that is restarted")
+{
+  std::vector<TimePoint> starts;
+  TimePoint now = kStart;
+  for (int process = 0; process < 6; ++process) {
+    ColdStartRateLimit rateLimit(now);
+    rateLimit.configure(20);
+    rateLimit.report(now, Millis(5000));
+    // Each process is killed right after it has sent what the target bears.
+    for (int sent = 0; sent < 20; now += Millis(3)) {
+      if (rateLimit.mayDispatch(now)) {
+        rateLimit.recordDispatch(now);
+        starts.push_back(now);
+        ++sent;
+      } else {
+        CHECK(rateLimit.nextDispatch(now) > now);
+      }
+    }
+  }
+  for (std::size_t i = 20; i < starts.size(); ++i) {
+    CHECK(starts[i] - starts[i - 20] >= Millis(1000));
+  }
+}
+
+TEST_CASE("a daemon that has just started sends a warm target requests at once")
+{
+  ColdStartRateLimit rateLimit(kStart);
+  rateLimit.configure(20);
+  rateLimit.report(kStart, Duration::zero());
+  CHECK(rateLimit.mayDispatch(kStart));
+  rateLimit.report(kStart, Millis(200));
+  CHECK(rateLimit.nextDispatch(kStart) == kStart + Millis(200));
+}
+
 TEST_CASE("a target that was idle is assumed to be cold until it reports that it is warm")
 {
   ColdStartRateLimit rateLimit;
