A response without a length is truncated if a write to its connection failed

Cause (shown by the test; the order of the calls is from reading): the system reports a reset to one call only. A pending write is completed before a pending read and takes the error; the read then sees a regular end of the stream, which completes a body without a length.

Change: such a body isn't complete if a write to its connection has failed. The outcome is unknown, as for other truncated responses. The cost: a server that ends its response regularly and then resets the rest of the upload may be reported as truncated, if both arrive at once; the two can't be told apart for sure.

--- a/packages/transport/HttpTargetExchange.cc
+++ b/packages/transport/HttpTargetExchange.cc
@@ -378,6 +378,13 @@
     return;
   }
   std::string data(mBodyBuffer.data(), mBodyBuffer.size() - mParser->get().body().size);
+  // The end of the connection says that the body is complete, unless the connection was reset. The
+  // system reports a reset to one call only. If a write got it, the read sees a regular end.
+  if (mParser->is_done() && mParser->need_eof() && mWriteFailed) {
+    reportFailure(true, ErrorCode::ResponseTruncated,
+                  "the connection failed before the end of a response without a length");
+    return;
+  }
   if (mParser->is_done()) {
     complete(std::move(data));
   } else if (data.empty()) {
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -26,7 +26,9 @@
   void onHead(unsigned aStatus, std::vector<wire::Header>, std::optional<std::uint64_t>) override
   {
     status = aStatus;
-    exchange->readMore();
+    if (readsAtOnce) {
+      exchange->readMore();
+    }
   }
   void onBody(std::string aData, bool aIsLast) override
   {
@@ -48,6 +50,7 @@
 
   std::shared_ptr<TargetExchange> exchange;
   std::string body;
+  bool readsAtOnce = true; ///< Otherwise the test asks for the response's body.
   std::string received;
   std::string message;
   std::atomic<unsigned> status{ 0 };
@@ -60,11 +63,13 @@
 
 struct ClientFixture
 {
-  explicit ClientFixture(const std::string& aAddress, std::size_t aMaxConnections = 100)
+  explicit ClientFixture(const std::string& aAddress, std::size_t aMaxConnections = 100,
+                         bool aAllowsCloseDelimited = false)
   {
     TargetClientConfig config;
     config.address = aAddress;
     config.maxConnections = aMaxConnections;
+    config.allowsCloseDelimited = aAllowsCloseDelimited;
     client = std::make_unique<TargetClient>(thread.context(), config);
     thread.start();
   }
@@ -75,10 +80,12 @@
 
   std::shared_ptr<RecordingTargetHandler> start(const std::string& aMethod,
                                                 const std::string& aBody = "",
-                                                Millis aTime = Millis(2000))
+                                                Millis aTime = Millis(2000),
+                                                bool aReadsAtOnce = true)
   {
     auto target = std::make_shared<RecordingTargetHandler>();
     target->body = aBody;
+    target->readsAtOnce = aReadsAtOnce;
     runOn(thread, [&] {
       target->exchange = client->start(TargetRequest{ aMethod, "/x", {}, aBody.size() }, target,
                                        Clock::now() + aTime);
@@ -408,6 +415,48 @@
   REQUIRE(target.connections() == 2);
 }
 
+// Guards against a part of a response that reaches the caller as complete (MIXED): a write that is
+// pending when the connection is reset takes the error, and the read after it sees a regular end.
+TEST_CASE("a response without a length is truncated if its connection is reset during the upload")
+{
+  const bool readsAtOnce = GENERATE(true, false);
+  CAPTURE(readsAtOnce);
+  std::atomic<bool> isReset{ false };
+  ScriptedServer target([&](BlockingSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 200 OK\r\n\r\npart");
+    std::this_thread::sleep_for(Millis(50)); // The upload fills the buffers of the connection.
+    aSocket.reset();
+    isReset = true;
+  });
+  ClientFixture client(target.address(), 100, true);
+  const auto response =
+    client.start("POST", std::string(32U << 20U, 'x'), Millis(5000), readsAtOnce);
+  if (!readsAtOnce) {
+    REQUIRE(waitFor([&] { return isReset && response->status == 200; }));
+    std::this_thread::sleep_for(Millis(50));
+    runOn(client.thread, [&] { response->exchange->readMore(); });
+  }
+  REQUIRE(waitFor([&] { return response->isDone(); }));
+  CHECK(response->ends == 0);
+  CHECK(response->code == ErrorCode::ResponseTruncated);
+  CHECK(response->mayHaveRun);
+}
+
+TEST_CASE("a response without a length that ends regularly during the upload is complete")
+{
+  ScriptedServer target([&](BlockingSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+    ::shutdown(aSocket.nativeHandle(), SHUT_WR);
+    aSocket.readAll();
+  });
+  ClientFixture client(target.address(), 100, true);
+  const auto response = client.run("POST", std::string(32U << 20U, 'x'), Millis(5000));
+  CHECK(response->ends == 1);
+  CHECK(response->received == "whole");
+}
+
 TEST_CASE("a body whose size differs from the announced length fails the exchange")
 {
   ScriptedServer target([](BlockingSocket& aSocket, int) { aSocket.readAll(); });
