A response with a status outside the range of HTTP is no response

Cause: the parser accepts any three digits, and nothing after it looked at their range. Change: a status outside 100 to 599 fails the exchange with an unknown outcome, so the caller gets 502, or another attempt if its request is idempotent.

Test: TargetClientTest 'a response with a status outside the range of HTTP fails the exchange', 000 to 999: fails without the change for each of 5 statuses, passes with it; transport_test passes whole.

--- a/packages/transport/HttpTargetExchange.cc
+++ b/packages/transport/HttpTargetExchange.cc
@@ -38,6 +38,12 @@
   return aStatus >= 100 && aStatus < 200 && aStatus != 101;
 }
 
+// RFC 9110, section 15: other status codes are invalid.
+bool isValidStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 bool isConnectionLoss(const boost::system::error_code& aEc)
 {
   return aEc == http::error::end_of_stream || aEc == http::error::partial_message ||
@@ -273,6 +279,11 @@
     return;
   }
   const unsigned status = mParser->get().result_int();
+  if (!isValidStatus(status)) {
+    reportFailure(true, ErrorCode::OutcomeUnknown,
+                  "target sent the invalid status " + std::to_string(status));
+    return;
+  }
   if (isInterim(status)) {
     if (++mInterimResponses > kMaxInterimResponses) {
       reportFailure(true, ErrorCode::OutcomeUnknown, "too many interim responses");
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -457,6 +457,25 @@
   CHECK(response->received == "whole");
 }
 
+// Guards against a response that isn't one (MIXED): a status outside the range of HTTP reached the
+// caller.
+TEST_CASE("a response with a status outside the range of HTTP fails the exchange")
+{
+  const std::string status = GENERATE("000", "001", "099", "600", "999");
+  CAPTURE(status);
+  ScriptedServer target([&](BlockingSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\nno");
+    aSocket.readAll();
+  });
+  ClientFixture client(target.address());
+  const auto response = client.run("GET");
+  CHECK(response->failures == 1);
+  CHECK(response->status == 0);
+  CHECK(response->code == ErrorCode::OutcomeUnknown);
+  CHECK(response->mayHaveRun);
+}
+
 TEST_CASE("a body whose size differs from the announced length fails the exchange")
 {
   ScriptedServer target([](BlockingSocket& aSocket, int) { aSocket.readAll(); });
