A learner takes the place of a voter whose process stops as planned

Change: a member that got BeginStop says so in its replies, and the leader lets a learner that has caught up take its place at once. A leader that stops does the same for itself before it transfers its leadership, because the next leader doesn't know the learner. Without a learner nothing changes, so a restart keeps its vote. The field is optional in AppendReply's encoding; a restarted process doesn't set it.

--- a/packages/agreement/LeaderState.h
+++ b/packages/agreement/LeaderState.h
@@ -38,6 +38,7 @@
   /// earlier round may be a late one from the previous store.
   std::uint64_t firstRound = 0;
   TimePoint lastReplyAt;
+  bool isStopping = false;   ///< The latest reply said that the member's process is about to end.
   TimePoint joinRequestedAt; ///< When a learner last sent a join request.
   SnapshotTransfer transfer;
 };
@@ -54,7 +55,8 @@
   /// during a transfer.
   NodeId transferTarget = kNoNode;
   bool isTransferSent = false;
-  TimePoint transferDeadline; ///< A transfer that has not succeeded by then is abandoned.
+  bool isStopTransferDone = false; ///< The transfer before the end of this process was started.
+  TimePoint transferDeadline;      ///< A transfer that has not succeeded by then is abandoned.
 };
 
 } // namespace camphorcleat::agreement
--- a/packages/agreement/LogEvents.h
+++ b/packages/agreement/LogEvents.h
@@ -105,8 +105,15 @@
 struct TransferRequested
 {};
 
-using Event = std::variant<Tick, MessageArrived, Propose, Persisted, PersistFailed, ReadRequested,
-                           SnapshotRequested, SnapshotTaken, JoinRequested, TransferRequested>;
+/// This node's process is about to end as planned. A learner that has caught up takes its place at
+/// once if it is a voter, so that the group isn't one voter short until the node counts as
+/// unresponsive. A leader transfers its leadership, after its replacement if there is one.
+struct StopRequested
+{};
+
+using Event =
+  std::variant<Tick, MessageArrived, Propose, Persisted, PersistFailed, ReadRequested,
+               SnapshotRequested, SnapshotTaken, JoinRequested, TransferRequested, StopRequested>;
 
 // Actions, which the embedder performs in the order given.
 
--- a/packages/agreement/LogNode.h
+++ b/packages/agreement/LogNode.h
@@ -90,6 +90,7 @@
   void handle(const SnapshotTaken& aTaken);
   void handle(const JoinRequested& aRequest);
   void handle(const TransferRequested& aRequest);
+  void handle(const StopRequested& aRequest);
   void start();
 
   // Messages.
@@ -158,9 +159,11 @@
   bool recordStoreIds();
   bool proposeNewStore();
   bool isCaughtUp(const MemberProgress& aMember) const;
+  bool isReplaceable(const wire::Member& aMember) const;
   void promoteLearner();
   void expireLearners();
   void advanceTransfer();
+  void advanceStop();
   void loseLeadership();
 
   LogNodeConfig mConfig;
@@ -170,6 +173,7 @@
   std::vector<Action> mActions;
   bool mIsStarted = false;
   bool mIsStorageFailing = false;
+  bool mIsStopping = false; ///< StopRequested was received.
 
   Role mRole = Role::Follower;
   Term mTerm;
--- a/packages/agreement/LogNodeConfig.h
+++ b/packages/agreement/LogNodeConfig.h
@@ -58,7 +58,8 @@
   /// number, a learner can only replace an unresponsive voter. 0: the set of voters is fixed,
   /// except for their stores.
   std::size_t voters = 0;
-  /// A voter that has not replied for this time may be replaced by a learner that has caught up.
+  /// A voter that has not replied for this time, or whose process is about to end, may be replaced
+  /// by a learner that has caught up.
   Millis replaceVoterAfter{ 3000 };
   Millis heartbeat{ 50 }; ///< Interval at which a leader starts heartbeat rounds.
   /// Election timeouts are drawn uniformly from this range. The lower bound is also the time for
--- a/packages/agreement/LogNodeFollower.cc
+++ b/packages/agreement/LogNodeFollower.cc
@@ -76,6 +76,7 @@
   wire::AppendReply reply;
   reply.term = mTerm;
   reply.store = mStore;
+  reply.isStopping = mIsStopping;
   // The leader counts the acknowledged round towards a quorum of this term. If this member lost
   // the term in a restart, it could vote for another leader of the same term. So the round is
   // acknowledged only if the term is persisted.
@@ -106,6 +107,7 @@
   reply.matchIndex = std::min(mMatchIndex, mPersist.persistedIndex());
   reply.round = mLastRound;
   reply.store = mStore;
+  reply.isStopping = mIsStopping;
   send(mLeader, reply);
 }
 
--- a/packages/agreement/LogNodeLeader.cc
+++ b/packages/agreement/LogNodeLeader.cc
@@ -88,6 +88,30 @@
   advanceTransfer();
 }
 
+void LogNode::handle(const StopRequested&)
+{
+  mIsStopping = true;
+  if (mRole == Role::Leader) {
+    advanceMembership();
+    advanceStop();
+  } else {
+    acknowledgeAppend(); // Tells the leader.
+  }
+}
+
+// Transfers the leadership of a node that is about to stop. The new leader may not know the learner
+// yet, so a replacement that has begun is completed first.
+void LogNode::advanceStop()
+{
+  const bool isBeingReplaced = mMembers.find(mConfig.self) == nullptr &&
+                               (mMembers.currentIndex() > mCommitIndex || mMembers.isUnconfirmed());
+  if (mIsStopping && mLeaderState->isEstablished && !isBeingReplaced &&
+      !mLeaderState->isStopTransferDone) {
+    mLeaderState->isStopTransferDone = true;
+    handle(TransferRequested{});
+  }
+}
+
 void LogNode::tickLeader()
 {
   if (!hasQuorumContact()) {
@@ -232,6 +256,7 @@
     return;
   }
   member.lastReplyAt = mNow;
+  member.isStopping = aReply.isStopping;
   member.ackedRound = std::max(member.ackedRound, aReply.round);
   if (aReply.isMatch) {
     recordMatch(member, aReply.matchIndex);
@@ -368,6 +393,7 @@
   }
   advanceReads();
   advanceMembership();
+  advanceStop();
   advanceTransfer();
 }
 
@@ -457,29 +483,39 @@
          aMember.matchIndex + kMaxCatchUpLag >= mLog.lastIndex();
 }
 
+// Whether a learner may take the place of a voter: its process is about to end, or it hasn't
+// replied for some time.
+bool LogNode::isReplaceable(const wire::Member& aMember) const
+{
+  if (aMember.id == mConfig.self) {
+    return mIsStopping;
+  }
+  const auto it = mLeaderState->members.find(aMember.id);
+  return it != mLeaderState->members.end() &&
+         (it->second.isStopping || mNow - it->second.lastReplyAt >= mConfig.replaceVoterAfter);
+}
+
 // Adding one voter needs no majority of the previous membership, because majorities of n and n + 1
 // members overlap. Replacing a voter does need one, which MembershipHistory ensures.
 void LogNode::promoteLearner()
 {
-  const auto learner = std::find_if(
-    mLeaderState->members.begin(), mLeaderState->members.end(), [this](const auto& aItem) {
-      return mMembers.find(aItem.first) == nullptr && isCaughtUp(aItem.second);
-    });
+  const auto learner = std::find_if(mLeaderState->members.begin(), mLeaderState->members.end(),
+                                    [this](const auto& aItem) {
+                                      return mMembers.find(aItem.first) == nullptr &&
+                                             !aItem.second.isStopping && isCaughtUp(aItem.second);
+                                    });
   if (mConfig.voters == 0 || learner == mLeaderState->members.end()) {
     return;
   }
   wire::Membership next = mMembers.current();
   if (next.members.size() >= mConfig.voters) {
-    const auto unresponsive =
-      std::find_if(next.members.begin(), next.members.end(), [this](const wire::Member& aMember) {
-        const auto it = mLeaderState->members.find(aMember.id);
-        return it != mLeaderState->members.end() &&
-               mNow - it->second.lastReplyAt >= mConfig.replaceVoterAfter;
-      });
-    if (unresponsive == next.members.end()) {
+    const auto replaceable =
+      std::find_if(next.members.begin(), next.members.end(),
+                   [this](const wire::Member& aMember) { return isReplaceable(aMember); });
+    if (replaceable == next.members.end()) {
       return;
     }
-    next.members.erase(unresponsive);
+    next.members.erase(replaceable);
   }
   next.members.push_back({ learner->first, learner->second.store });
   appendOwn(wire::EntryKind::Membership, encode(next));
--- a/packages/agreement/testing/JoinTest.cc
+++ b/packages/agreement/testing/JoinTest.cc
@@ -136,6 +136,103 @@
   CHECK(group.node(4).leader() == kNoNode);
 }
 
+// Guards against a group that is one voter short after a planned stop, although the node that takes
+// the place of the stopped one has caught up (CONFIG, RECOVER).
+TEST_CASE("a node that has caught up takes the place of a voter that stops at once")
+{
+  const bool isLeaderStopped = GENERATE(true, false);
+  CAPTURE(isLeaderStopped);
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    SimulatedGroup group(seed, 5, joinConfig());
+    group.run(Millis(1500));
+    group.addJoiner(6);
+    proposeEntries(group, 100);
+    const NodeId leader = group.leader();
+    const NodeId stopped = isLeaderStopped ? leader : leader % 5 + 1;
+    group.step(stopped, StopRequested{});
+    group.run(Millis(200));
+    group.crashPermanently(stopped);
+    int lost = 0;
+    for (NodeId id = 1; id <= 5 && lost < 2; ++id) {
+      if (group.isUp(id)) {
+        group.loseDisk(id);
+        ++lost;
+      }
+    }
+    proposeEntries(group, 600);
+    REQUIRE(group.leader() != kNoNode);
+    CHECK(isVoter(group, 6));
+    CHECK(group.violation().empty());
+  }
+}
+
+TEST_CASE("a voter that is restarted keeps its vote if no other node can take its place")
+{
+  SimulatedGroup group(12, 3, joinConfig());
+  group.run(Millis(1500));
+  const NodeId stopped = group.leader();
+  group.step(stopped, StopRequested{});
+  group.run(Millis(200));
+  CHECK(group.leader() != stopped);
+  group.crash(stopped);
+  group.restart(stopped);
+  proposeEntries(group, 300);
+  REQUIRE(group.leader() != kNoNode);
+  CHECK(isVoter(group, stopped));
+  CHECK(group.violation().empty());
+}
+
+TEST_CASE("planned stops and crashes of a group with spare nodes violate no invariant")
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    Faults faults;
+    faults.drop = 0.02;
+    faults.duplicate = 0.05;
+    faults.maxDelay = Millis(20);
+    SimulatedGroup group(seed, 3, joinConfig(), faults);
+    for (const NodeId id : { 4U, 5U, 6U, 7U }) {
+      group.addJoiner(id);
+    }
+    group.run(Millis(2500));
+    for (int turn = 0; turn < 200 && group.violation().empty(); ++turn) {
+      const NodeId id = static_cast<NodeId>(1 + group.random()() % 7);
+      if (group.isUp(id) && group.chance(0.2)) {
+        group.step(id, StopRequested{});
+        group.run(Millis(static_cast<Millis::rep>(group.random()() % 100)));
+        group.crash(id);
+      }
+      if (group.chance(0.1)) {
+        group.blockLink(id, static_cast<NodeId>(1 + group.random()() % 7));
+      }
+      if (group.chance(0.3)) {
+        group.unblockLinks();
+      }
+      for (NodeId it = 1; it <= 7; ++it) {
+        if (!group.isUp(it) && group.chance(0.4)) {
+          group.restart(it);
+        }
+      }
+      if (group.leader() != kNoNode) {
+        group.propose(group.leader());
+        group.read(group.leader());
+      }
+      group.run(Millis(20));
+    }
+    REQUIRE_THAT(group.violation(), Catch::Matchers::Equals(std::string()));
+    group.unblockLinks();
+    for (NodeId it = 1; it <= 7; ++it) {
+      if (!group.isUp(it)) {
+        group.restart(it);
+      }
+    }
+    group.setFaults(Faults());
+    proposeEntries(group, 800);
+    CHECK(group.leader() != kNoNode);
+  }
+}
+
 TEST_CASE("random faults during membership changes violate no invariant")
 {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/packages/daemon/ControlDuty.cc
+++ b/packages/daemon/ControlDuty.cc
@@ -198,7 +198,7 @@
 
 void ControlDuty::requestJoinIfNeeded(const std::vector<NodeId>& aMembers)
 {
-  if (mSettings.hasAddressIds()) {
+  if (mSettings.hasAddressIds() && !mIsStopping) {
     requestJoin(mJoin.next(mNow, mLog.leader(), aMembers));
   }
 }
@@ -241,7 +241,8 @@
   } else if (const auto* query = std::get_if<StatusRequest>(&aMessage)) {
     query->reply(status());
   } else if (std::holds_alternative<BeginStop>(aMessage)) {
-    stepLog(agreement::TransferRequested{});
+    mIsStopping = true;
+    stepLog(agreement::StopRequested{});
   }
 }
 
--- a/packages/daemon/ControlDuty.h
+++ b/packages/daemon/ControlDuty.h
@@ -149,6 +149,7 @@
   std::uint64_t mCounter = 0; // Last number used for a proposal, read or forwarded request.
   LogIndex mAppliedIndex = 0;
   agreement::JoinSchedule mJoin;
+  bool mIsStopping = false;           // BeginStop was received.
   NodeId mJoinRequestedOf = kNoNode;  // Named by the latest join_requested line.
   std::vector<NodeId> mLoggedMembers; // Named by the latest membership_changed line.
   std::map<std::uint64_t, CommandCallback> mUnappendedProposals; // Proposals without a log index.
--- a/packages/wire/LogMessages.h
+++ b/packages/wire/LogMessages.h
@@ -111,12 +111,13 @@
   LogIndex matchIndex = 0; ///< If isMatch, the last persisted index; otherwise the index to retry.
   std::uint64_t round = 0;
   StoreId store = 0;
+  bool isStopping = false; ///< The member's process is about to end.
   static constexpr auto fields()
   {
     return std::make_tuple(field("term", &AppendReply::term), field("match", &AppendReply::isMatch),
                            field("match_index", &AppendReply::matchIndex),
-                           field("round", &AppendReply::round),
-                           field("store", &AppendReply::store));
+                           field("round", &AppendReply::round), field("store", &AppendReply::store),
+                           field("stopping", &AppendReply::isStopping));
   }
 };
 
