Log the limit, the account's queue and the time at the owner with refusals and cancellations

No decision changes.

- request_refused: account_queued, awaits_tokens, limit, here_ms, link_age_ms
- request_cancelled: here_ms, link_age_ms; attempt_failed: sent_after_ms
- admission_limit_lowered: limit, cause (shed, latency), queued, running

--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -163,6 +163,7 @@
   head.isResend = mHead.isResend || aStart.isResend;
   head.awaitsBodyCredit = true;
   const TimePoint now = Clock::now();
+  attempt.sentAt = now;
   head.deadline = std::chrono::duration_cast<Millis>(mPlan.deadline - now);
   head.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
   // An objective of 0 means none, so one that has already passed is sent as 1 ms.
@@ -369,6 +370,7 @@
            { { "request", mHead.callerRequestId },
              { "attempt", std::to_string(number) },
              { "node", std::to_string(it->second.node) },
+             { "sent_after_ms", std::to_string(toMillis(it->second.sentAt - mStartedAt)) },
              { "code", std::string(enumName(aFailed.code)) },
              { "outcome", std::string(enumName(aFailed.outcome)) },
              { "reason", aFailed.message } });
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -128,6 +128,7 @@
     unsigned number = 0;
     transport::LinkId link = 0;
     NodeId node = kNoNode;
+    TimePoint sentAt;
     std::uint64_t nextBodyChunk = 0;
     std::uint64_t bodyCredit = 0;
     std::uint64_t nextResponseChunk = 0;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -446,10 +446,14 @@
     return;
   }
   const bool hasBegun = exchange->hasBegun();
-  logEvent(LogLevel::Info, "request_cancelled",
-           { { "request", exchange->head().callerRequestId },
-             { "started", hasBegun ? "yes" : "no" },
-             { "waited_ms", std::to_string(toMillis(exchange->waitingTime())) } });
+  const TimePoint now = Clock::now();
+  logEvent(
+    LogLevel::Info, "request_cancelled",
+    { { "request", exchange->head().callerRequestId },
+      { "started", hasBegun ? "yes" : "no" },
+      { "waited_ms", std::to_string(toMillis(exchange->waitingTime())) },
+      { "here_ms", std::to_string(toMillis(now - exchange->arrivedAt())) },
+      { "link_age_ms", std::to_string(toMillis(mTransitTimes.age(now, exchange->link()))) } });
   step(traffic::RequestCancelled{ aId });
   if (!hasBegun) {
     removeExchange(aId); // An exchange that has begun is removed by exchangeEnded().
@@ -593,6 +597,21 @@
   for (auto& it : mLogic.step(Clock::now(), aEvent)) {
     perform(it);
   }
+  logLimitDecrease();
+}
+
+void OwnerDuty::logLimitDecrease()
+{
+  const traffic::AdmissionLimit& limit = mLogic.adaptiveLimit();
+  if (limit.decreases() == mLoggedLimitDecreases) {
+    return;
+  }
+  mLoggedLimitDecreases = limit.decreases();
+  logEvent(LogLevel::Info, "admission_limit_lowered",
+           { { "limit", std::to_string(mLogic.limit(Clock::now())) },
+             { "cause", std::string(enumName(limit.lastDecreaseCause())) },
+             { "queued", std::to_string(mLogic.queuedCount()) },
+             { "running", std::to_string(mLogic.inFlightCount()) } });
 }
 
 void OwnerDuty::perform(traffic::OwnerAction& aAction)
@@ -653,17 +672,25 @@
   if (it == mExchanges.end()) {
     return;
   }
+  const OwnerExchange& exchange = *it->second;
+  const std::string& account = exchange.head().account;
+  const TimePoint now = Clock::now();
   mMetrics.countRefusal(aRefuse.code);
   logEvent(LogLevel::Info, "request_refused",
-           { { "request", it->second->head().callerRequestId },
+           { { "request", exchange.head().callerRequestId },
              { "code", std::string(enumName(aRefuse.code)) },
-             { "account", it->second->head().account },
-             { "partition", std::to_string(it->second->head().partition) },
+             { "account", account },
+             { "partition", std::to_string(exchange.head().partition) },
              { "queued", std::to_string(mLogic.queuedCount()) },
+             { "account_queued", std::to_string(mLogic.queuedCount(account)) },
+             { "awaits_tokens", mLogic.isAwaitingTokens(account) ? "yes" : "no" },
              { "running", std::to_string(mLogic.inFlightCount()) },
-             { "waited_ms", std::to_string(toMillis(it->second->waitingTime())) },
+             { "limit", std::to_string(mLogic.limit(now)) },
+             { "waited_ms", std::to_string(toMillis(exchange.waitingTime())) },
+             { "here_ms", std::to_string(toMillis(now - exchange.arrivedAt())) },
+             { "link_age_ms", std::to_string(toMillis(mTransitTimes.age(now, exchange.link()))) },
              { "revision", std::to_string(mView.state().revision) },
-             { "lease_left_ms", std::to_string(toMillis(mView.leaseValidUntil() - Clock::now())) },
+             { "lease_left_ms", std::to_string(toMillis(mView.leaseValidUntil() - now)) },
              { "reason", aRefuse.message } });
   mRouter.reply(it->second->link(),
                 wire::RequestFailed{ aRefuse.id, aRefuse.outcome, aRefuse.code, aRefuse.message,
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -150,6 +150,7 @@
   void handleTargetEnd();
 
   void step(const traffic::OwnerEvent& aEvent);
+  void logLimitDecrease();
   void perform(traffic::OwnerAction& aAction);
   void dispatch(const traffic::Dispatch& aDispatch);
   void refuse(const traffic::Refuse& aRefuse);
@@ -209,7 +210,8 @@
   std::map<fleet::ServicePartition, FencingToken> mStoppingPartitions; // Being handed over.
   TimePoint mNextLoadReport;
   TimePoint mTargetMayStartUntil; // An unresponsive target may start work until then.
-  std::uint64_t mSeenResets = 0;  // Connection losses of mClient that were passed to mLogic.
+  std::uint64_t mLoggedLimitDecreases = 0;
+  std::uint64_t mSeenResets = 0; // Connection losses of mClient that were passed to mLogic.
   std::atomic<std::size_t> mOpenRequests{ 0 };
 };
 
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -81,6 +81,8 @@
   Duration waitingTime() const { return mWaitingTime; }
   void setWaitingTime(Duration aTime) { mWaitingTime = aTime; }
 
+  TimePoint arrivedAt() const { return mArrivedAt; }
+
   /// Asks the entry for the body up to kFirstCreditBytes. Call when the request is accepted.
   void grantFirstCredit();
 
@@ -122,6 +124,7 @@
   OwnerExchangeHost& mHost;
   transport::LinkId mLink;
   Duration mWaitingTime{ 0 };
+  TimePoint mArrivedAt = Clock::now();
   wire::RequestHead mHead;
   std::shared_ptr<transport::TargetExchange> mTarget;
   bool mHasBegun = false;
--- a/packages/traffic/AdmissionController.h
+++ b/packages/traffic/AdmissionController.h
@@ -64,6 +64,8 @@
   /// Records that a request is sent.
   void recordDispatch(TimePoint aNow) { mRateLimit.recordDispatch(aNow); }
 
+  const AdmissionLimit& adaptiveLimit() const { return mAdaptiveLimit; }
+
   bool isReachable() const { return mReport.isReachable; }
   bool isDraining() const { return mReport.isDraining; }
 
--- a/packages/traffic/AdmissionLimit.cc
+++ b/packages/traffic/AdmissionLimit.cc
@@ -47,7 +47,7 @@
     mFloorSeconds.add(aNow, mSmoothedSeconds);
   }
   if (isAboveFloor(mConfig.latencyFactor)) {
-    decrease(aNow);
+    decrease(aNow, LimitDecreaseCause::Latency);
   } else if (aInFlight + 1 >= limit(aNow)) {
     // The limit grows only while it is fully used. Otherwise there is no evidence that the target
     // can serve more.
@@ -57,7 +57,7 @@
 
 void AdmissionLimit::shed(TimePoint aNow)
 {
-  decrease(aNow);
+  decrease(aNow, LimitDecreaseCause::Shed);
 }
 
 void AdmissionLimit::loadReported(TimePoint aNow, std::uint32_t aLimit)
@@ -88,12 +88,14 @@
          mSmoothedSeconds > aFactor * std::max(*floor, toSeconds(mConfig.minFloor));
 }
 
-void AdmissionLimit::decrease(TimePoint aNow)
+void AdmissionLimit::decrease(TimePoint aNow, LimitDecreaseCause aCause)
 {
   if (mDecreasedAt && aNow - *mDecreasedAt < mConfig.decreaseInterval) {
     return;
   }
   mDecreasedAt = aNow;
+  ++mDecreases;
+  mLastDecreaseCause = aCause;
   mLimit = std::max(mLimit * mConfig.decreaseFactor, 1.0);
 }
 
--- a/packages/traffic/AdmissionLimit.h
+++ b/packages/traffic/AdmissionLimit.h
@@ -10,13 +10,22 @@
 #ifndef CAMPHORCLEAT_TRAFFIC_ADMISSIONLIMIT_H_
 #define CAMPHORCLEAT_TRAFFIC_ADMISSIONLIMIT_H_
 
+#include <cstdint>
 #include <optional>
 
+#include "base/EnumNames.h"
 #include "base/Time.h"
 #include "traffic/WindowMinimum.h"
 
 namespace camphorcleat::traffic {
 
+/// Why an AdmissionLimit shrank.
+enum class LimitDecreaseCause
+{
+  Shed,   ///< The target shed a request.
+  Latency ///< The smoothed latency is far above its floor.
+};
+
 /// Not thread-safe.
 class AdmissionLimit
 {
@@ -72,8 +81,14 @@
   /// response.
   std::optional<Duration> minLatency() const;
 
+  /// Returns how often the limit has shrunk.
+  std::uint64_t decreases() const { return mDecreases; }
+
+  /// Returns why it shrank last. Requires decreases() > 0.
+  LimitDecreaseCause lastDecreaseCause() const { return mLastDecreaseCause; }
+
 private:
-  void decrease(TimePoint aNow);
+  void decrease(TimePoint aNow, LimitDecreaseCause aCause);
   bool isAboveFloor(double aFactor) const;
 
   Config mConfig;
@@ -82,6 +97,8 @@
   std::uint32_t mReportedLimit = 0;
   std::optional<TimePoint> mReportedAt;
   std::optional<TimePoint> mDecreasedAt;
+  std::uint64_t mDecreases = 0;
+  LimitDecreaseCause mLastDecreaseCause = LimitDecreaseCause::Shed;
   double mSmoothedSeconds = 0;
   unsigned mSamples = 0;       // Samples since the smoothed latency was reset.
   WindowMinimum mFloorSeconds; // Minimum of the smoothed latency.
@@ -90,4 +107,17 @@
 
 } // namespace camphorcleat::traffic
 
+namespace camphorcleat {
+
+template<>
+struct EnumNames<traffic::LimitDecreaseCause>
+{
+  static constexpr EnumName<traffic::LimitDecreaseCause> kTable[] = {
+    { traffic::LimitDecreaseCause::Shed, "shed" },
+    { traffic::LimitDecreaseCause::Latency, "latency" },
+  };
+};
+
+} // namespace camphorcleat
+
 #endif // CAMPHORCLEAT_TRAFFIC_ADMISSIONLIMIT_H_
--- a/packages/traffic/FairQueue.cc
+++ b/packages/traffic/FairQueue.cc
@@ -110,6 +110,12 @@
   }
 }
 
+bool FairQueue::isBlocked(const std::string& aAccount) const
+{
+  const auto it = mFlows.find(aAccount);
+  return it != mFlows.end() && it->second.isBlocked;
+}
+
 std::vector<RequestId> FairQueue::idsOf(const std::string& aAccount) const
 {
   std::vector<RequestId> out;
--- a/packages/traffic/FairQueue.h
+++ b/packages/traffic/FairQueue.h
@@ -73,6 +73,7 @@
   /// ends when the last request of the account leaves the queue.
   void block(const std::string& aAccount);
   void unblock(const std::string& aAccount);
+  bool isBlocked(const std::string& aAccount) const;
 
   /// Returns the ids of an account's waiting requests, oldest first.
   std::vector<RequestId> idsOf(const std::string& aAccount) const;
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -89,6 +89,13 @@
   std::size_t queuedCount() const { return mWaiting.size(); }
   std::size_t inFlightCount() const { return mRunning.size(); }
   std::uint32_t limit(TimePoint aNow) const { return mAdmission.limit(aNow); }
+  const AdmissionLimit& adaptiveLimit() const { return mAdmission.adaptiveLimit(); }
+
+  /// Returns the number of waiting requests of an account.
+  std::size_t queuedCount(const std::string& aAccount) const { return mQueue.sizeOf(aAccount); }
+
+  /// Returns whether the account's waiting requests are held back for lack of rate tokens.
+  bool isAwaitingTokens(const std::string& aAccount) const { return mQueue.isBlocked(aAccount); }
 
 private:
   struct Waiting
--- a/packages/traffic/PriorityQueue.cc
+++ b/packages/traffic/PriorityQueue.cc
@@ -103,6 +103,12 @@
   }
 }
 
+bool PriorityQueue::isBlocked(const std::string& aAccount) const
+{
+  return std::any_of(mLevels.begin(), mLevels.end(),
+                     [&](const auto& aLevel) { return aLevel.second.isBlocked(aAccount); });
+}
+
 std::vector<RequestId> PriorityQueue::idsOf(const std::string& aAccount) const
 {
   std::vector<RequestId> out;
--- a/packages/traffic/PriorityQueue.h
+++ b/packages/traffic/PriorityQueue.h
@@ -36,6 +36,8 @@
   std::optional<TimePoint> nextDeadline() const;
   void block(const std::string& aAccount);
   void unblock(const std::string& aAccount);
+  /// Returns whether requests of the account are blocked in any priority.
+  bool isBlocked(const std::string& aAccount) const;
   std::vector<RequestId> idsOf(const std::string& aAccount) const;
   std::size_t size() const { return mLevelOf.size(); }
   std::size_t sizeOf(const std::string& aAccount) const;
--- a/packages/traffic/TransitTimes.cc
+++ b/packages/traffic/TransitTimes.cc
@@ -9,7 +9,7 @@
 Duration TransitTimes::waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
                                    Duration aReceivedAt, Duration aMaxUnread)
 {
-  Link& link = mLinks[aLink];
+  Link& link = mLinks.try_emplace(aLink, Link{ aNow }).first->second;
   const double difference = toSeconds(aReceivedAt - aSentAt);
   link.smallest.add(aNow, difference);
   link.wasReadInTime = link.wasReadInTime || aMaxUnread == Duration::zero();
@@ -23,4 +23,10 @@
   return fromSeconds(difference - base);
 }
 
+Duration TransitTimes::age(TimePoint aNow, std::uint64_t aLink) const
+{
+  const auto it = mLinks.find(aLink);
+  return it == mLinks.end() ? Duration::zero() : aNow - it->second.firstAt;
+}
+
 } // namespace camphorcleat::traffic
--- a/packages/traffic/TransitTimes.h
+++ b/packages/traffic/TransitTimes.h
@@ -40,6 +40,9 @@
     waitingTime(aNow, aLink, aSentAt, aReceivedAt, aMaxUnread);
   }
 
+  /// Returns for how long messages of the link have been recorded; zero for an unknown link.
+  Duration age(TimePoint aNow, std::uint64_t aLink) const;
+
   /// Removes a link that was closed. A new link to the same address may lead to another VM.
   void removeLink(std::uint64_t aLink) { mLinks.erase(aLink); }
 
@@ -49,6 +52,7 @@
 
   struct Link
   {
+    TimePoint firstAt;
     WindowMinimum smallest{ kWindow }; ///< Smallest difference, in seconds.
     bool wasReadInTime = false;        ///< At least one message was.
     double floor = 0; ///< No difference without waiting is smaller, unless wasReadInTime.
