Bound how long a request has waited on a link that was dialed while the way was full

Cause (shown by a test; that it is the record's cause is inferred): TransitTimes takes the smallest difference of the clocks on a link as that of a message that didn't wait. If the link was dialed while the way to the owner was full, its Hello waited as well, and the requests behind it counted as fresh.

Change: a lower bound of the difference. The Hello was sent after the owner had answered the handshake, so the hub knows for how long it waited at most. Later, responses and refusals carry the owner's clock, and the entry says with each request what the owner's clock shows at least. A message is taken to have waited for as long as it may have. This replaces the bound for messages that the hub's thread read late, which it covers: the test for that case passes unchanged.

--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -24,7 +24,6 @@
   transport::LinkId link = 0;
   NodeId from = kNoNode;
   wire::PeerMessage message;
-  Duration maxUnread{ 0 }; ///< For how long a request may have waited to be read; see PeerHub.
 };
 
 /// A connection to a peer was opened by its Hello, which was sent and received at these times on
@@ -34,7 +33,7 @@
   transport::LinkId link = 0;
   Duration sentAt{ 0 };
   Duration receivedAt{ 0 };
-  Duration maxUnread{ 0 }; ///< For how long the Hello may have waited to be read.
+  Duration maxWait{ 0 }; ///< For how long the Hello may have waited.
 };
 
 /// A connection to a peer was closed. No more messages are sent or received on it.
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -229,6 +229,7 @@
     }
   };
   if (auto* head = std::get_if<wire::ResponseHead>(&aMessage.message)) {
+    recordOwnerClock(aMessage, head->sentAt);
     recordExpectedTime(*head);
     forward(*head);
   } else if (auto* chunk = std::get_if<wire::BodyChunk>(&aMessage.message)) {
@@ -236,10 +237,29 @@
   } else if (auto* credit = std::get_if<wire::Credit>(&aMessage.message)) {
     forward(*credit);
   } else if (auto* failed = std::get_if<wire::RequestFailed>(&aMessage.message)) {
+    recordOwnerClock(aMessage, failed->sentAt);
     forward(*failed);
   }
 }
 
+void EntryDuty::recordOwnerClock(const ReceivedMessage& aMessage, Micros aSentAt)
+{
+  if (aMessage.link != kLocalLink && aSentAt > Micros(0)) {
+    mClockLinks[aMessage.from] = aMessage.link;
+    mOwnerClocks.addSample(Clock::now(), aMessage.link, aSentAt, timeSinceBoot());
+  }
+}
+
+// Returns the least that an owner's clock shows now; zero if nothing was received from it.
+Micros EntryDuty::ownerClock(NodeId aNode) const
+{
+  const auto link = mClockLinks.find(aNode);
+  const auto clock = link == mClockLinks.end()
+                       ? std::nullopt
+                       : mOwnerClocks.senderClock(link->second, timeSinceBoot());
+  return clock ? std::chrono::duration_cast<Micros>(*clock) : Micros(0);
+}
+
 void EntryDuty::recordExpectedTime(const wire::ResponseHead& aHead)
 {
   const auto it = mAttempts.find(aHead.id);
@@ -252,6 +272,11 @@
 
 void EntryDuty::handleLinkLost(const LinkLost& aLost)
 {
+  mOwnerClocks.removeLink(aLost.link);
+  const auto clockLink = mClockLinks.find(aLost.peer);
+  if (clockLink != mClockLinks.end() && clockLink->second == aLost.link) {
+    mClockLinks.erase(clockLink);
+  }
   std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> lost;
   for (const auto& [id, running] : mAttempts) {
     if (running.exchange->linkOf(id) == aLost.link) {
@@ -492,6 +517,9 @@
 
 transport::SendResult EntryDuty::sendTo(NodeId aNode, wire::PeerMessage aMessage)
 {
+  if (auto* head = std::get_if<wire::RequestHead>(&aMessage)) {
+    head->ownerClock = ownerClock(aNode);
+  }
   return mRouter.send(aNode, transport::Lane::Data, std::move(aMessage));
 }
 
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -20,6 +20,7 @@
 #include "traffic/HedgePolicy.h"
 #include "traffic/PowerOfTwoPolicy.h"
 #include "traffic/RetryBudget.h"
+#include "traffic/TransitTimes.h"
 #include "transport/HttpFrontend.h"
 
 namespace camphorcleat::daemon {
@@ -104,6 +105,8 @@
   void handle(EntryMessage aMessage);
   void handlePeerMessage(ReceivedMessage aMessage);
   void recordExpectedTime(const wire::ResponseHead& aHead);
+  void recordOwnerClock(const ReceivedMessage& aMessage, Micros aSentAt);
+  Micros ownerClock(NodeId aNode) const;
   void logOpenExchanges() const;
   std::vector<std::shared_ptr<EntryExchange>> openExchanges() const;
   TimePoint withdrawalTime(TimePoint aEndsBy) const;
@@ -160,6 +163,8 @@
   std::vector<std::weak_ptr<EntryExchange>> mAwaitingView;
   std::size_t mMaxAwaitingView = kMinAwaitingView; // Finished ones are removed at this size.
   std::map<NodeId, NodeStats> mStats;
+  traffic::TransitTimes mOwnerClocks;              // By the links of the messages from owners.
+  std::map<NodeId, transport::LinkId> mClockLinks; // The latest such link of each owner.
 };
 
 } // namespace camphorcleat::daemon
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -64,6 +64,11 @@
   return config;
 }
 
+Micros microsSinceBoot()
+{
+  return std::chrono::duration_cast<Micros>(timeSinceBoot());
+}
+
 bool isServiceKnown(const HeartbeatTracker& aHeartbeats, const OwnerView& aView)
 {
   return aView.state().model->services().count(aHeartbeats.last().announcement.service) > 0;
@@ -187,8 +192,8 @@
   if (auto* peer = std::get_if<ReceivedMessage>(&aMessage)) {
     handlePeerMessage(std::move(*peer));
   } else if (const auto* opened = std::get_if<LinkOpened>(&aMessage)) {
-    mTransitTimes.addSample(Clock::now(), opened->link, opened->sentAt, opened->receivedAt,
-                            opened->maxUnread);
+    mTransitTimes.addOpening(Clock::now(), opened->link, opened->sentAt, opened->receivedAt,
+                             opened->maxWait);
   } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
@@ -209,7 +214,7 @@
 void OwnerDuty::handlePeerMessage(ReceivedMessage aMessage)
 {
   if (auto* head = std::get_if<wire::RequestHead>(&aMessage.message)) {
-    handleHead(aMessage.link, std::move(*head), aMessage.maxUnread);
+    handleHead(aMessage.link, std::move(*head));
   } else if (auto* chunk = std::get_if<wire::BodyChunk>(&aMessage.message)) {
     OwnerExchange* exchange = find(chunk->id);
     if (exchange != nullptr && !exchange->addBody(std::move(*chunk))) {
@@ -237,7 +242,7 @@
   }
 }
 
-void OwnerDuty::handleHead(transport::LinkId aLink, wire::RequestHead aHead, Duration aMaxUnread)
+void OwnerDuty::handleHead(transport::LinkId aLink, wire::RequestHead aHead)
 {
   if (mExchanges.count(aHead.id) > 0) {
     return; // A duplicate message, because request ids are unique.
@@ -257,7 +262,7 @@
                                               Millis(0), mView.state().revision });
     return;
   }
-  const Duration waited = waitingTime(aLink, aHead, aMaxUnread);
+  const Duration waited = waitingTime(aLink, aHead);
   const auto exchange = std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead));
   exchange->setWaitingTime(waited);
   mExchanges.emplace(id, exchange);
@@ -345,8 +350,7 @@
 }
 
 // Returns how long a request waited on its way from the entry.
-Duration OwnerDuty::waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead,
-                                Duration aMaxUnread)
+Duration OwnerDuty::waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead)
 {
   if (aHead.sentAt == Micros(0)) {
     return Duration::zero();
@@ -355,7 +359,7 @@
   if (aLink == kLocalLink) {
     return std::max<Duration>(receivedAt - aHead.sentAt, Duration::zero());
   }
-  return mTransitTimes.waitingTime(Clock::now(), aLink, aHead.sentAt, receivedAt, aMaxUnread);
+  return mTransitTimes.waitingTime(Clock::now(), aLink, aHead.sentAt, receivedAt, aHead.ownerClock);
 }
 
 bool OwnerDuty::isRateLimited(const std::string& aAccount) const
@@ -694,7 +698,8 @@
              { "reason", aRefuse.message } });
   mRouter.reply(it->second->link(),
                 wire::RequestFailed{ aRefuse.id, aRefuse.outcome, aRefuse.code, aRefuse.message,
-                                     aRefuse.retryAfter, mView.state().revision });
+                                     aRefuse.retryAfter, mView.state().revision,
+                                     microsSinceBoot() });
   removeExchange(aRefuse.id);
 }
 
@@ -750,8 +755,9 @@
     return;
   }
   const auto link = it->second->link();
-  mRouter.reply(link, wire::ResponseHead{ aReplay.id, aReplay.response.status,
-                                          aReplay.response.headers, expectedTime() });
+  mRouter.reply(link,
+                wire::ResponseHead{ aReplay.id, aReplay.response.status, aReplay.response.headers,
+                                    expectedTime(), microsSinceBoot() });
   wire::BodyChunk chunk;
   chunk.id = aReplay.id;
   chunk.direction = wire::Direction::ToCaller;
@@ -807,7 +813,7 @@
   if (aOutcome != wire::Outcome::Answered) {
     mMetrics.countRefusal(aCode);
     sendToEntry(aExchange, wire::RequestFailed{ id, aOutcome, aCode, std::move(aMessage), Millis(0),
-                                                mView.state().revision });
+                                                mView.state().revision, microsSinceBoot() });
   } else {
     mMetrics.countResponse();
   }
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -102,13 +102,12 @@
 
   void handle(OwnerMessage aMessage);
   void handlePeerMessage(ReceivedMessage aMessage);
-  void handleHead(transport::LinkId aLink, wire::RequestHead aHead, Duration aMaxUnread);
+  void handleHead(transport::LinkId aLink, wire::RequestHead aHead);
   void acceptRequest(OwnerExchange& aExchange, TimePoint aSentAt);
   PartitionId partitionOf(const wire::RequestHead& aHead) const;
   bool mayGetKey(const wire::RequestHead& aHead) const;
   void acceptAwaitingGrant();
-  Duration waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead,
-                       Duration aMaxUnread);
+  Duration waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead);
   bool isRateLimited(const std::string& aAccount) const;
   void handleTokenRequest(const ReceivedMessage& aFrom, const wire::TokenRequest& aRequest);
   traffic::HomeStart initialLevel(const std::string& aAccount, const wire::Account& aSettings,
--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -112,7 +112,8 @@
   if (mResponseKind == TargetResponseKind::Ran) {
     mResponseHeaders = aHeaders;
     mHost.sendToEntry(
-      *this, wire::ResponseHead{ mHead.id, aStatus, std::move(aHeaders), mHost.expectedTime() });
+      *this, wire::ResponseHead{ mHead.id, aStatus, std::move(aHeaders), mHost.expectedTime(),
+                                 std::chrono::duration_cast<Micros>(timeSinceBoot()) });
   }
   // A late copy of this response must not be taken for that to another sending on this connection.
   // It would be if the response doesn't name its request, or if the same request is sent again.
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -100,7 +100,8 @@
 {
   // Without this message, the first request on the link counts as one that hasn't waited.
   if (aLane == transport::Lane::Data) {
-    push<OwnerMessage>(&mRings.owner, LinkOpened{ aLink, aSentAt, aReceivedAt, maxUnread() });
+    const Duration maxWait = mHub == nullptr ? Duration::zero() : mHub->maxHelloWait();
+    push<OwnerMessage>(&mRings.owner, LinkOpened{ aLink, aSentAt, aReceivedAt, maxWait });
   }
 }
 
@@ -112,7 +113,7 @@
     request = head->id;
   }
   const bool isForEntry = std::visit(DutyOf{}, aMessage) == Duty::Entry;
-  if (dispatch({ aLink, aFrom, std::move(aMessage), maxUnread() })) {
+  if (dispatch({ aLink, aFrom, std::move(aMessage) })) {
     return;
   }
   if (request) {
@@ -123,11 +124,6 @@
   }
 }
 
-Duration PeerRouter::maxUnread() const
-{
-  return mHub == nullptr ? Duration::zero() : mHub->maxUnread();
-}
-
 void PeerRouter::refuseOverloaded(transport::LinkId aLink, const RequestId& aId)
 {
   wire::RequestFailed failed;
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -49,7 +49,6 @@
                   bool aIsNotRun) override;
 
 private:
-  Duration maxUnread() const;
   bool dispatch(ReceivedMessage aMessage);
   bool removeWaitingRequest(const RequestId& aId);
   void refuseOverloaded(transport::LinkId aLink, const RequestId& aId);
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -977,6 +977,42 @@
   ownerHub->stop(); // Before its handler is destroyed.
 }
 
+// Guards against work for callers that have left (GONE): a link was dialed while the way to the
+// owner was full, so its Hello waited on its way as long as the request behind it.
+TEST_CASE("the time that a request waited on its way together with the hello of its link is "
+          "subtracted")
+{
+  using transport::testing::BlockingSocket;
+  constexpr Millis kOnTheWay{ 1500 };
+  std::unique_ptr<transport::PeerHub> ownerHub; // Outlives the owner's thread, which replies on it.
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  ownerHub = std::make_unique<transport::PeerHub>(hubConfig(1), f.router);
+  REQUIRE(ownerHub->start());
+  f.router.setHub(ownerHub.get());
+
+  BlockingSocket entry(ownerHub->port());
+  entry.write(kDataLaneUpgrade);
+  REQUIRE(entry.readUntil("fleet").find("101") != std::string::npos);
+  wire::Hello hello{ 2, 1002, "fleet" };
+  hello.sentAt = std::chrono::duration_cast<Micros>(timeSinceBoot());
+  wire::RequestHead head;
+  head.id = { 2, 1 };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.deadline = Millis(1000);
+  head.routeRevision = 5;
+  head.sentAt = hello.sentAt;
+  std::this_thread::sleep_for(kOnTheWay);
+  entry.write(clientFrame(wire::encodePeerMessage(hello)) +
+              clientFrame(wire::encodePeerMessage(head)));
+  CHECK(f.target.accept(Millis(300)) == 0);
+  CHECK(entry.readUntil("deadline").find("deadline") != std::string::npos);
+  ownerHub->stop(); // Before its handler is destroyed.
+}
+
 // Guards against work for a caller that has left (GONE): the cancellation lies unread in the
 // socket, behind its request and more than one read.
 TEST_CASE("a request whose cancellation waits unread behind it isn't sent to the target")
--- a/packages/traffic/TransitTimes.cc
+++ b/packages/traffic/TransitTimes.cc
@@ -6,21 +6,41 @@
 
 namespace camphorcleat::traffic {
 
+void TransitTimes::addOpening(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
+                              Duration aReceivedAt, Duration aMaxWait)
+{
+  Link& link = linkOf(aNow, aLink);
+  const double difference = toSeconds(aReceivedAt - aSentAt);
+  link.smallest.add(aNow, difference);
+  link.minusBound.add(aNow, toSeconds(aMaxWait) - difference);
+}
+
+void TransitTimes::addSample(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
+                             Duration aReceivedAt)
+{
+  linkOf(aNow, aLink).smallest.add(aNow, toSeconds(aReceivedAt - aSentAt));
+}
+
 Duration TransitTimes::waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
-                                   Duration aReceivedAt, Duration aMaxUnread)
+                                   Duration aReceivedAt, Duration aReceiverClock)
 {
-  Link& link = mLinks.try_emplace(aLink, Link{ aNow }).first->second;
+  Link& link = linkOf(aNow, aLink);
   const double difference = toSeconds(aReceivedAt - aSentAt);
   link.smallest.add(aNow, difference);
-  link.wasReadInTime = link.wasReadInTime || aMaxUnread == Duration::zero();
-  double base = *link.smallest.value();
-  if (!link.wasReadInTime) {
-    const double floor = difference - toSeconds(aMaxUnread);
-    link.floor = link.hasFloor ? std::max(link.floor, floor) : floor;
-    link.hasFloor = true;
-    base = std::min(base, link.floor);
+  if (aReceiverClock != Duration::zero()) {
+    link.minusBound.add(aNow, toSeconds(aSentAt - aReceiverClock));
   }
-  return fromSeconds(difference - base);
+  const double smallest = *link.smallest.value();
+  const auto minusBound = link.minusBound.value();
+  return fromSeconds(difference - (minusBound ? std::min(smallest, -*minusBound) : smallest));
+}
+
+std::optional<Duration> TransitTimes::senderClock(std::uint64_t aLink,
+                                                  Duration aReceiverClock) const
+{
+  const auto it = mLinks.find(aLink);
+  const auto smallest = it == mLinks.end() ? std::nullopt : it->second.smallest.value();
+  return smallest ? std::make_optional(aReceiverClock - fromSeconds(*smallest)) : std::nullopt;
 }
 
 Duration TransitTimes::age(TimePoint aNow, std::uint64_t aLink) const
@@ -29,4 +49,9 @@
   return it == mLinks.end() ? Duration::zero() : aNow - it->second.firstAt;
 }
 
+TransitTimes::Link& TransitTimes::linkOf(TimePoint aNow, std::uint64_t aLink)
+{
+  return mLinks.try_emplace(aLink, Link{ aNow }).first->second;
+}
+
 } // namespace camphorcleat::traffic
--- a/packages/traffic/TransitTimes.h
+++ b/packages/traffic/TransitTimes.h
@@ -1,21 +1,22 @@
 // Estimates how long messages waited between two VMs whose clocks have no common origin.
 //
 // The difference between the receiver's clock at the arrival and the sender's clock at the sending
-// is the offset of the clocks plus the time in transit. Its recent minimum on a link belongs to a
-// message that hardly waited, so the excess over this minimum is the time for which a message
-// waited in buffers, or for a processor. The sample taken when a link opens covers the messages
-// that waited for that: without it, the first one would be its own minimum.
+// is the offset of the clocks plus the time in transit. Its recent minimum on a link belongs to the
+// message that waited least, so the excess over this minimum is the least time for which a message
+// waited in buffers, or for a processor.
 //
-// If all messages of a link so far were read by a thread that was late, the minimum may have waited
-// as well, but no longer than that thread was late. Until a message is read in time, all of them
-// are taken to have waited as long as they may have: a request that runs for a caller that has left
-// is worse than one that is refused.
+// All messages of a link so far may have waited, for example if it was opened while the way was
+// full. A lower bound of the offset shows for how long: it follows from any message that the sender
+// got from the receiver before, since the receiver's clock has advanced since then. If such a bound
+// is known, a message is taken to have waited for as long as it may have: a request that runs for a
+// caller that has left is worse than one that is refused.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_TRANSITTIMES_H_
 #define CAMPHORCLEAT_TRAFFIC_TRANSITTIMES_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "traffic/WindowMinimum.h"
 
@@ -25,20 +26,24 @@
 class TransitTimes
 {
 public:
-  /// Returns the waiting time of a message, and records the message for later ones. aSentAt is on
-  /// the sender's clock, aReceivedAt on the receiver's. Both clocks must include suspensions, which
-  /// would otherwise look like waiting. aMaxUnread is for how long the message may have waited to
-  /// be read; zero if it was read in time. The first message of a link without a sample has no
-  /// other waiting time.
+  /// Records the message that opens a link, which waited for at most aMaxWait. aSentAt is on the
+  /// sender's clock, aReceivedAt on the receiver's. Both clocks must include suspensions, which
+  /// would otherwise look like waiting.
+  void addOpening(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt,
+                  Duration aMaxWait);
+
+  /// Records a message whose waiting time isn't needed.
+  void addSample(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt);
+
+  /// Returns the waiting time of a message, and records the message for later ones.
+  /// aReceiverClock: the receiver's clock showed at least this when the message was sent; zero if
+  /// that isn't known. The first message of a link has no waiting time if nothing else is known.
   Duration waitingTime(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt,
-                       Duration aMaxUnread);
+                       Duration aReceiverClock);
 
-  /// Records a message whose waiting time isn't needed, such as the one that opens a link.
-  void addSample(TimePoint aNow, std::uint64_t aLink, Duration aSentAt, Duration aReceivedAt,
-                 Duration aMaxUnread)
-  {
-    waitingTime(aNow, aLink, aSentAt, aReceivedAt, aMaxUnread);
-  }
+  /// Returns the least that the sender's clock shows when the receiver's shows aReceiverClock, or
+  /// nothing if no message of the link was recorded.
+  std::optional<Duration> senderClock(std::uint64_t aLink, Duration aReceiverClock) const;
 
   /// Returns for how long messages of the link have been recorded; zero for an unknown link.
   Duration age(TimePoint aNow, std::uint64_t aLink) const;
@@ -54,11 +59,12 @@
   {
     TimePoint firstAt;
     WindowMinimum smallest{ kWindow }; ///< Smallest difference, in seconds.
-    bool wasReadInTime = false;        ///< At least one message was.
-    double floor = 0; ///< No difference without waiting is smaller, unless wasReadInTime.
-    bool hasFloor = false;
+    /// Negative of the largest lower bound of the difference of a message that doesn't wait.
+    WindowMinimum minusBound{ kWindow };
   };
 
+  Link& linkOf(TimePoint aNow, std::uint64_t aLink);
+
   std::map<std::uint64_t, Link> mLinks;
 };
 
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -99,7 +99,7 @@
   PeerClient client;
   Ticker ticker;
   LoopDelay loopDelay;
-  Duration maxUnread{ 0 }; // Of the message that the handler is called with.
+  Duration maxHelloWait{ 0 }; // Of the link that the handler is told of.
   // Accessed on the hub's thread only. At most two entries per node.
   std::map<PeerLinkTable::Key, PeerHistory> histories;
   unsigned short port = 0;
@@ -171,6 +171,7 @@
       return;
     }
     socket->set_validate_handler([this, link](const websocketpp::connection_hdl&) {
+      link->setUpSince = Clock::now();
       const auto lane = link->isLost ? std::nullopt : laneFromPath(link->socket->get_resource());
       if (lane) {
         links.setLane(*link, *lane);
@@ -209,6 +210,7 @@
       return;
     }
     configureSocket(aLink, socket);
+    aLink->setUpSince = Clock::now();
     socket->set_tcp_post_init_handler([aLink](const websocketpp::connection_hdl&) {
       if (aLink->socket) {
         setNoDelay(*aLink->socket);
@@ -361,11 +363,9 @@
   void deliverOrHold(const LinkPtr& aLink, wire::PeerMessage aMessage)
   {
     const TimePoint now = Clock::now();
-    const Duration unread = loopDelay.maxUnread(now);
-    const bool isLateRequest =
-      std::holds_alternative<wire::RequestHead>(aMessage) && unread > Duration::zero();
+    const bool isLateRequest = std::holds_alternative<wire::RequestHead>(aMessage) &&
+                               loopDelay.maxUnread(now) > Duration::zero();
     if (aLink->held.empty() && !isLateRequest) {
-      maxUnread = unread;
       handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(aMessage));
       return;
     }
@@ -376,7 +376,7 @@
     if (aLink->held.empty()) {
       thread.post([this, aLink] { releaseHeld(aLink, false); });
     }
-    aLink->held.push_back({ std::move(aMessage), now, unread });
+    aLink->held.push_back({ std::move(aMessage), now });
   }
 
   // Removes a request that is held. The receiver ignores parts of its body.
@@ -409,7 +409,6 @@
       return;
     }
     for (auto& it : std::exchange(aLink->held, {})) {
-      maxUnread = it.maxUnread + (Clock::now() - it.readAt);
       handler.onMessage(aLink->id, aLink->peer, aLink->lane, std::move(it.message));
     }
   }
@@ -431,7 +430,7 @@
         histories[{ aLink->peer, aLink->lane }].dialDelay = Millis(0);
       }
       const bool hasQueued = links.markOpen(*aLink, aHello.node);
-      maxUnread = loopDelay.maxUnread(Clock::now());
+      maxHelloWait = Clock::now() - aLink->setUpSince;
       handler.onLinkOpened(aLink->id, aLink->lane, aHello.sentAt, timeSinceBoot());
       if (hasQueued) {
         flush(aLink);
@@ -778,9 +777,9 @@
   return out;
 }
 
-Duration PeerHub::maxUnread() const
+Duration PeerHub::maxHelloWait() const
 {
-  return mImpl->maxUnread;
+  return mImpl->maxHelloWait;
 }
 
 std::uint64_t PeerHub::sentBytes(std::size_t aMessageIndex) const
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -163,10 +163,9 @@
   std::vector<SendStatus> replyAll(const std::vector<LinkId>& aLinks,
                                    const wire::PeerMessage& aMessage);
 
-  /// Returns for how long the message that the handler is called with may have waited in this
-  /// process or unread in its socket. It is zero unless the hub's thread is or was late. Only in
-  /// calls of the handler.
-  Duration maxUnread() const;
+  /// Returns for how long the Hello of a link may have waited, on its way or unread: the time since
+  /// this side sent what the peer had to receive first. Only in calls of onLinkOpened().
+  Duration maxHelloWait() const;
 
   /// Returns the bytes of the messages passed to the methods above, except those that are TooLarge,
   /// for one alternative of wire::PeerMessage. aMessageIndex is its index in the variant.
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -48,7 +48,6 @@
 {
   wire::PeerMessage message;
   TimePoint readAt;
-  Duration maxUnread{ 0 }; ///< For how long it may have waited unread until readAt.
 };
 
 /// One link: its state, its queue and, while there is one, its connection.
@@ -77,6 +76,8 @@
   // Accessed on the hub's thread only.
   std::shared_ptr<PeerSocket> socket;
   TimePoint handshakeDeadline = TimePoint::max();
+  /// When it was dialed, or when its handshake was received: the peer's Hello was sent later.
+  TimePoint setUpSince;
   TimePoint stableSince; ///< When the link opened or its time limits were last halved.
   TimePoint lastSent;
   TimePoint lastPing;
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -251,6 +251,9 @@
   /// Whether the entry sends more than the beginning of the body only with credit. Earlier versions
   /// sent the first 64 KiB at once.
   bool awaitsBodyCredit = false;
+  /// The clock of the owner's VM since its boot showed at least this when the message was sent; 0:
+  /// unknown.
+  Micros ownerClock{ 0 };
   static constexpr auto fields()
   {
     return std::make_tuple(
@@ -269,7 +272,8 @@
       field("caller_request_id", &RequestHead::callerRequestId),
       field("route_revision", &RequestHead::routeRevision),
       field("sent_at_us", &RequestHead::sentAt),
-      field("awaits_body_credit", &RequestHead::awaitsBodyCredit));
+      field("awaits_body_credit", &RequestHead::awaitsBodyCredit),
+      field("owner_clock_us", &RequestHead::ownerClock));
   }
 };
 
@@ -280,11 +284,13 @@
   std::uint32_t status = 0;
   std::vector<Header> headers;
   Micros expectedTime{ 0 }; ///< Expected queueing and run time of a next request; 0: unknown.
+  Micros sentAt{ 0 };       ///< On the clock of the owner's VM since its boot; 0: unknown.
   static constexpr auto fields()
   {
     return std::make_tuple(field("id", &ResponseHead::id), field("status", &ResponseHead::status),
                            field("headers", &ResponseHead::headers),
-                           field("expected_us", &ResponseHead::expectedTime));
+                           field("expected_us", &ResponseHead::expectedTime),
+                           field("sent_at_us", &ResponseHead::sentAt));
   }
 };
 
@@ -344,13 +350,14 @@
   std::string message;
   Millis retryAfter{ 0 };
   Revision revision = 0; ///< For NotOwner: the applied revision of the refusing daemon.
+  Micros sentAt{ 0 };    ///< On the clock of the owner's VM since its boot; 0: unknown.
   static constexpr auto fields()
   {
     return std::make_tuple(
       field("id", &RequestFailed::id), field("outcome", &RequestFailed::outcome),
       field("code", &RequestFailed::code), field("message", &RequestFailed::message),
       field("retry_after_ms", &RequestFailed::retryAfter),
-      field("revision", &RequestFailed::revision));
+      field("revision", &RequestFailed::revision), field("sent_at_us", &RequestFailed::sentAt));
   }
 };
 
