An owner asks for no more bodies at a time than its link carries in 200 ms

Cause: each accepted request was sent 64 KiB, and 256 KiB once its target read, whatever the link carries. 28 uploads (18 slots and a short queue) are 1.7 MB, over three seconds of a link of 4.2 Mbit/s, and calls, cancellations, pings and Hellos wait in that queue. The class: work that is sent before it is wanted takes the way of the message that would stop it.

Change: BodyCredit grants the bodies of all requests in the order in which they ask, within 200 ms of the link's bandwidth (limits/link_mbps, which the platform states; 0: no limit, as before). An owner asks for no more than the length of a body.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -53,6 +53,15 @@
 // Shorter than the 10 s after which targets may close idle connections.
 constexpr Millis kTargetIdleTimeout{ 5000 };
 
+// Request bodies on their way to this VM may take its link for this time.
+constexpr Millis kBodyWindowTime{ 200 };
+
+std::uint64_t bodyWindow(const Settings& aSettings)
+{
+  return static_cast<std::uint64_t>(static_cast<double>(aSettings.linkBytesPerSecond) *
+                                    toSeconds(kBodyWindowTime));
+}
+
 traffic::OwnerConfig ownerConfig(const Settings& aSettings)
 {
   traffic::OwnerConfig config;
@@ -96,6 +105,7 @@
   , mProcessIncarnation(newIncarnation(mRandom))
   , mLogic(ownerConfig(aSettings), mView, mProcessIncarnation)
   , mRateHome(mRandom())
+  , mBodyCredit(bodyWindow(aSettings))
   , mHeartbeatGrants(aSettings.maxHold)
   , mTimer(mThread.context())
   , mLoopDelay(kMaxTickInterval)
@@ -299,7 +309,7 @@
   event.isResend = head.isResend;
   step(event);
   if (OwnerExchange* accepted = find(event.id)) { // Removed if the request was refused.
-    accepted->grantFirstCredit();
+    accepted->askForFirstBytes();
   }
 }
 
@@ -834,6 +844,27 @@
   }
 }
 
+void OwnerDuty::askForBody(OwnerExchange& aExchange, std::uint64_t aBytes)
+{
+  mBodyCredit.ask(aExchange.head().id, aBytes);
+  sendBodyCredit();
+}
+
+void OwnerDuty::bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes)
+{
+  mBodyCredit.received(Clock::now(), aExchange.head().id, aBytes);
+  sendBodyCredit();
+}
+
+void OwnerDuty::sendBodyCredit()
+{
+  for (const auto& it : mBodyCredit.take(Clock::now())) {
+    if (OwnerExchange* exchange = find(it.id)) {
+      sendToEntry(*exchange, wire::Credit{ it.id, wire::Direction::ToTarget, it.bytes });
+    }
+  }
+}
+
 Micros OwnerDuty::expectedTime()
 {
   return std::chrono::duration_cast<Micros>(mLogic.expectedTime(Clock::now()));
@@ -1256,6 +1287,8 @@
 {
   mExchanges.erase(aId);
   mOpenRequests = mExchanges.size();
+  mBodyCredit.remove(aId);
+  sendBodyCredit();
 }
 
 // Reports the load to the agent, which sends it with the next lease renewal.
@@ -1323,6 +1356,7 @@
     sendOrders();
     releaseGrants();
     acceptAwaitingGrant();
+    sendBodyCredit();
     reportLoad();
     scheduleTick();
   });
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -32,6 +32,7 @@
 #include "daemon/TargetOrders.h"
 #include "daemon/TargetWatch.h"
 #include "fleet/HeartbeatGrants.h"
+#include "traffic/BodyCredit.h"
 #include "traffic/OwnerLogic.h"
 #include "traffic/RateHome.h"
 #include "traffic/TransitTimes.h"
@@ -74,6 +75,8 @@
   void exchangeEnded(OwnerExchange& aExchange, wire::Outcome aOutcome, ErrorCode aCode,
                      std::string aMessage,
                      std::optional<traffic::StoredResponse> aResponse) override;
+  void askForBody(OwnerExchange& aExchange, std::uint64_t aBytes) override;
+  void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes) override;
   void sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage) override;
   Micros expectedTime() override;
 
@@ -150,6 +153,7 @@
 
   void step(const traffic::OwnerEvent& aEvent);
   void logLimitDecrease();
+  void sendBodyCredit();
   void perform(traffic::OwnerAction& aAction);
   void dispatch(const traffic::Dispatch& aDispatch);
   void refuse(const traffic::Refuse& aRefuse);
@@ -176,6 +180,7 @@
   Incarnation mProcessIncarnation; // Identifies this process in requests for rate tokens.
   traffic::OwnerLogic mLogic;
   traffic::RateHome mRateHome;
+  traffic::BodyCredit mBodyCredit;
   traffic::TransitTimes mTransitTimes;
   std::map<std::string, AccountHome> mHomes; // Keyed by account.
   std::set<std::string> mKnownAccounts;      // All accounts when mHomes was updated.
--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -15,13 +15,12 @@
 {
 }
 
-void OwnerExchange::grantFirstCredit()
+void OwnerExchange::askForFirstBytes()
 {
-  const bool hasMore =
-    mHead.hasBody && mHead.contentLength.value_or(kWindowBytes) > kUnsolicitedBytes;
-  if (hasMore && mHead.awaitsBodyCredit) {
-    mHost.sendToEntry(*this, wire::Credit{ mHead.id, wire::Direction::ToTarget,
-                                           kFirstCreditBytes - kUnsolicitedBytes });
+  const std::uint64_t wanted =
+    std::min(kFirstCreditBytes, mHead.contentLength.value_or(kFirstCreditBytes));
+  if (mHead.hasBody && mHead.awaitsBodyCredit && wanted > kUnsolicitedBytes) {
+    mHost.askForBody(*this, wanted - kUnsolicitedBytes);
   }
 }
 
@@ -30,9 +29,13 @@
   mReceivedBytes += aChunk.data.size();
   const bool isInOrder = mHead.hasBody && aChunk.sequence == mNextBodyChunk;
   const bool hasCorrectTotal = !aChunk.isLast || aChunk.totalBytes == mReceivedBytes;
-  if (!isInOrder || !hasCorrectTotal || mReceivedBytes > mCreditedBytes) {
+  if (!isInOrder || !hasCorrectTotal || mReceivedBytes > mAskedBytes) {
     return false;
   }
+  const bool wasUnsolicited = aChunk.sequence == 0;
+  if (!wasUnsolicited) {
+    mHost.bodyReceived(*this, aChunk.data.size());
+  }
   ++mNextBodyChunk;
   mBodyChunks.push_back(std::move(aChunk));
   if (mIsTargetWaiting) {
@@ -85,13 +88,15 @@
   mIsTargetWaiting = false;
   wire::BodyChunk chunk = std::move(mBodyChunks.front());
   mBodyChunks.pop_front();
-  // Grants credit up to one window beyond the received bytes. The first grant raises the initial
-  // credit to the full window.
-  const std::uint64_t wanted = mReceivedBytes + kWindowBytes;
-  if (!chunk.isLast && wanted > mCreditedBytes) {
-    const std::uint64_t more = wanted - mCreditedBytes;
-    mCreditedBytes = wanted;
-    mHost.sendToEntry(*this, wire::Credit{ mHead.id, wire::Direction::ToTarget, more });
+  // Asks for up to one window beyond the received bytes. The first time raises the initial credit
+  // to the full window.
+  const std::uint64_t wanted = mHead.contentLength
+                                 ? std::min(mReceivedBytes + kWindowBytes, *mHead.contentLength)
+                                 : mReceivedBytes + kWindowBytes;
+  if (!chunk.isLast && wanted > mAskedBytes) {
+    const std::uint64_t more = wanted - mAskedBytes;
+    mAskedBytes = wanted;
+    mHost.askForBody(*this, more);
   }
   mTarget->sendBody(std::move(chunk.data.data), chunk.isLast);
 }
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -58,6 +58,11 @@
   virtual void exchangeEnded(OwnerExchange& aExchange, wire::Outcome aOutcome, ErrorCode aCode,
                              std::string aMessage,
                              std::optional<traffic::StoredResponse> aResponse) = 0;
+  /// Asks for aBytes more of the request's body. The entry may send them when it gets the credit,
+  /// which it does when the link has room for them.
+  virtual void askForBody(OwnerExchange& aExchange, std::uint64_t aBytes) = 0;
+  /// Reports that bytes of the body have arrived that were asked for.
+  virtual void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes) = 0;
   /// Sends a message to the entry of the request.
   virtual void sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage) = 0;
   /// Returns the expected queueing and run time of a new request; 0 if unknown.
@@ -83,8 +88,8 @@
 
   TimePoint arrivedAt() const { return mArrivedAt; }
 
-  /// Asks the entry for the body up to kFirstCreditBytes. Call when the request is accepted.
-  void grantFirstCredit();
+  /// Asks for the body up to kFirstCreditBytes. Call when the request is accepted.
+  void askForFirstBytes();
 
   /// Adds a chunk of the request body. Returns false if it is out of order, exceeds the credit or
   /// has a wrong total.
@@ -134,7 +139,7 @@
   std::deque<wire::BodyChunk> mBodyChunks;
   std::uint64_t mNextBodyChunk = 0;
   std::uint64_t mReceivedBytes = 0;
-  std::uint64_t mCreditedBytes = kFirstCreditBytes;
+  std::uint64_t mAskedBytes = kFirstCreditBytes; // Including those that the entry sends unasked.
   bool mIsTargetWaiting = false; // onWritable() was called while no chunk was buffered.
 
   // Response.
--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -95,6 +95,22 @@
   };
 }
 
+// Parses megabits per second, which may have a fraction, up to 1 Tbit/s.
+std::function<Problem(const std::string&, Settings&)> megabits(std::uint64_t Settings::*aMember)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    constexpr double kMaxMegabits = 1e6;
+    constexpr double kBytesPerMegabit = 1e6 / 8;
+    double value = 0;
+    if (!boost::conversion::try_lexical_convert(aText, value) || !(value >= 0) ||
+        value > kMaxMegabits) {
+      return "expected Mbit/s from 0 to 1000000, found '" + aText + "'";
+    }
+    aOut.*aMember = static_cast<std::uint64_t>(value * kBytesPerMegabit);
+    return std::nullopt;
+  };
+}
+
 std::function<Problem(const std::string&, Settings&)> leaseMillis(
   Millis fleet::LeaseSettings::*aMember, std::uint64_t aMin, std::uint64_t aMax)
 {
@@ -308,6 +324,10 @@
       number(&S::maxQueuedRequests, 1, 1'000'000) },
     { "limits", "body_bytes", "1073741824", "Largest request body.",
       number(&S::maxBodyBytes, 1024, 1ULL << 40U) },
+    { "limits", "link_mbps", "0",
+      "Bandwidth of the VM's network link; 0: unknown. It limits the request bodies that are on "
+      "their way to this VM at a time.",
+      megabits(&S::linkBytesPerSecond) },
     { "limits", "deadline_ms", "10000", "Deadline of a request that sets none.",
       millis(&S::defaultDeadline, 10, 10 * kMinuteMillis) },
     { "limits", "drain_ms", "30000", "Longest duration of a planned stop.",
--- a/packages/daemon/testing/OwnerExchangeTest.cc
+++ b/packages/daemon/testing/OwnerExchangeTest.cc
@@ -47,6 +47,11 @@
     response = std::move(aResponse);
   }
   Micros expectedTime() override { return Micros(0); }
+  void askForBody(OwnerExchange& /*aExchange*/, std::uint64_t aBytes) override
+  {
+    creditBytes += aBytes;
+  }
+  void bodyReceived(OwnerExchange& /*aExchange*/, std::uint64_t /*aBytes*/) override {}
   void sendToEntry(OwnerExchange& /*aExchange*/, wire::PeerMessage aMessage) override
   {
     if (const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage)) {
