A full target serves accounts in proportion to their rates

Cause: FairQueue gave each account with waiting requests the same share, whatever its rate. An account with three tenths of the traffic among 81 gets a small part of that at a busy target: its requests wait behind those of all the others and are refused for their objective. missesObjective counted all waiting requests as ahead of a new one, also those of accounts that wait for rate tokens.

Change: start-time fair queueing, with the account's rate as its weight. An account keeps its place while it has no requests waiting, so small ones are served at once up to their share, and requests that come one by one gain nothing. The expected wait counts what is really served before a request.

The other tests of FairQueue and FairShareTest pass unchanged.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -294,7 +294,8 @@
   const wire::RequestHead& head = aExchange.head();
   traffic::RequestArrived event;
   event.id = head.id;
-  event.account = isRateLimited(head.account) ? head.account : std::string();
+  event.accountRate = rateOf(head.account);
+  event.account = event.accountRate > 0 ? head.account : std::string();
   event.service = head.service;
   event.key = head.key;
   event.isKeyed = !head.key.empty();
@@ -372,11 +373,12 @@
   return mTransitTimes.waitingTime(Clock::now(), aLink, aHead.sentAt, receivedAt, aHead.ownerClock);
 }
 
-bool OwnerDuty::isRateLimited(const std::string& aAccount) const
+// Returns the rate limit of an account in requests per second; 0 if it has none.
+double OwnerDuty::rateOf(const std::string& aAccount) const
 {
   const auto& accounts = mView.state().model->accounts();
   const auto it = accounts.find(aAccount);
-  return it != accounts.end() && it->second.requestsPerSecond > 0;
+  return it == accounts.end() ? 0 : std::max<double>(it->second.requestsPerSecond, 0);
 }
 
 void OwnerDuty::handleTokenRequest(const ReceivedMessage& aFrom, const wire::TokenRequest& aRequest)
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -111,7 +111,7 @@
   bool mayGetKey(const wire::RequestHead& aHead) const;
   void acceptAwaitingGrant();
   Duration waitingTime(transport::LinkId aLink, const wire::RequestHead& aHead);
-  bool isRateLimited(const std::string& aAccount) const;
+  double rateOf(const std::string& aAccount) const;
   void handleTokenRequest(const ReceivedMessage& aFrom, const wire::TokenRequest& aRequest);
   traffic::HomeStart initialLevel(const std::string& aAccount, const wire::Account& aSettings,
                                   TimePoint aNow) const;
--- a/packages/traffic/FairQueue.cc
+++ b/packages/traffic/FairQueue.cc
@@ -1,34 +1,48 @@
-// Deficit round robin with removal by id, by deadline and from the longest account queue.
+// Start-time fair queueing with removal by id, by deadline and from the longest account queue.
 
 #include "traffic/FairQueue.h"
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <iterator>
 
 namespace camphorcleat::traffic {
 
-FairQueue::FairQueue(std::size_t aMaxRequests, std::uint32_t aQuantum)
+namespace {
+
+template<class Flow>
+double sizeOf(const Flow& aFlow)
+{
+  return static_cast<double>(aFlow.requests.size()) / aFlow.weight;
+}
+
+} // namespace
+
+FairQueue::FairQueue(std::size_t aMaxRequests)
   : mMaxRequests(aMaxRequests)
-  , mQuantum(aQuantum)
 {
-  assert(aMaxRequests > 0 && aQuantum > 0);
+  assert(aMaxRequests > 0);
 }
 
 std::optional<QueuedRequest> FairQueue::push(QueuedRequest aRequest)
 {
+  assert(aRequest.weight > 0);
   aRequest.cost = std::clamp<std::uint32_t>(aRequest.cost, 1, kMaxCost);
-  const auto [it, isNew] = mFlows.try_emplace(aRequest.account);
-  Flow& flow = it->second;
-  if (isNew) {
-    flow.account = aRequest.account;
-    flow.ringPlace = mRing.insert(mRing.end(), &flow);
-  }
+  forgetPassedFlows();
+  Entry& entry = mFlows.try_emplace(aRequest.account).first->second;
+  Flow& flow = entry.flow;
+  flow.account = aRequest.account;
+  const double oldSize = traffic::sizeOf(flow);
+  flow.weight = aRequest.weight;
   mByDeadline.emplace(aRequest.deadline, aRequest.id);
   const RequestId id = aRequest.id;
   flow.requests.push_back(std::move(aRequest));
-  mPlaces[id] = Place{ &flow, std::prev(flow.requests.end()) };
-  updateSizeOrder(flow, flow.requests.size() - 1);
+  mPlaces[id] = Place{ &entry, std::prev(flow.requests.end()) };
+  setSizeOrder(flow, oldSize);
+  if (!entry.place && !flow.isBlocked) {
+    enter(entry);
+  }
   if (mPlaces.size() <= mMaxRequests) {
     return std::nullopt;
   }
@@ -37,33 +51,29 @@
 
 QueuedRequest FairQueue::dropOne()
 {
-  const Flow& longest = mFlows.at(mBySize.rbegin()->second);
+  const Flow& longest = mFlows.at(mBySize.rbegin()->second).flow;
   return take(mPlaces.find(longest.requests.back().id));
 }
 
 const QueuedRequest* FairQueue::front()
 {
-  while (!mRing.empty()) {
-    Flow& flow = *mRing.front();
-    if (!flow.isVisited) {
-      flow.isVisited = true;
-      flow.deficit += mQuantum;
-    }
-    if (flow.deficit >= flow.requests.front().cost) {
-      return &flow.requests.front();
-    }
-    flow.isVisited = false;
-    mRing.splice(mRing.end(), mRing, mRing.begin());
-  }
-  return nullptr;
+  return mOrder.empty() ? nullptr : &mOrder.begin()->second->requests.front();
 }
 
 QueuedRequest FairQueue::popFront()
 {
-  const QueuedRequest* next = front();
-  assert(next != nullptr);
-  mRing.front()->deficit -= next->cost;
-  return take(mPlaces.find(next->id));
+  assert(!mOrder.empty());
+  Entry& entry = mFlows.at(mOrder.begin()->second->account);
+  Flow& flow = entry.flow;
+  const QueuedRequest& next = flow.requests.front();
+  mVirtualTime = flow.start;
+  leave(entry);
+  flow.start += next.cost / flow.weight;
+  const auto place = mPlaces.find(next.id);
+  if (flow.requests.size() > 1) {
+    enter(entry);
+  }
+  return take(place);
 }
 
 bool FairQueue::remove(const RequestId& aId)
@@ -93,27 +103,25 @@
 void FairQueue::block(const std::string& aAccount)
 {
   const auto it = mFlows.find(aAccount);
-  if (it != mFlows.end() && !it->second.isBlocked) {
-    leaveRing(it->second);
-    it->second.isBlocked = true;
-    it->second.isVisited = false;
-    it->second.deficit = 0; // A blocked account must not accumulate its share.
+  if (it != mFlows.end() && !it->second.flow.requests.empty() && !it->second.flow.isBlocked) {
+    leave(it->second);
+    it->second.flow.isBlocked = true;
   }
 }
 
 void FairQueue::unblock(const std::string& aAccount)
 {
   const auto it = mFlows.find(aAccount);
-  if (it != mFlows.end() && it->second.isBlocked) {
-    it->second.isBlocked = false;
-    it->second.ringPlace = mRing.insert(mRing.end(), &it->second);
+  if (it != mFlows.end() && it->second.flow.isBlocked) {
+    it->second.flow.isBlocked = false;
+    enter(it->second);
   }
 }
 
 bool FairQueue::isBlocked(const std::string& aAccount) const
 {
   const auto it = mFlows.find(aAccount);
-  return it != mFlows.end() && it->second.isBlocked;
+  return it != mFlows.end() && it->second.flow.isBlocked;
 }
 
 std::vector<RequestId> FairQueue::idsOf(const std::string& aAccount) const
@@ -121,7 +129,7 @@
   std::vector<RequestId> out;
   const auto it = mFlows.find(aAccount);
   if (it != mFlows.end()) {
-    for (const auto& request : it->second.requests) {
+    for (const auto& request : it->second.flow.requests) {
       out.push_back(request.id);
     }
   }
@@ -131,37 +139,92 @@
 std::size_t FairQueue::sizeOf(const std::string& aAccount) const
 {
   const auto it = mFlows.find(aAccount);
-  return it == mFlows.end() ? 0 : it->second.requests.size();
+  return it == mFlows.end() ? 0 : it->second.flow.requests.size();
+}
+
+std::size_t FairQueue::readySize() const
+{
+  std::size_t out = 0;
+  for (const auto& [key, flow] : mOrder) {
+    out += flow->requests.size();
+  }
+  return out;
+}
+
+std::size_t FairQueue::sizeAhead(const std::string& aAccount, double aWeight) const
+{
+  const auto own = mFlows.find(aAccount);
+  double start = mVirtualTime;
+  if (own != mFlows.end()) {
+    const Flow& flow = own->second.flow;
+    start = std::max(start, flow.start) + static_cast<double>(flow.requests.size()) / aWeight;
+  }
+  std::size_t out = 0;
+  for (const auto& [key, flow] : mOrder) {
+    if (key.first > start) {
+      break;
+    }
+    // Requests of this flow start at key.first and then every 1 / weight.
+    const double n = std::floor((start - key.first) * flow->weight) + 1;
+    out += std::min(flow->requests.size(), static_cast<std::size_t>(n));
+  }
+  return out;
 }
 
 QueuedRequest FairQueue::take(Places::iterator aPlace)
 {
-  Flow& flow = *aPlace->second.flow;
+  Entry& entry = *aPlace->second.entry;
+  Flow& flow = entry.flow;
+  const double oldSize = traffic::sizeOf(flow);
   QueuedRequest out = std::move(*aPlace->second.request);
   flow.requests.erase(aPlace->second.request);
   mPlaces.erase(aPlace);
   mByDeadline.erase({ out.deadline, out.id });
-  updateSizeOrder(flow, flow.requests.size() + 1);
+  setSizeOrder(flow, oldSize);
   if (flow.requests.empty()) {
-    if (!flow.isBlocked) {
-      leaveRing(flow);
-    }
-    mFlows.erase(flow.account);
+    leave(entry);
+    flow.isBlocked = false;
+  }
+  if (mPlaces.empty()) {
+    mFlows.clear();
+    mVirtualTime = 0;
   }
   return out;
 }
 
-void FairQueue::updateSizeOrder(Flow& aFlow, std::size_t aOldSize)
+void FairQueue::setSizeOrder(Flow& aFlow, double aOldSize)
 {
   mBySize.erase({ aOldSize, aFlow.account });
   if (!aFlow.requests.empty()) {
-    mBySize.emplace(aFlow.requests.size(), aFlow.account);
+    mBySize.emplace(traffic::sizeOf(aFlow), aFlow.account);
   }
 }
 
-void FairQueue::leaveRing(Flow& aFlow)
+// An account that had no requests to serve hasn't saved up its share.
+void FairQueue::enter(Entry& aEntry)
 {
-  mRing.erase(aFlow.ringPlace);
+  aEntry.flow.start = std::max(aEntry.flow.start, mVirtualTime);
+  aEntry.place = mOrder.emplace(std::make_pair(aEntry.flow.start, ++mEntries), &aEntry.flow).first;
+}
+
+void FairQueue::leave(Entry& aEntry)
+{
+  if (aEntry.place) {
+    mOrder.erase(*aEntry.place);
+    aEntry.place.reset();
+  }
+}
+
+// Forgets the accounts without waiting requests whose start time has passed, if there are many.
+void FairQueue::forgetPassedFlows()
+{
+  if (mFlows.size() < 2 * mMaxRequests) {
+    return;
+  }
+  for (auto it = mFlows.begin(); it != mFlows.end();) {
+    const bool isNeeded = !it->second.flow.requests.empty();
+    it = isNeeded ? std::next(it) : mFlows.erase(it);
+  }
 }
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/FairQueue.h
+++ b/packages/traffic/FairQueue.h
@@ -1,12 +1,17 @@
 // Bounded fair queue of requests that wait for a slot at the target.
 //
-// Deficit round robin over accounts gives each account with waiting requests the same share of the
-// target, measured in cost. When the queue is full, the account with the most waiting requests
-// loses its newest one, so an account that floods the queue only displaces its own requests.
+// Start-time fair queueing over accounts gives each account with waiting requests a share of the
+// target in proportion to its weight, measured in cost. Each account has a virtual start time,
+// which advances by cost / weight with each of its requests that is served; the account with the
+// earliest one is served next. An account without waiting requests keeps its start time until the
+// others have reached it, so that it can't gain a larger share by sending requests one by one. When
+// the queue is full, the account with the most waiting requests for its weight loses its newest
+// one, so an account that floods the queue only displaces its own requests.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_FAIRQUEUE_H_
 #define CAMPHORCLEAT_TRAFFIC_FAIRQUEUE_H_
 
+#include <cstdint>
 #include <list>
 #include <map>
 #include <optional>
@@ -29,19 +34,19 @@
   std::string account;
   std::uint32_t cost = 1; ///< Relative to other requests; clamped to 1 to FairQueue::kMaxCost.
   TimePoint deadline;     ///< The request is removed from the queue at this time at the latest.
+  /// Share of the account relative to others; positive. The latest request of an account sets it.
+  double weight = 1;
 };
 
 /// Not thread-safe.
 class FairQueue
 {
 public:
-  /// Larger costs are clamped to this value, which bounds the number of rounds that front() needs
-  /// for one request.
+  /// Larger costs are clamped to this value, which bounds the share that one request uses up.
   static constexpr std::uint32_t kMaxCost = 64;
 
-  /// Creates a queue for at most aMaxRequests requests; aMaxRequests > 0. Each account may spend
-  /// aQuantum units of cost per round; aQuantum > 0.
-  explicit FairQueue(std::size_t aMaxRequests, std::uint32_t aQuantum = 1);
+  /// Creates a queue for at most aMaxRequests requests; aMaxRequests > 0.
+  explicit FairQueue(std::size_t aMaxRequests);
   FairQueue(const FairQueue&) = delete;
   FairQueue& operator=(const FairQueue&) = delete;
 
@@ -49,8 +54,8 @@
   /// was dropped, which may be the added one.
   std::optional<QueuedRequest> push(QueuedRequest aRequest);
 
-  /// Removes and returns the newest request of the account that has the most waiting requests. The
-  /// queue must not be empty.
+  /// Removes and returns the newest request of the account that has the most waiting requests for
+  /// its weight. The queue must not be empty.
   QueuedRequest dropOne();
 
   /// Returns the request to serve next, or nullptr if the queue is empty or every account is
@@ -82,33 +87,52 @@
   std::size_t size() const { return mPlaces.size(); }
   std::size_t sizeOf(const std::string& aAccount) const;
 
+  /// Returns the number of waiting requests of accounts that aren't blocked.
+  std::size_t readySize() const;
+
+  /// Returns about how many requests would be served before a new one of this account, at most
+  /// size(). Requests of blocked accounts aren't counted.
+  std::size_t sizeAhead(const std::string& aAccount, double aWeight) const;
+
 private:
   struct Flow
   {
     std::string account;
-    std::list<QueuedRequest> requests;
-    std::uint64_t deficit = 0;
+    std::list<QueuedRequest> requests; // Empty if only the start time is kept.
+    double start = 0;                  // Virtual start time of the first request.
+    double weight = 1;
     bool isBlocked = false;
-    bool isVisited = false; // Whether this round's quantum has been added.
-    std::list<Flow*>::iterator ringPlace;
+  };
+  // Orders flows by virtual start time. Of flows with the same one, the one that got it first is
+  // served first.
+  using Order = std::map<std::pair<double, std::uint64_t>, Flow*>;
+  // A flow and its place in mOrder, which has only flows with requests that aren't blocked.
+  struct Entry
+  {
+    Flow flow;
+    std::optional<Order::iterator> place;
   };
   struct Place
   {
-    Flow* flow = nullptr;
+    Entry* entry = nullptr;
     std::list<QueuedRequest>::iterator request;
   };
   using Places = std::unordered_map<RequestId, Place>;
 
   QueuedRequest take(Places::iterator aPlace);
-  void updateSizeOrder(Flow& aFlow, std::size_t aOldSize);
-  void leaveRing(Flow& aFlow);
+  void setSizeOrder(Flow& aFlow, double aOldSize);
+  void enter(Entry& aEntry);
+  void leave(Entry& aEntry);
+  void forgetPassedFlows();
 
   std::size_t mMaxRequests;
-  std::uint32_t mQuantum;
-  // Only accounts with waiting requests, so bounded by mMaxRequests.
-  std::map<std::string, Flow> mFlows;
-  std::list<Flow*> mRing; // Flows that are not blocked, in the order of service.
-  std::set<std::pair<std::size_t, std::string>> mBySize;
+  // Accounts with waiting requests, and others whose start time is later than mVirtualTime. All are
+  // forgotten when the queue is empty. At most 2 * mMaxRequests.
+  std::map<std::string, Entry> mFlows;
+  Order mOrder;
+  std::uint64_t mEntries = 0; // Number of times a flow entered mOrder.
+  double mVirtualTime = 0;    // Start time of the request that was served last.
+  std::set<std::pair<double, std::string>> mBySize; // Waiting requests divided by weight.
   std::set<std::pair<TimePoint, RequestId>> mByDeadline;
   Places mPlaces;
 };
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -11,6 +11,9 @@
 // Retry advice to callers whose request was refused for lack of capacity.
 constexpr Millis kBusyRetryAfter{ 100 };
 
+// Weight of requests without an account or of accounts without a rate, in requests per second.
+constexpr double kUnlimitedWeight = 100;
+
 PartitionKey partitionKeyOf(const RequestArrived& aRequest)
 {
   return { aRequest.service, aRequest.partition };
@@ -25,6 +28,12 @@
                                aRequest.idempotencyKey };
 }
 
+// An account's share of a full target is in proportion to its rate.
+double weightOf(const RequestArrived& aRequest)
+{
+  return aRequest.accountRate > 0 ? aRequest.accountRate : kUnlimitedWeight;
+}
+
 Millis roundedUp(Micros aTime)
 {
   return Millis((aTime.count() + 999) / 1000);
@@ -95,12 +104,12 @@
   enqueue(aNow, aEvent);
 }
 
-// Returns how long a new request would wait for the requests that are served before it, given the
-// mean run time.
-Duration OwnerLogic::expectedWait(TimePoint aNow, std::uint32_t aPriority) const
+// Returns how long a new request would wait if this many of the queued ones are served before it,
+// given the mean run time.
+Duration OwnerLogic::expectedWait(TimePoint aNow, std::size_t aQueuedAhead) const
 {
   const std::uint32_t limit = mAdmission.limit(aNow);
-  const std::size_t ahead = mQueue.sizeAhead(aPriority) + mRunning.size();
+  const std::size_t ahead = aQueuedAhead + mRunning.size();
   if (limit == 0 || ahead < limit) {
     return Duration::zero();
   }
@@ -115,7 +124,8 @@
   if (!mConfig.refusesLate) {
     return false;
   }
-  const Duration wait = expectedWait(aNow, aRequest.priority);
+  const Duration wait =
+    expectedWait(aNow, mQueue.sizeAhead(aRequest.priority, aRequest.account, weightOf(aRequest)));
   const TimePoint latest = std::min(aRequest.objective, aRequest.deadline);
   return wait > Duration::zero() && aNow + wait + mLoads.meanRun(aRequest.priority) > latest;
 }
@@ -126,7 +136,7 @@
 Millis OwnerLogic::retryAfter(TimePoint aNow, const RequestArrived& aRequest) const
 {
   constexpr int kTimeLeftDivisor = 3;
-  const Duration wait = expectedWait(aNow, aRequest.priority);
+  const Duration wait = expectedWait(aNow, mQueue.sizeAhead(aRequest.priority));
   const Duration most = (aRequest.deadline - aNow) / kTimeLeftDivisor;
   return std::max(std::chrono::duration_cast<Millis>(std::min(wait, most)), Millis(1));
 }
@@ -387,6 +397,7 @@
   QueuedRequest queued;
   queued.id = aRequest.id;
   queued.account = account;
+  queued.weight = weightOf(aRequest);
   queued.deadline = std::min(aRequest.deadline, aNow + mConfig.maxQueueWait);
   if (const auto dropped = mQueue.push(aRequest.priority, std::move(queued))) {
     refuseWaiting(aNow, dropped->id, ErrorCode::QueueFull, "the queue of the target is full",
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -83,7 +83,7 @@
   /// before the first run.
   Duration expectedTime(TimePoint aNow) const
   {
-    return expectedWait(aNow, PriorityQueue::kLevels) + mLoads.meanRun();
+    return expectedWait(aNow, mQueue.sizeAhead(PriorityQueue::kLevels)) + mLoads.meanRun();
   }
 
   std::size_t queuedCount() const { return mWaiting.size(); }
@@ -137,7 +137,7 @@
   std::optional<Refusal> ownershipRefusal(TimePoint aNow, const RequestArrived& aRequest);
   std::optional<Refusal> targetRefusal(TimePoint aNow, const RequestArrived& aRequest) const;
   bool checkIdempotency(TimePoint aNow, const RequestArrived& aRequest);
-  Duration expectedWait(TimePoint aNow, std::uint32_t aPriority) const;
+  Duration expectedWait(TimePoint aNow, std::size_t aQueuedAhead) const;
   bool missesObjective(TimePoint aNow, const RequestArrived& aRequest) const;
   Millis retryAfter(TimePoint aNow, const RequestArrived& aRequest) const;
   void refuseLateWaiting(TimePoint aNow);
--- a/packages/traffic/OwnerMessages.h
+++ b/packages/traffic/OwnerMessages.h
@@ -22,6 +22,8 @@
 {
   RequestId id;
   std::string account; ///< Empty on an open route, which needs no account.
+  /// Rate limit of the account in requests per second; 0 if it has none.
+  double accountRate = 0;
   std::string service;
   std::string key;
   PartitionId partition = 0;
--- a/packages/traffic/PriorityQueue.cc
+++ b/packages/traffic/PriorityQueue.cc
@@ -132,9 +132,18 @@
 {
   std::size_t out = 0;
   for (const auto& [priority, queue] : mLevels) {
-    out += priority <= std::min(aPriority, kLevels - 1) ? queue.size() : 0;
+    out += priority <= std::min(aPriority, kLevels - 1) ? queue.readySize() : 0;
   }
   return out;
 }
 
+std::size_t PriorityQueue::sizeAhead(std::uint32_t aPriority, const std::string& aAccount,
+                                     double aWeight) const
+{
+  const std::uint32_t level = std::min(aPriority, kLevels - 1);
+  const auto it = mLevels.find(level);
+  const std::size_t inLevel = it == mLevels.end() ? 0 : it->second.sizeAhead(aAccount, aWeight);
+  return inLevel + (level == 0 ? 0 : sizeAhead(level - 1));
+}
+
 } // namespace camphorcleat::traffic
--- a/packages/traffic/PriorityQueue.h
+++ b/packages/traffic/PriorityQueue.h
@@ -42,9 +42,13 @@
   std::size_t size() const { return mLevelOf.size(); }
   std::size_t sizeOf(const std::string& aAccount) const;
 
-  /// Returns the number of waiting requests that would be served before a new one of this priority.
+  /// Returns the number of waiting requests of this and higher priorities, except those of blocked
+  /// accounts.
   std::size_t sizeAhead(std::uint32_t aPriority) const;
 
+  /// Returns about how many of them would be served before a new one of this priority and account.
+  std::size_t sizeAhead(std::uint32_t aPriority, const std::string& aAccount, double aWeight) const;
+
 private:
   FairQueue& levelOf(std::uint32_t aPriority);
   FairQueue* frontLevel();
