A target that sheds requests whatever its load keeps its admission limit

Cause: each shed request shrank AdmissionLimit by 0.7, and the limit regains one for each round of responses. A target that refuses at random thus ends at a limit of one although it is idle.

Change: a shed lowers the limit only if the target hasn't accepted a request in the last seconds while it ran as many others. OwnerLogic counts for each request how many the target was running when it was sent, without those that it has shed since.

Two more cases hold before and after: the limit falls to what a target runs if it sheds the rest, and to one if it sheds all. AdmissionLimitTest passes the concurrency that its calls mean.

--- a/packages/traffic/AdmissionController.cc
+++ b/packages/traffic/AdmissionController.cc
@@ -35,9 +35,9 @@
   mSlowStart.start(aNow);
 }
 
-void AdmissionController::shed(TimePoint aNow, std::uint32_t aInFlight)
+void AdmissionController::shed(TimePoint aNow, std::uint32_t aInFlight, std::uint32_t aConcurrency)
 {
-  mAdaptiveLimit.shed(aNow);
+  mAdaptiveLimit.shed(aNow, aConcurrency);
   // During a warm-up, a shed while more requests than the limit were in flight concerns requests
   // sent before the limit fell, so it does not restart the warm-up.
   if (aInFlight <= std::max(limit(aNow), mSlowStart.coldSlots()) || !mSlowStart.isWarming(aNow)) {
@@ -45,9 +45,10 @@
   }
 }
 
-void AdmissionController::recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight)
+void AdmissionController::recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight,
+                                         std::uint32_t aConcurrency)
 {
-  mAdaptiveLimit.recordResponse(aNow, aLatency, aInFlight);
+  mAdaptiveLimit.recordResponse(aNow, aLatency, aInFlight, aConcurrency);
   if (mAdaptiveLimit.takeLatencyJump()) {
     mSlowStart.start(aNow);
   }
--- a/packages/traffic/AdmissionController.h
+++ b/packages/traffic/AdmissionController.h
@@ -41,11 +41,14 @@
   /// Records that the target reset a connection.
   void connectionReset(TimePoint aNow);
 
-  /// Records that the target shed a request while aInFlight requests were in flight.
-  void shed(TimePoint aNow, std::uint32_t aInFlight);
+  /// Records that the target shed a request while aInFlight requests were in flight. aConcurrency:
+  /// see AdmissionLimit.
+  void shed(TimePoint aNow, std::uint32_t aInFlight, std::uint32_t aConcurrency);
 
   /// Records that the target answered after aLatency while aInFlight requests were in flight.
-  void recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight);
+  /// aConcurrency: see AdmissionLimit.
+  void recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight,
+                      std::uint32_t aConcurrency);
 
   /// Records a load report that asks for at most aLimit requests in flight. It can only lower the
   /// limit, and expires after AdmissionLimit::Config::reportLifetime.
--- a/packages/traffic/AdmissionLimit.cc
+++ b/packages/traffic/AdmissionLimit.cc
@@ -37,8 +37,10 @@
   return static_cast<std::uint32_t>(std::max(limit, 1.0));
 }
 
-void AdmissionLimit::recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight)
+void AdmissionLimit::recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight,
+                                    std::uint32_t aConcurrency)
 {
+  mMinusAccepted.add(aNow, -static_cast<double>(aConcurrency));
   const double sample = toSeconds(aLatency);
   mMinSeconds.add(aNow, sample);
   ++mSamples;
@@ -55,9 +57,12 @@
   }
 }
 
-void AdmissionLimit::shed(TimePoint aNow)
+void AdmissionLimit::shed(TimePoint aNow, std::uint32_t aConcurrency)
 {
-  decrease(aNow, LimitDecreaseCause::Shed);
+  mMinusAccepted.add(aNow, 0); // Lets the window expire if no request is accepted any more.
+  if (aConcurrency > -*mMinusAccepted.value()) {
+    decrease(aNow, LimitDecreaseCause::Shed);
+  }
 }
 
 void AdmissionLimit::loadReported(TimePoint aNow, std::uint32_t aLimit)
--- a/packages/traffic/AdmissionLimit.h
+++ b/packages/traffic/AdmissionLimit.h
@@ -1,11 +1,13 @@
 // An adaptive limit on the number of requests in flight at a target.
 //
 // The limit grows additively while it is fully used. It shrinks multiplicatively when the target
-// sheds a request or when the smoothed latency is far above its floor. The floor is the minimum of
-// the smoothed latency rather than of single latencies, because a target that serves both fast and
-// slow kinds of requests would otherwise look overloaded. The slots that the target announces are a
-// hard upper bound. A load report can lower the limit but never raises it, because reports lag and
-// may be wrong.
+// sheds a request for its load or when the smoothed latency is far above its floor. A shed shows
+// that the target is overloaded only if the target hasn't recently accepted a request while it ran
+// as many others; a target that refuses requests whatever its load would otherwise hardly be used.
+// The floor is the minimum of the smoothed latency rather than of single latencies, because a
+// target that serves both fast and slow kinds of requests would otherwise look overloaded. The
+// slots that the target announces are a hard upper bound. A load report can lower the limit but
+// never raises it, because reports lag and may be wrong.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_ADMISSIONLIMIT_H_
 #define CAMPHORCLEAT_TRAFFIC_ADMISSIONLIMIT_H_
@@ -37,7 +39,9 @@
     /// A cold start is assumed above this ratio of smoothed latency to floor.
     double jumpFactor = 10;
     Millis decreaseInterval{ 100 }; ///< Minimum time between two decreases.
-    Millis floorWindow{ 10'000 };   ///< The floor is the minimum over the last 1 to 2 windows.
+    /// What the target accepted is the maximum over the last 1 to 2 windows.
+    Millis acceptedWindow{ 2'000 };
+    Millis floorWindow{ 10'000 }; ///< The floor is the minimum over the last 1 to 2 windows.
     /// Lower floors are raised to this value, because ratios of shorter latencies are mostly noise.
     Micros minFloor{ 1'000 };
     Millis reportLifetime{ 1'000 }; ///< A load report is ignored after this time.
@@ -49,6 +53,7 @@
   }
   explicit AdmissionLimit(const Config& aConfig)
     : mConfig(aConfig)
+    , mMinusAccepted(aConfig.acceptedWindow)
     , mFloorSeconds(aConfig.floorWindow)
     , mMinSeconds(aConfig.floorWindow)
   {
@@ -63,11 +68,13 @@
   std::uint32_t limit(TimePoint aNow) const;
 
   /// Records a response that took aLatency. aInFlight is the number of requests in flight,
-  /// including the answered one.
-  void recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight);
+  /// including the answered one. aConcurrency is how many the target ran, including this one, when
+  /// it accepted the request.
+  void recordResponse(TimePoint aNow, Duration aLatency, std::uint32_t aInFlight,
+                      std::uint32_t aConcurrency);
 
-  /// Records that the target shed a request.
-  void shed(TimePoint aNow);
+  /// Records that the target shed a request that would have been the aConcurrency-th to run.
+  void shed(TimePoint aNow, std::uint32_t aConcurrency);
 
   /// Records a load report that asks for at most aLimit requests in flight. It cannot raise the
   /// limit, and expires after Config::reportLifetime.
@@ -100,9 +107,10 @@
   std::uint64_t mDecreases = 0;
   LimitDecreaseCause mLastDecreaseCause = LimitDecreaseCause::Shed;
   double mSmoothedSeconds = 0;
-  unsigned mSamples = 0;       // Samples since the smoothed latency was reset.
-  WindowMinimum mFloorSeconds; // Minimum of the smoothed latency.
-  WindowMinimum mMinSeconds;   // Minimum of single latencies.
+  unsigned mSamples = 0;        // Samples since the smoothed latency was reset.
+  WindowMinimum mMinusAccepted; // Negative of the largest concurrency that the target accepted.
+  WindowMinimum mFloorSeconds;  // Minimum of the smoothed latency.
+  WindowMinimum mMinSeconds;    // Minimum of single latencies.
 };
 
 } // namespace camphorcleat::traffic
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -229,10 +229,16 @@
     return;
   }
   const auto inFlight = static_cast<std::uint32_t>(mRunning.size());
+  const std::uint32_t accepted = it->second.runningBefore + 1;
   if (aEvent.isShed) {
-    mAdmission.shed(aNow, inFlight);
+    mAdmission.shed(aNow, inFlight, accepted);
+    for (auto& [id, running] : mRunning) {
+      if (running.number > it->second.number && running.runningBefore > 0) {
+        --running.runningBefore;
+      }
+    }
   } else {
-    mAdmission.recordResponse(aNow, aNow - it->second.startedAt, inFlight);
+    mAdmission.recordResponse(aNow, aNow - it->second.startedAt, inFlight, accepted);
   }
 }
 
@@ -570,6 +576,8 @@
   running.isKeyed = request.isKeyed;
   running.recordKey = recordKeyOf(request);
   running.startedAt = aNow;
+  running.number = ++mDispatches;
+  running.runningBefore = static_cast<std::uint32_t>(mRunning.size());
   running.cancelAt = request.deadline + mConfig.responseGrace;
   TimePoint deadline = request.deadline;
   running.priority = request.priority;
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -110,6 +110,9 @@
     PartitionKey partition;
     bool isKeyed = false;
     std::optional<IdempotencyRecordKey> recordKey;
+    std::uint64_t number = 0; // Of the dispatch.
+    // Requests that were running at the dispatch, except those that the target has shed since.
+    std::uint32_t runningBefore = 0;
     TimePoint startedAt;
     TimePoint cancelAt;
     bool isCancelled = false;
@@ -183,7 +186,8 @@
   BeginDrain mStop;
   bool mIsDrainReported = false;
   std::optional<TimePoint> mDrainSince; // Start of a drain by BeginDrain or by the target.
-  std::uint64_t mStep = 0;              // Number of the current step.
+  std::uint64_t mDispatches = 0;
+  std::uint64_t mStep = 0; // Number of the current step.
   std::optional<TimePoint> mNextWake;
   std::vector<OwnerAction> mActions;
 };
--- a/packages/traffic/testing/AdmissionLimitTest.cc
+++ b/packages/traffic/testing/AdmissionLimitTest.cc
@@ -16,16 +16,16 @@
   AdmissionLimit limit;
   limit.setSlots(20);
   REQUIRE(limit.limit(now) == 20);
-  limit.shed(now);
-  limit.shed(now); // Within decreaseInterval, so the limit decreases only once.
+  limit.shed(now, 20);
+  limit.shed(now, 20); // Within decreaseInterval, so the limit decreases only once.
   REQUIRE(limit.limit(now) == 14);
   for (int i = 0; i < 50; ++i) {
     now += Millis(200);
-    limit.shed(now);
+    limit.shed(now, 20);
   }
   REQUIRE(limit.limit(now) == 1);
   for (int i = 0; i < 1'000; ++i) {
-    limit.recordResponse(now, Millis(5), limit.limit(now));
+    limit.recordResponse(now, Millis(5), limit.limit(now), 1);
     now += Millis(1);
   }
   REQUIRE(limit.limit(now) == 20);
@@ -36,9 +36,9 @@
   TimePoint now = TimePoint() + std::chrono::hours(1);
   AdmissionLimit limit;
   limit.setSlots(20);
-  limit.shed(now);
+  limit.shed(now, 20);
   for (int i = 0; i < 1'000; ++i) {
-    limit.recordResponse(now, Millis(5), 3);
+    limit.recordResponse(now, Millis(5), 3, 1);
   }
   REQUIRE(limit.limit(now) == 14);
 }
@@ -49,12 +49,12 @@
   AdmissionLimit limit;
   limit.setSlots(20);
   for (int i = 0; i < 50; ++i) {
-    limit.recordResponse(now, Millis(5), 20);
+    limit.recordResponse(now, Millis(5), 20, 1);
     REQUIRE_FALSE(limit.takeLatencyJump());
   }
   for (int i = 0; i < 150; ++i) {
     now += Millis(20);
-    limit.recordResponse(now, Millis(60), 20);
+    limit.recordResponse(now, Millis(60), 20, 1);
   }
   REQUIRE(limit.limit(now) < 10);
   REQUIRE(limit.takeLatencyJump());
@@ -69,7 +69,7 @@
   std::mt19937_64 random(1);
   for (int i = 0; i < 50'000; ++i) {
     now += Millis(1);
-    limit.recordResponse(now, random() % 10 == 0 ? Millis(50) : Millis(1), 20);
+    limit.recordResponse(now, random() % 10 == 0 ? Millis(50) : Millis(1), 20, 1);
     REQUIRE_FALSE(limit.takeLatencyJump());
     REQUIRE(limit.limit(now) == 20);
   }
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -349,4 +349,65 @@
   REQUIRE(f.logic.limit(f.now) == 4);
 }
 
+// A target with 12 slots and runs of 400 ms that is sent twice what its slots can run.
+struct BusyTarget
+{
+  World world{ 7 };
+  Daemon& daemon = world.addDaemon(12);
+
+  BusyTarget()
+  {
+    daemon.serviceTime = Millis(400);
+    world.repeat(fromSeconds(1 / 60.0), false, world.eventQueue.now + std::chrono::minutes(1),
+                 [this] { world.sendRequest(daemon, "", Millis(1500)); });
+  }
+
+  // Runs for a time and returns the mean of a figure in it.
+  double meanOf(std::chrono::seconds aTime, const std::function<double()>& aFigure)
+  {
+    constexpr Millis kInterval{ 10 };
+    double sum = 0;
+    const auto n = aTime / kInterval;
+    for (int i = 0; i < n; ++i) {
+      world.eventQueue.runUntil(world.eventQueue.now + kInterval);
+      sum += aFigure();
+    }
+    return sum / static_cast<double>(n);
+  }
+};
+
+// Guards against targets that are hardly used because they refuse requests whatever their load
+// (SHORT).
+TEST_CASE("a target that sheds half of its requests at random is used in full nevertheless")
+{
+  BusyTarget f;
+  const auto running = [&] { return static_cast<double>(f.daemon.running); };
+  f.meanOf(std::chrono::seconds(5), running);
+  f.daemon.shedProbability = 0.55;
+  CHECK(f.meanOf(std::chrono::seconds(10), running) >= 0.75 * 12);
+}
+
+TEST_CASE("the limit falls to what a target runs at a time if it sheds the rest")
+{
+  BusyTarget f;
+  const auto limit = [&] { return f.daemon.logic->limit(f.world.eventQueue.now); };
+  f.meanOf(std::chrono::seconds(5), limit);
+  REQUIRE(limit() == 12);
+  f.daemon.capacity = 5;
+  f.meanOf(std::chrono::seconds(5), limit);
+  const double mean = f.meanOf(std::chrono::seconds(10), limit);
+  CHECK(mean <= 1.5 * 5);
+  CHECK(mean >= 0.5 * 5);
+}
+
+TEST_CASE("a target that sheds all requests lowers the limit")
+{
+  BusyTarget f;
+  const auto limit = [&] { return f.daemon.logic->limit(f.world.eventQueue.now); };
+  f.meanOf(std::chrono::seconds(5), limit);
+  f.daemon.capacity = 0;
+  f.meanOf(std::chrono::seconds(10), limit);
+  CHECK(limit() == 1);
+}
+
 } // namespace camphorcleat::traffic
--- a/packages/traffic/testing/World.h
+++ b/packages/traffic/testing/World.h
@@ -7,6 +7,7 @@
 
 #include <cstdlib>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -89,7 +90,10 @@
   std::unique_ptr<OwnerLogic> logic;
   bool isTargetFrozen = false; ///< If set, requests dispatched from then on are never answered.
   Duration serviceTime = Millis(5);
-  double shedProbability = 0;      ///< Probability that the target sheds a request.
+  double shedProbability = 0; ///< Probability that the target sheds a request.
+  /// Number of requests that the target runs at a time; it sheds the others.
+  std::size_t capacity = std::numeric_limits<std::size_t>::max();
+  std::size_t running = 0;         ///< Requests that the target has accepted and not answered yet.
   std::optional<TimePoint> tickAt; ///< Time of the next scheduled Tick.
 };
 
@@ -189,8 +193,11 @@
     if (aDaemon.isTargetFrozen) {
       return;
     }
-    const bool isShed = aDaemon.shedProbability > 0 && uniform() < aDaemon.shedProbability;
+    const bool isShed = aDaemon.running >= aDaemon.capacity ||
+                        (aDaemon.shedProbability > 0 && uniform() < aDaemon.shedProbability);
+    aDaemon.running += isShed ? 0 : 1;
     eventQueue.after(isShed ? Micros(100) : aDaemon.serviceTime, [=, &aDaemon] {
+      aDaemon.running -= isShed ? 0 : 1;
       step(aDaemon, ResponseStarted{ aDispatch.id, isShed ? 503U : 200U, isShed, false });
       scheduleEnd(aDaemon, aDispatch.id, isShed ? wire::Outcome::NotRun : wire::Outcome::Answered);
     });
