The window of bodies on their way follows how long messages wait

A fixed window of 200 ms leaves a link idle while the senders, which are short of processor time, react (inferred). The window now grows up to 1 s while messages hardly wait, and shrinks to 100 ms while all of them wait.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -53,13 +53,11 @@
 // Shorter than the 10 s after which targets may close idle connections.
 constexpr Millis kTargetIdleTimeout{ 5000 };
 
-// Request bodies on their way to this VM may take its link for this time.
-constexpr Millis kBodyWindowTime{ 200 };
-
-std::uint64_t bodyWindow(const Settings& aSettings)
+traffic::BodyCredit::Config bodyCreditConfig(const Settings& aSettings)
 {
-  return static_cast<std::uint64_t>(static_cast<double>(aSettings.linkBytesPerSecond) *
-                                    toSeconds(kBodyWindowTime));
+  traffic::BodyCredit::Config config;
+  config.linkBytesPerSecond = aSettings.linkBytesPerSecond;
+  return config;
 }
 
 traffic::OwnerConfig ownerConfig(const Settings& aSettings)
@@ -105,7 +103,7 @@
   , mProcessIncarnation(newIncarnation(mRandom))
   , mLogic(ownerConfig(aSettings), mView, mProcessIncarnation)
   , mRateHome(mRandom())
-  , mBodyCredit(bodyWindow(aSettings))
+  , mBodyCredit(bodyCreditConfig(aSettings))
   , mHeartbeatGrants(aSettings.maxHold)
   , mTimer(mThread.context())
   , mLoopDelay(kMaxTickInterval)
@@ -273,6 +271,9 @@
     return;
   }
   const Duration waited = waitingTime(aLink, aHead);
+  if (aLink != kLocalLink) {
+    mBodyCredit.recordWait(Clock::now(), waited);
+  }
   const auto exchange = std::make_shared<OwnerExchange>(*this, aLink, std::move(aHead));
   exchange->setWaitingTime(waited);
   mExchanges.emplace(id, exchange);
--- a/packages/traffic/BodyCredit.cc
+++ b/packages/traffic/BodyCredit.cc
@@ -6,6 +6,32 @@
 
 namespace camphorcleat::traffic {
 
+void BodyCredit::recordWait(TimePoint aNow, Duration aWait)
+{
+  if (!mIntervalStart) {
+    mIntervalStart = aNow;
+    mLeastWait = aWait;
+    return;
+  }
+  mLeastWait = std::min(mLeastWait, aWait);
+  if (aNow - *mIntervalStart < mConfig.interval) {
+    return;
+  }
+  constexpr double kDecrease = 0.75;
+  constexpr double kIncrease = 1.15;
+  const auto scaled = [&](double aFactor) {
+    const auto bytes = static_cast<std::uint64_t>(static_cast<double>(mWindowBytes) * aFactor);
+    return std::clamp(bytes, bytesIn(mConfig.minWindow), bytesIn(mConfig.maxWindow));
+  };
+  if (mLeastWait > mConfig.maxWait) {
+    mWindowBytes = scaled(kDecrease);
+  } else if (mIsLimiting && mLeastWait < mConfig.maxWait / 2) {
+    mWindowBytes = scaled(kIncrease);
+  }
+  mIsLimiting = false;
+  mIntervalStart.reset();
+}
+
 void BodyCredit::ask(const RequestId& aId, std::uint64_t aBytes)
 {
   if (aBytes == 0) {
@@ -48,6 +74,7 @@
       mWindowBytes == 0 ? request.askedBytes : std::min(request.askedBytes, kMaxGrantBytes);
     // A window that is smaller than one grant still lets one sender at a time proceed.
     if (mWindowBytes != 0 && onTheWay > 0 && onTheWay + wanted > mWindowBytes) {
+      mIsLimiting = true;
       break;
     }
     mAsking.pop_front();
@@ -74,6 +101,12 @@
   return out;
 }
 
+std::uint64_t BodyCredit::bytesIn(Millis aTime) const
+{
+  return static_cast<std::uint64_t>(static_cast<double>(mConfig.linkBytesPerSecond) *
+                                    toSeconds(aTime));
+}
+
 std::uint64_t BodyCredit::bytesOnTheWay(TimePoint aNow) const
 {
   std::uint64_t out = 0;
--- a/packages/traffic/BodyCredit.h
+++ b/packages/traffic/BodyCredit.h
@@ -3,9 +3,13 @@
 // A body that an owner has asked for takes the same link as calls, cancellations and pings. If each
 // request may ask for as much as it can buffer, a few tens of them fill a narrow link for seconds,
 // and everything behind them is late: requests start after their callers have left, and sound links
-// are closed for silence. The bytes that are asked for and haven't arrived therefore stay within
-// what the link carries in a fraction of a second. Requests are granted their credit in the order
-// in which they ask, so that bodies arrive one after the other and not all at the end.
+// are closed for silence. The bytes that are asked for and haven't arrived therefore stay within a
+// window. Requests are granted their credit in the order in which they ask, so that bodies arrive
+// one after the other and not all at the end.
+//
+// How large the window has to be to keep the link busy depends on how fast the senders react. It
+// grows while other messages hardly wait on their way, and shrinks while all of them wait, between
+// what the link carries in minWindow and in maxWindow.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_BODYCREDIT_H_
 #define CAMPHORCLEAT_TRAFFIC_BODYCREDIT_H_
@@ -13,6 +17,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/Ids.h"
@@ -38,12 +43,27 @@
   /// hold up the others.
   static constexpr Millis kStallTime{ 2'000 };
 
-  /// aWindowBytes is the limit on the bytes on their way; 0 means no limit.
-  explicit BodyCredit(std::uint64_t aWindowBytes)
-    : mWindowBytes(aWindowBytes)
+  struct Config
+  {
+    std::uint64_t linkBytesPerSecond = 0; ///< 0: unknown; then there is no limit.
+    Millis firstWindow{ 200 };            ///< Time for which the first window takes the link.
+    Millis minWindow{ 100 };
+    Millis maxWindow{ 1'000 };
+    /// The window shrinks if no message in an interval waited less than maxWait, and grows if one
+    /// waited less than half of it.
+    Millis maxWait{ 100 };
+    Millis interval{ 100 };
+  };
+
+  explicit BodyCredit(const Config& aConfig)
+    : mConfig(aConfig)
+    , mWindowBytes(bytesIn(aConfig.firstWindow))
   {
   }
 
+  /// Records how long a message of another VM waited on its way to this one.
+  void recordWait(TimePoint aNow, Duration aWait);
+
   /// Asks for aBytes more of a request's body.
   void ask(const RequestId& aId, std::uint64_t aBytes);
 
@@ -59,6 +79,9 @@
   /// Returns the bytes that were granted and haven't arrived, including those of stalled senders.
   std::uint64_t outstandingBytes() const;
 
+  /// Returns the limit on the bytes on their way; 0: there is none.
+  std::uint64_t windowBytes() const { return mWindowBytes; }
+
 private:
   struct Request
   {
@@ -67,9 +90,14 @@
     TimePoint progressAt;           // Latest grant to an idle sender, or latest receipt.
   };
 
+  std::uint64_t bytesIn(Millis aTime) const;
   std::uint64_t bytesOnTheWay(TimePoint aNow) const;
 
+  Config mConfig;
   std::uint64_t mWindowBytes;
+  bool mIsLimiting = false; // The window has held back a grant in this interval.
+  std::optional<TimePoint> mIntervalStart;
+  Duration mLeastWait{ 0 }; // In this interval.
   std::map<RequestId, Request> mRequests;
   std::deque<RequestId> mAsking; // May contain requests that were removed.
 };
