A waiting request is refused at once when an arrival leaves it no time

These now learn at the arrival that they can't be served in time, by the same estimate that admits a request, and their callers have time for another attempt.

PriorityQueueTest, 'a waiting request is refused at once when an arrival leaves it no time'.

--- a/packages/traffic/FairQueue.cc
+++ b/packages/traffic/FairQueue.cc
@@ -124,6 +124,27 @@
   return it != mFlows.end() && it->second.flow.isBlocked;
 }
 
+std::vector<RequestId> FairQueue::order() const
+{
+  std::vector<std::pair<double, RequestId>> starts;
+  for (const auto& [key, flow] : mOrder) {
+    double start = key.first;
+    for (const auto& it : flow->requests) {
+      starts.emplace_back(start, it.id);
+      start += it.cost / flow->weight;
+    }
+  }
+  std::stable_sort(starts.begin(), starts.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  std::vector<RequestId> out;
+  out.reserve(starts.size());
+  for (const auto& [start, id] : starts) {
+    out.push_back(id);
+  }
+  return out;
+}
+
 std::vector<RequestId> FairQueue::idsOf(const std::string& aAccount) const
 {
   std::vector<RequestId> out;
--- a/packages/traffic/FairQueue.h
+++ b/packages/traffic/FairQueue.h
@@ -80,6 +80,10 @@
   void unblock(const std::string& aAccount);
   bool isBlocked(const std::string& aAccount) const;
 
+  /// Returns the ids of the waiting requests in the order in which they would be served, without
+  /// those of blocked accounts.
+  std::vector<RequestId> order() const;
+
   /// Returns the ids of an account's waiting requests, oldest first.
   std::vector<RequestId> idsOf(const std::string& aAccount) const;
 
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -93,7 +93,8 @@
   if (aEvent.isKeyed) {
     mLoads.recordArrival(aNow, aEvent.partition);
   }
-  if (missesObjective(aNow, aEvent)) {
+  const std::size_t ahead = mQueue.sizeAhead(aEvent.priority, aEvent.account, weightOf(aEvent));
+  if (missesObjective(aNow, aEvent, ahead)) {
     if (const auto key = recordKeyOf(aEvent)) {
       mIdempotencyStore.release(*key);
     }
@@ -102,6 +103,7 @@
     return;
   }
   enqueue(aNow, aEvent);
+  refuseDisplaced(aNow);
 }
 
 // Returns how long a new request would wait if this many of the queued ones are served before it,
@@ -119,13 +121,13 @@
 
 // A request that can start at once is never refused, however slow the target is: its measured run
 // times may come from a few unusually slow requests.
-bool OwnerLogic::missesObjective(TimePoint aNow, const RequestArrived& aRequest) const
+bool OwnerLogic::missesObjective(TimePoint aNow, const RequestArrived& aRequest,
+                                 std::size_t aQueuedAhead) const
 {
   if (!mConfig.refusesLate) {
     return false;
   }
-  const Duration wait =
-    expectedWait(aNow, mQueue.sizeAhead(aRequest.priority, aRequest.account, weightOf(aRequest)));
+  const Duration wait = expectedWait(aNow, aQueuedAhead);
   const TimePoint latest = std::min(aRequest.objective, aRequest.deadline);
   return wait > Duration::zero() && aNow + wait + mLoads.meanRun(aRequest.priority) > latest;
 }
@@ -155,7 +157,31 @@
       late.push_back(id);
     }
   }
-  for (const auto& id : late) {
+  refuseLate(aNow, late);
+}
+
+// Refuses the waiting requests that will miss their objective because the latest arrival is served
+// before them. They would otherwise wait until it is too late for another attempt.
+void OwnerLogic::refuseDisplaced(TimePoint aNow)
+{
+  if (!mConfig.refusesLate || mRunning.size() < mAdmission.limit(aNow)) {
+    return;
+  }
+  std::vector<RequestId> late;
+  std::size_t ahead = 0;
+  for (const auto& id : mQueue.order()) {
+    if (missesObjective(aNow, mWaiting.at(id).request, ahead)) {
+      late.push_back(id);
+    } else {
+      ++ahead;
+    }
+  }
+  refuseLate(aNow, late);
+}
+
+void OwnerLogic::refuseLate(TimePoint aNow, const std::vector<RequestId>& aIds)
+{
+  for (const auto& id : aIds) {
     const Millis wait = retryAfter(aNow, mWaiting.at(id).request);
     refuseWaiting(aNow, id, ErrorCode::Overloaded,
                   "the target can no longer respond within the latency objective", wait);
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -141,9 +141,12 @@
   std::optional<Refusal> targetRefusal(TimePoint aNow, const RequestArrived& aRequest) const;
   bool checkIdempotency(TimePoint aNow, const RequestArrived& aRequest);
   Duration expectedWait(TimePoint aNow, std::size_t aQueuedAhead) const;
-  bool missesObjective(TimePoint aNow, const RequestArrived& aRequest) const;
+  bool missesObjective(TimePoint aNow, const RequestArrived& aRequest,
+                       std::size_t aQueuedAhead) const;
   Millis retryAfter(TimePoint aNow, const RequestArrived& aRequest) const;
   void refuseLateWaiting(TimePoint aNow);
+  void refuseDisplaced(TimePoint aNow);
+  void refuseLate(TimePoint aNow, const std::vector<RequestId>& aIds);
   void enqueue(TimePoint aNow, const RequestArrived& aRequest);
   void refuse(const RequestArrived& aRequest, wire::Outcome aOutcome, ErrorCode aCode,
               std::string aMessage, Millis aRetryAfter = Millis(0));
--- a/packages/traffic/PriorityQueue.cc
+++ b/packages/traffic/PriorityQueue.cc
@@ -109,6 +109,16 @@
                      [&](const auto& aLevel) { return aLevel.second.isBlocked(aAccount); });
 }
 
+std::vector<RequestId> PriorityQueue::order() const
+{
+  std::vector<RequestId> out;
+  for (const auto& [priority, queue] : mLevels) {
+    const std::vector<RequestId> ids = queue.order();
+    out.insert(out.end(), ids.begin(), ids.end());
+  }
+  return out;
+}
+
 std::vector<RequestId> PriorityQueue::idsOf(const std::string& aAccount) const
 {
   std::vector<RequestId> out;
--- a/packages/traffic/PriorityQueue.h
+++ b/packages/traffic/PriorityQueue.h
@@ -38,6 +38,7 @@
   void unblock(const std::string& aAccount);
   /// Returns whether requests of the account are blocked in any priority.
   bool isBlocked(const std::string& aAccount) const;
+  std::vector<RequestId> order() const;
   std::vector<RequestId> idsOf(const std::string& aAccount) const;
   std::size_t size() const { return mLevelOf.size(); }
   std::size_t sizeOf(const std::string& aAccount) const;
--- a/packages/traffic/testing/PriorityQueueTest.cc
+++ b/packages/traffic/testing/PriorityQueueTest.cc
@@ -137,6 +137,23 @@
   CHECK(f.isRefused(waiting.id));
 }
 
+// Guards against requests that wait in vain, because others that arrive later are served first.
+TEST_CASE("a waiting request is refused at once when an arrival leaves it no time")
+{
+  Fixture f;
+  f.arrive(1);
+  f.arrive(1);
+  const auto waiting = f.arrive(1, Millis(250)); // 50 ms in the queue and 100 ms of run time.
+  const auto second = f.arrive(1, Millis(250));  // 100 ms in the queue.
+  CHECK_FALSE(f.isRefused(second.id));
+  f.arrive(0);
+  CHECK_FALSE(f.isRefused(waiting.id));
+  CHECK_FALSE(f.isRefused(second.id)); // 150 ms in the queue.
+  f.arrive(0);
+  CHECK(f.isRefused(second.id));
+  CHECK_FALSE(f.isRefused(waiting.id));
+}
+
 TEST_CASE("a cold target never gets more requests in any second than its cold rate")
 {
   ColdStartRateLimit rateLimit;
