A home paces the token requests of its drawers

From second 6.6 on the threads of one node are late by 200 to 600 ms, while the account sends many times its rate; later three others in the same way. That these are the accounts' homes is inferred. Every owner asks the home as often as every 10 ms, and again 100 ms after a request without a reply: the token requests of 229 owners are more than a tenth of a core can handle, the replies come too late, and their tokens expire unused. The class: a cost per node that is fixed, and adds up at one place.

Change: the home measures its token requests and, beyond what a third of its processor share handles (limits/cpu_share), tells each drawer how long to wait with the next one. Tokens of paced drawers last longer, and are asked for ahead for that time. An account above its rate is refused at once meanwhile. A time limit without a reply doubles the next one.

All other tests of rates pass unchanged.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -102,7 +102,7 @@
   , mRandom(std::random_device{}())
   , mProcessIncarnation(newIncarnation(mRandom))
   , mLogic(ownerConfig(aSettings), mView, mProcessIncarnation)
-  , mRateHome(mRandom())
+  , mRateHome(mRandom(), aSettings.cpuShare * traffic::RateHome::kRequestsPerSecondAndCore)
   , mBodyCredit(bodyCreditConfig(aSettings))
   , mHeartbeatGrants(aSettings.maxHold)
   , mTimer(mThread.context())
@@ -596,8 +596,10 @@
     // No state is handed over, because the next owner starts with empty buckets. The partition is
     // reported idle when all rate tokens issued here have expired.
     AgentMessage message(fleet::agent::PartitionIdle{ aStop.partition, aStop.token });
-    const Millis lifetime = traffic::kTokenLifetime;
-    auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), lifetime);
+    const TimePoint now = Clock::now();
+    const TimePoint idleAt =
+      std::max(now + Duration(traffic::kTokenLifetime), mRateHome.tokensValidUntil());
+    auto timer = std::make_shared<boost::asio::steady_timer>(mThread.context(), idleAt);
     timer->async_wait([this, timer, message](boost::system::error_code aError) {
       AgentMessage copy(message);
       if (!aError) {
--- a/packages/daemon/Settings.cc
+++ b/packages/daemon/Settings.cc
@@ -111,6 +111,20 @@
   };
 }
 
+// Parses a positive number of at most 1024.
+std::function<Problem(const std::string&, Settings&)> positiveShare(double Settings::*aMember)
+{
+  return [=](const std::string& aText, Settings& aOut) -> Problem {
+    constexpr double kMax = 1024;
+    double value = 0;
+    if (!boost::conversion::try_lexical_convert(aText, value) || !(value > 0) || value > kMax) {
+      return "expected a number above 0 and up to 1024, found '" + aText + "'";
+    }
+    aOut.*aMember = value;
+    return std::nullopt;
+  };
+}
+
 std::function<Problem(const std::string&, Settings&)> leaseMillis(
   Millis fleet::LeaseSettings::*aMember, std::uint64_t aMin, std::uint64_t aMax)
 {
@@ -328,6 +342,10 @@
       "Bandwidth of the VM's network link; 0: unknown. It limits the request bodies that are on "
       "their way to this VM at a time.",
       megabits(&S::linkBytesPerSecond) },
+    { "limits", "cpu_share", "1",
+      "Processor cores that the VM gives the daemon. Accounts whose bucket is kept here are asked "
+      "for rate tokens less often if requests for them take more than about a third of it.",
+      positiveShare(&S::cpuShare) },
     { "limits", "deadline_ms", "10000", "Deadline of a request that sets none.",
       millis(&S::defaultDeadline, 10, 10 * kMinuteMillis) },
     { "limits", "drain_ms", "30000", "Longest duration of a planned stop.",
--- a/packages/daemon/testing/SettingsTest.cc
+++ b/packages/daemon/testing/SettingsTest.cc
@@ -205,7 +205,7 @@
     }
   }
   CHECK(faultsOf(text).empty());
-  CHECK(rows == 46);
+  CHECK(rows == 47);
   for (const char* it : { "| fleet | name | required |", "| lease | length_ms | 1000 |",
                           "| control | data_folder |  |", "| peers | NODE |" }) {
     INFO(it);
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -426,6 +426,12 @@
                   "too many accounts are in use at this daemon", kBusyRetryAfter);
     return;
   }
+  const Duration refusedFor = mTokens.refusedFor(aNow, account);
+  if (refusedFor > Duration::zero()) {
+    refuseWaiting(aNow, aRequest.id, ErrorCode::OverRate, "the account is above its rate",
+                  std::max(std::chrono::duration_cast<Millis>(refusedFor), Millis(1)));
+    return;
+  }
   QueuedRequest queued;
   queued.id = aRequest.id;
   queued.account = account;
--- a/packages/traffic/RateBucket.cc
+++ b/packages/traffic/RateBucket.cc
@@ -23,7 +23,8 @@
 // judged as one burst.
 constexpr Millis kMaxWaitWithoutHome{ 2'000 };
 // A drawer without a request for this time has no waiting requests.
-constexpr Millis kDrawerIdleTime{ 1'000 };
+constexpr Millis kDrawerIdleTime{ 1'100 };
+static_assert(kMaxTokenHold < kDrawerIdleTime);
 
 constexpr Millis kMinRetry{ 1 };
 constexpr Millis kMaxRetry{ 10'000 };
@@ -109,7 +110,7 @@
 }
 
 wire::TokenReply RateBucket::handle(TimePoint aNow, const wire::TokenRequest& aRequest,
-                                    Duration aLifetime)
+                                    Duration aLifetime, Duration aPace)
 {
   mLastUse = aNow;
   wire::TokenReply reply;
@@ -118,6 +119,7 @@
   reply.bucket = mNumber;
   reply.lifetime = std::chrono::duration_cast<Micros>(aLifetime);
   reply.reportWithin = reportDelay(mRate);
+  reply.pace = std::chrono::duration_cast<Micros>(aPace);
   Drawer* drawer = drawerOf(aNow, aRequest.drawer);
   if (drawer == nullptr) {
     // There are too many drawers. The reply has no tokens, but its waiting requests are promised
@@ -140,6 +142,12 @@
   return reply;
 }
 
+std::optional<TimePoint> RateBucket::lastSeen(Incarnation aDrawer) const
+{
+  const auto it = mDrawers.find(aDrawer);
+  return it == mDrawers.end() ? std::nullopt : std::make_optional(it->second.lastSeen);
+}
+
 BucketRecord RateBucket::record() const
 {
   BucketRecord out;
@@ -161,7 +169,7 @@
       std::min_element(mDrawers.begin(), mDrawers.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second.lastSeen < aRight.second.lastSeen;
       });
-    // A drawer without a request for this time has no parked token here, since kTokenHold is
+    // A drawer without a request for this time has no parked token here, since kMaxTokenHold is
     // shorter.
     if (aNow - oldest->second.lastSeen < kDrawerIdleTime) {
       return nullptr;
@@ -276,7 +284,15 @@
   mParked += count;
   aReply.granted = count;
   aDrawer.grants.push_back(Grant{ aRequest.sequence, count, std::min(count, aRequest.waiting) });
-  mExpiries.push_back(Expiry{ aNow + kTokenHold, aRequest.drawer, aRequest.sequence });
+  addExpiry(Expiry{ aNow + tokenHold(aReply.lifetime), aRequest.drawer, aRequest.sequence });
+}
+
+void RateBucket::addExpiry(const Expiry& aExpiry)
+{
+  const auto place =
+    std::upper_bound(mExpiries.begin(), mExpiries.end(), aExpiry.at,
+                     [](TimePoint aTime, const Expiry& aOther) { return aTime < aOther.at; });
+  mExpiries.insert(place, aExpiry);
 }
 
 void RateBucket::promise(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
--- a/packages/traffic/RateBucket.h
+++ b/packages/traffic/RateBucket.h
@@ -7,6 +7,7 @@
 #define CAMPHORCLEAT_TRAFFIC_RATEBUCKET_H_
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -79,8 +80,13 @@
   /// dropped.
   void setRate(Rate aRate);
 
-  /// Handles one token request at aNow. advance() must be called first. aLifetime > 0.
-  wire::TokenReply handle(TimePoint aNow, const wire::TokenRequest& aRequest, Duration aLifetime);
+  /// Handles one token request at aNow. advance() must be called first. aLifetime > 0, at most
+  /// kMaxTokenLifetime. aPace is the time to the drawer's next token request, or 0.
+  wire::TokenReply handle(TimePoint aNow, const wire::TokenRequest& aRequest, Duration aLifetime,
+                          Duration aPace = Duration::zero());
+
+  /// Returns when the drawer last sent a token request, or nothing if it isn't known.
+  std::optional<TimePoint> lastSeen(Incarnation aDrawer) const;
 
   double level() const { return mLevel; }
   std::uint32_t parked() const { return mParked; }
@@ -125,6 +131,7 @@
              wire::TokenReply& aReply);
   void promise(TimePoint aNow, Drawer& aDrawer, const wire::TokenRequest& aRequest,
                wire::TokenReply& aReply);
+  void addExpiry(const Expiry& aExpiry);
   void dropStalePromises(TimePoint aNow);
   void expireOne(const Expiry& aExpiry);
   void refill(TimePoint aNow);
@@ -141,7 +148,7 @@
   std::uint32_t mPromised = 0; // Sum over all drawers.
   TimePoint mUpdatedAt;
   TimePoint mLastUse;
-  std::deque<Expiry> mExpiries; // In order of time, since all grants are parked for the same time.
+  std::deque<Expiry> mExpiries; // In order of time.
   std::unordered_map<Incarnation, Drawer> mDrawers;
 };
 
--- a/packages/traffic/RateHome.cc
+++ b/packages/traffic/RateHome.cc
@@ -3,6 +3,7 @@
 #include "traffic/RateHome.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "traffic/TokenTimes.h"
 
@@ -10,6 +11,15 @@
 
 namespace {
 
+// Pacing ends below this share of the limit, so that it doesn't end and start again in turn.
+constexpr double kPacingEnds = 0.5;
+constexpr double kLoadSeconds = 0.5; // Time constant of the number of token requests per second.
+constexpr Millis kMinPace{ 20 };
+constexpr Millis kMaxPace{ 500 };
+// A paced drawer returns unused tokens after 60 % of their lifetime, which must not be before its
+// next token request.
+constexpr int kLifetimePerPace = 2;
+
 // A bucket that was not used for this time has no valid tokens and may be evicted for another
 // account.
 constexpr Millis kIdleTime{ 10'000 };
@@ -30,8 +40,10 @@
                                   double aRequestsPerSecond, double aBurstRequests,
                                   TimePoint aHomeLeaseValidUntil, HomeStart aStart)
 {
-  const Duration lifetime = std::min<Duration>(kTokenLifetime, aHomeLeaseValidUntil - aNow);
-  if (lifetime <= Duration::zero()) {
+  mRequestsPerSecond = requestsPerSecond(aNow) + 1 / kLoadSeconds;
+  mRequestAt = aNow;
+  const Duration leaseLeft = aHomeLeaseValidUntil - aNow;
+  if (leaseLeft <= Duration::zero()) {
     return emptyReply(aRequest, ErrorCode::NotOwner);
   }
   auto it = mBuckets.find(aRequest.account);
@@ -46,7 +58,30 @@
   }
   it->second.advance(aNow);
   it->second.setRate({ aRequestsPerSecond, aBurstRequests });
-  return it->second.handle(aNow, aRequest, lifetime);
+  const Duration pace = paceOf(aNow, it->second.lastSeen(aRequest.drawer));
+  const Duration wanted =
+    std::clamp<Duration>(kLifetimePerPace * pace, kTokenLifetime, kMaxTokenLifetime);
+  const Duration lifetime = std::min(wanted, leaseLeft);
+  mTokensValidUntil = std::max(mTokensValidUntil, aNow + lifetime);
+  return it->second.handle(aNow, aRequest, lifetime, pace);
+}
+
+double RateHome::requestsPerSecond(TimePoint aNow) const
+{
+  return mRequestsPerSecond * std::exp(-toSeconds(aNow - mRequestAt) / kLoadSeconds);
+}
+
+// Returns the interval that reduces the token requests to what is allowed, if all drawers extend
+// theirs by the same factor.
+Duration RateHome::paceOf(TimePoint aNow, std::optional<TimePoint> aLastSeen) const
+{
+  const double excess = mRequestsPerSecond / mPacedRequestsPerSecond;
+  if (!aLastSeen || excess < kPacingEnds) {
+    return Duration::zero();
+  }
+  const Duration pace =
+    std::min<Duration>(fromSeconds(toSeconds(aNow - *aLastSeen) * excess), kMaxPace);
+  return pace < kMinPace ? Duration::zero() : pace;
 }
 
 std::optional<BucketRecord> RateHome::exportAccount(TimePoint aNow, const std::string& aAccount)
--- a/packages/traffic/RateHome.h
+++ b/packages/traffic/RateHome.h
@@ -15,6 +15,12 @@
 // would learn of spends without delay. The ideal level is therefore tracked separately, for one
 // purpose: a waiting request that an ideal bucket would serve is promised a token instead of being
 // refused. The ideal level is never used for grants.
+//
+// Each drawer asks when it needs tokens, so the number of token requests grows with that of the
+// drawers. A home that gets more of them than it can handle replies late, its tokens expire unused
+// and the account is hardly served. Beyond a number of token requests per second, the home
+// therefore paces them: each drawer asks less often by the factor of the excess, and gets tokens
+// for a longer time.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_RATEHOME_H_
 #define CAMPHORCLEAT_TRAFFIC_RATEHOME_H_
@@ -36,9 +42,14 @@
   /// buckets take at most 100 MiB.
   static constexpr std::size_t kMaxAccounts = 1024;
 
-  /// The bucket numbers are generated from aSeed, which must differ between processes.
-  explicit RateHome(std::uint64_t aSeed)
+  /// Token requests per second that take about a third of a core.
+  static constexpr double kRequestsPerSecondAndCore = 3'000;
+
+  /// The bucket numbers are generated from aSeed, which must differ between processes. Token
+  /// requests are paced beyond aPacedRequestsPerSecond.
+  explicit RateHome(std::uint64_t aSeed, double aPacedRequestsPerSecond = kRequestsPerSecondAndCore)
     : mRandom(aSeed)
+    , mPacedRequestsPerSecond(aPacedRequestsPerSecond)
   {
   }
 
@@ -73,10 +84,22 @@
 
   std::size_t accountCount() const { return mBuckets.size(); }
 
+  /// Returns the time by which all tokens granted so far have expired at their drawers, if their
+  /// clocks run as fast.
+  TimePoint tokensValidUntil() const { return mTokensValidUntil; }
+
+  /// Returns the token requests per second, as a mean that decays within a second.
+  double requestsPerSecond(TimePoint aNow) const;
+
 private:
   bool makeRoom(TimePoint aNow);
+  Duration paceOf(TimePoint aNow, std::optional<TimePoint> aLastSeen) const;
 
   std::mt19937_64 mRandom;
+  double mPacedRequestsPerSecond;
+  double mRequestsPerSecond = 0; // At mRequestAt.
+  TimePoint mRequestAt;
+  TimePoint mTokensValidUntil;
   std::unordered_map<std::string, RateBucket> mBuckets;
 };
 
--- a/packages/traffic/TokenCache.cc
+++ b/packages/traffic/TokenCache.cc
@@ -90,6 +90,8 @@
     returnDueTokens(account, aNow);
     const auto at = sendAt(account, aNow);
     if (at && *at <= aNow) {
+      constexpr unsigned kMaxTimeouts = 8; // Keeps the shift small; maxReplyTimeout is less.
+      account.timeouts = std::min(account.timeouts + (account.pending ? 1U : 0U), kMaxTimeouts);
       out.push_back(makeRequest(name, account, aNow, aMark));
     }
     schedule(name, account, aNow);
@@ -127,6 +129,9 @@
   account.promised = std::min(aReply.promised, account.waiting);
   account.notBefore = account.wasRefused ? aNow + mConfig.refusedInterval : aNow;
   account.promisedAfter = aNow + aReply.retryAfter;
+  account.pace = aReply.pace;
+  account.pacedUntil = aNow + aReply.pace;
+  account.timeouts = 0;
   const bool isShort = aReply.retryAfter > Micros::zero();
   account.aheadAfter = isShort ? aNow + mConfig.lowWater : aNow;
   schedule(aReply.account, account, aNow);
@@ -157,6 +162,17 @@
   schedule(aAccount, account, aNow);
 }
 
+Duration TokenCache::refusedFor(TimePoint aNow, const std::string& aAccount)
+{
+  const auto it = mAccounts.find(aAccount);
+  if (it == mAccounts.end() || !it->second.wasRefused || it->second.pacedUntil <= aNow) {
+    return Duration::zero();
+  }
+  returnDueTokens(it->second, aNow);
+  const bool hasTokens = it->second.available > it->second.waiting;
+  return hasTokens ? Duration::zero() : it->second.pacedUntil - aNow;
+}
+
 std::optional<TimePoint> TokenCache::nextWake() const
 {
   return mWakeTimes.empty() ? std::nullopt : std::make_optional(mWakeTimes.begin()->first);
@@ -226,8 +242,12 @@
 
 std::uint32_t TokenCache::wanted(const Account& aAccount, TimePoint aNow) const
 {
-  const std::uint32_t ahead =
-    aNow >= aAccount.aheadAfter ? tokensFor(demandOf(aAccount, aNow), mConfig.lookAhead) : 0;
+  const Duration lookAhead = aAccount.pace + mConfig.lookAhead;
+  std::uint32_t ahead =
+    aNow >= aAccount.aheadAfter ? tokensFor(demandOf(aAccount, aNow), lookAhead) : 0;
+  if (aAccount.pace > Duration::zero()) {
+    ++ahead; // Rounds up, because a request that finds no token has to wait for the pace.
+  }
   const std::uint32_t target = std::min(aAccount.waiting + ahead, mConfig.maxWanted);
   return target - std::min(target, aAccount.available);
 }
@@ -236,7 +256,8 @@
 std::optional<TimePoint> TokenCache::sendAt(const Account& aAccount, TimePoint aNow) const
 {
   if (aAccount.pending) {
-    return aAccount.pending->sentAt + mConfig.replyTimeout;
+    const Duration timeout = mConfig.replyTimeout * (1U << aAccount.timeouts);
+    return aAccount.pending->sentAt + std::min<Duration>(timeout, mConfig.maxReplyTimeout);
   }
   std::optional<TimePoint> at;
   const auto earliest = [&at](TimePoint aTime) { at = at ? std::min(*at, aTime) : aTime; };
@@ -256,7 +277,7 @@
   if (isLow && tokensFor(demand, mConfig.lookAhead) > 0) {
     earliest(std::max(aNow, aAccount.aheadAfter));
   }
-  return at;
+  return at ? std::make_optional(std::max(*at, aAccount.pacedUntil)) : at;
 }
 
 wire::TokenRequest TokenCache::makeRequest(const std::string& aName, Account& aAccount,
@@ -283,7 +304,7 @@
   if (aReply.granted == 0) {
     return;
   }
-  const Duration lifetime = std::min<Duration>(aReply.lifetime, kTokenLifetime);
+  const Duration lifetime = std::min<Duration>(aReply.lifetime, kMaxTokenLifetime);
   Grant grant;
   grant.count = aReply.granted;
   grant.bucket = aReply.bucket;
--- a/packages/traffic/TokenCache.h
+++ b/packages/traffic/TokenCache.h
@@ -40,6 +40,8 @@
     Millis lowWater{ 30 };
     /// A token request without a reply is abandoned after this time.
     Millis replyTimeout{ 100 };
+    /// Each timeout doubles the next one, up to this, until a reply is accepted.
+    Millis maxReplyTimeout{ 800 };
     Millis refusedInterval{ 10 }; ///< Minimum time between token requests above the rate.
     /// Minimum time between token requests while there is no home.
     Millis unreachableInterval{ 20 };
@@ -102,6 +104,11 @@
   /// Returns when due() may next have something to send or a token expires, whichever is first.
   std::optional<TimePoint> nextWake() const;
 
+  /// Returns the time until tokens are requested again, if the account is above its rate, has no
+  /// tokens and its home paces token requests; otherwise zero. Requests need not wait for a
+  /// refusal.
+  Duration refusedFor(TimePoint aNow, const std::string& aAccount);
+
   /// Returns the estimated arrivals per second.
   double demandPerSecond(TimePoint aNow, const std::string& aAccount) const;
 
@@ -134,6 +141,9 @@
     std::uint64_t accepted = 0; // Sequence number of the last request whose reply was accepted.
     std::optional<PendingRequest> pending;
     bool wasRefused = false;
+    TimePoint pacedUntil;    // Earliest token request of any kind.
+    Duration pace{ 0 };      // Interval between token requests that the home asks for.
+    unsigned timeouts = 0;   // Token requests without a reply since the last accepted one.
     TimePoint notBefore;     // Earliest token request for waiting requests without a promise.
     TimePoint promisedAfter; // Earliest token request for waiting requests with a promise.
     TimePoint aheadAfter;    // Earliest token request ahead of demand.
--- a/packages/traffic/testing/RatePropertyTest.cc
+++ b/packages/traffic/testing/RatePropertyTest.cc
@@ -277,6 +277,34 @@
   CHECK(world.refusals.size() == 1);
 }
 
+// Guards against an account that is hardly served (SHORT): the daemons of a large fleet ask its
+// home for more tokens than a small VM can handle, and the replies come too late.
+TEST_CASE("an account above its rate gets its rate from a home with many drawers")
+{
+  constexpr double kHandledPerSecond = 900;
+  constexpr double kRate = 500;
+  constexpr int kSeconds = 10;
+  World world(1);
+  RateHome home(1, kHandledPerSecond / 3);
+  for (int i = 0; i < 200; ++i) {
+    world.addDaemon(16).serviceTime = Millis(400);
+  }
+  world.homeTime = fromSeconds(1 / kHandledPerSecond);
+  world.home = [&](TimePoint aNow, const wire::TokenRequest& aRequest) {
+    return home.handle(aNow, aRequest, kRate, kRate, aNow + Millis(8'000), HomeStart::Full);
+  };
+  const TimePoint start = world.eventQueue.now;
+  const TimePoint end = start + std::chrono::seconds(kSeconds);
+  world.repeat(fromSeconds(1 / (4 * kRate)), false, end, [&] {
+    world.sendRequest(*world.daemons[world.random() % 200], "acme", Millis(1'500));
+  });
+  world.eventQueue.runUntil(end);
+  const auto& dispatches = world.dispatchTimes["acme"];
+  CHECK(dispatches.size() >= 0.75 * kRate * kSeconds);
+  CHECK(rateExcess(dispatches, kRate, kRate) <= kTolerance);
+  CHECK(home.requestsPerSecond(end) <= kHandledPerSecond);
+}
+
 TEST_CASE("requests wait while there is no home instead of being refused")
 {
   World world(1);
--- a/packages/traffic/testing/World.h
+++ b/packages/traffic/testing/World.h
@@ -177,7 +177,8 @@
   std::mt19937_64 random;
   EventQueue eventQueue;
   Network network;
-  Home home; ///< If empty, each token request ends with TokenHomeUnreachable.
+  Home home;              ///< If empty, each token request ends with TokenHomeUnreachable.
+  Duration homeTime{ 0 }; ///< Time that the home needs for a token request, one after the other.
   /// If set, called with each action of a daemon before the action is simulated.
   std::function<void(Daemon&, const OwnerAction&)> onAction;
   std::vector<std::unique_ptr<Daemon>> daemons;
@@ -234,8 +235,11 @@
         step(aDaemon, TokenHomeUnreachable{ aRequest.account });
         return;
       }
-      const auto reply = home(eventQueue.now, aRequest);
-      transmit([=, &aDaemon] { step(aDaemon, TokenReplyArrived{ reply, sentAt }); });
+      mHomeBusyUntil = std::max(mHomeBusyUntil, eventQueue.now) + homeTime;
+      eventQueue.at(mHomeBusyUntil, [=, &aDaemon] {
+        const auto reply = home(eventQueue.now, aRequest);
+        transmit([=, &aDaemon] { step(aDaemon, TokenReplyArrived{ reply, sentAt }); });
+      });
     });
   }
 
@@ -255,6 +259,7 @@
   }
 
   std::uint64_t mLastRequest = 0;
+  TimePoint mHomeBusyUntil;
 };
 
 /// Returns the seeds for a randomized test: the value of the environment variable CAMPHORCLEAT_SEED
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -440,6 +440,9 @@
   Micros retryAfter{ 0 };   ///< Time until the next token if tokens are missing.
   Micros reportWithin{ 0 }; ///< Maximum delay of a report of spent tokens.
   std::uint64_t bucket = 0; ///< Random id of the bucket; a new home uses a new one.
+  /// Time from this reply to the next token request for the account, because the home gets more of
+  /// them than it can handle; 0: none. The drawer should ask for as many tokens as it needs in it.
+  Micros pace{ 0 };
   static constexpr auto fields()
   {
     return std::make_tuple(
@@ -447,7 +450,8 @@
       field("code", &TokenReply::code), field("granted", &TokenReply::granted),
       field("promised", &TokenReply::promised), field("lifetime_us", &TokenReply::lifetime),
       field("retry_after_us", &TokenReply::retryAfter),
-      field("report_within_us", &TokenReply::reportWithin), field("bucket", &TokenReply::bucket));
+      field("report_within_us", &TokenReply::reportWithin), field("bucket", &TokenReply::bucket),
+      field("pace_us", &TokenReply::pace));
   }
 };
 
