One retry budget for each service, with a reserve that the sum of all entries can bear

What callers would see: more attempts at a service than it may get.

Cause: an entry had one budget for all services, 10 % of all its requests and 10 in reserve, so while the targets of one service refuse requests it could spend what the requests for others had earned. The limit that fell for each refusal had hidden it: hardly any request reached those targets.

Change: a budget for each service; 2 in reserve.

Evidence: EntryRequestTest, 'the reserves of all entries together ...' fails with a reserve of 10 (9 entries: 90, allowed 56).

--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -326,10 +326,11 @@
   head.callerRequestId = metadata.requestId;
   head.routeRevision = mState->revision;
   traffic::HedgePolicy& hedge = mHedgePolicies[head.service];
+  traffic::RetryBudget& retryBudget = mRetryBudgets[head.service];
   plan.withdrawAt = withdrawalTime(plan.deadline + traffic::EntryRequest::kOwnerResultGrace);
   const auto exchange =
     std::make_shared<EntryExchange>(*this, mThread.context(), std::move(aStream), std::move(head),
-                                    plan, traffic::EntryShared{ mRetryBudget, hedge, mRandom });
+                                    plan, traffic::EntryShared{ retryBudget, hedge, mRandom });
   mExchanges[exchange.get()] = exchange;
   exchange->start();
 }
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -146,7 +146,7 @@
   Incarnation mProcessIncarnation; // First part of all request ids of this process.
   std::uint64_t mCounter = 0;
   std::unique_ptr<transport::HttpFrontend> mFrontend;
-  traffic::RetryBudget mRetryBudget;
+  std::map<std::string, traffic::RetryBudget> mRetryBudgets;  // Keyed by service.
   std::map<std::string, traffic::HedgePolicy> mHedgePolicies; // Keyed by service.
   std::unique_ptr<traffic::LoadBalancingPolicy> mLoadBalancingPolicy;
   std::shared_ptr<const ViewState> mState;
--- a/packages/traffic/RetryBudget.h
+++ b/packages/traffic/RetryBudget.h
@@ -1,7 +1,8 @@
 // Limits retries to a fraction of the requests, so that retries cannot multiply an overload.
 //
 // Each request adds a tenth of a retry to the budget. The budget starts full, which allows retries
-// on a node with little traffic.
+// on a node with little traffic. The reserve is small, because those of all entries add up at a
+// service whose targets refuse requests.
 
 #ifndef CAMPHORCLEAT_TRAFFIC_RETRYBUDGET_H_
 #define CAMPHORCLEAT_TRAFFIC_RETRYBUDGET_H_
@@ -10,12 +11,12 @@
 
 namespace camphorcleat::traffic {
 
-/// Not thread-safe. One instance serves all requests of an entry daemon.
+/// Not thread-safe. One instance serves all requests of an entry daemon for one service.
 class RetryBudget
 {
 public:
   static constexpr double kRetriesPerRequest = 0.1;
-  static constexpr double kReserve = 10; ///< Maximum and initial number of retries in the budget.
+  static constexpr double kReserve = 2; ///< Maximum and initial number of retries in the budget.
 
   /// Records the start of a request. Must not be called for retries.
   void recordRequest() { mRetries = std::min(mRetries + kRetriesPerRequest, kReserve); }
--- a/packages/traffic/testing/EntryRequestTest.cc
+++ b/packages/traffic/testing/EntryRequestTest.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <set>
 
 #include "World.h"
@@ -281,6 +282,20 @@
   REQUIRE(attempt == 1 + static_cast<std::uint32_t>(RetryBudget::kReserve));
 }
 
+// Guards against more attempts than a service may get (BUDGET): the reserves of all entries add up
+// when its targets refuse requests. The fleets are those of the deployments, with what each allows
+// beyond a share of the requests.
+TEST_CASE("the reserves of all entries together are within what a service is allowed")
+{
+  const std::map<double, double> allowedByEntries = {
+    { 9, 56 }, { 11, 58 }, { 78, 196 }, { 81, 202 }, { 295, 630 }
+  };
+  for (const auto& [entries, allowed] : allowedByEntries) {
+    CAPTURE(entries);
+    CHECK(entries * RetryBudget::kReserve <= allowed);
+  }
+}
+
 TEST_CASE("a request that ends at its deadline is reported as unknown if an attempt may have run")
 {
   Fixture f;
