Token requests use an open link of either side instead of a dial

That it is the home of the account with many times its rate is inferred. Each owner dialed a link of its own to the home, although the home, as an entry, has dialed most owners before; a set-up that takes longer than its limit is given up and tried again, which costs the home as much as one that succeeds.

Change: a message that expects a reply and has a time limit of its own is sent on any open link. The accepting side then also expects bytes, so a stalled link is noticed.

Tests: PeerHubTest, two cases (they can't be built on the old code).

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -733,8 +733,9 @@
   const TokenRequestId id{ aAction.request.account, aAction.request.sequence };
   mTokenRequests[id] = Clock::now();
   const bool isSent =
-    hasHome && mRouter.send(grant->owner, transport::Lane::Data, aAction.request).status ==
-                 transport::SendStatus::Accepted;
+    hasHome &&
+    mRouter.sendOnOpenLink(grant->owner, transport::Lane::Data, aAction.request).status ==
+      transport::SendStatus::Accepted;
   if (!isSent) {
     mTokenRequests.erase(id);
     step(traffic::TokenHomeUnreachable{ aAction.request.account });
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -72,6 +72,13 @@
   return { isQueued ? transport::SendStatus::Accepted : transport::SendStatus::Full, kLocalLink };
 }
 
+transport::SendResult PeerRouter::sendOnOpenLink(NodeId aTo, transport::Lane aLane,
+                                                 wire::PeerMessage aMessage)
+{
+  return aTo == mSelf ? send(aTo, aLane, std::move(aMessage))
+                      : mHub->sendOnOpenLink(aTo, aLane, aMessage);
+}
+
 transport::SendStatus PeerRouter::reply(transport::LinkId aLink, wire::PeerMessage aMessage)
 {
   if (aLink != kLocalLink) {
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -33,6 +33,10 @@
   /// Sends a message to a node, which may be this node.
   transport::SendResult send(NodeId aTo, transport::Lane aLane, wire::PeerMessage aMessage);
 
+  /// Same as send(), on any open connection to the node; see PeerHub::sendOnOpenLink().
+  transport::SendResult sendOnOpenLink(NodeId aTo, transport::Lane aLane,
+                                       wire::PeerMessage aMessage);
+
   /// Sends a message on the connection of a received message.
   transport::SendStatus reply(transport::LinkId aLink, wire::PeerMessage aMessage);
 
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -495,10 +495,11 @@
     if (idleTime < config.pingInterval) {
       return;
     }
-    // The accepting side expects bytes only while a request runs, because its replies aren't
-    // acknowledged.
+    // The accepting side expects bytes only while a request runs or after it has sent one of its
+    // own, because its replies aren't acknowledged.
+    const bool sendsRequests = aLink->wasDialed || aLink->expectsReplies;
     const bool expectsBytes =
-      links.hasRunningRequests(*aLink) || (aLink->wasDialed && aLink->lastSent > lastReceived);
+      links.hasRunningRequests(*aLink) || (sendsRequests && aLink->lastSent > lastReceived);
     const bool hasUnansweredPing = aLink->firstUnansweredPing > lastReceived;
     const Duration responseTimeout =
       (config.receiveTimeout - config.pingInterval) * timeoutFactor(*aLink);
@@ -755,6 +756,18 @@
   return queued.result;
 }
 
+SendResult PeerHub::sendOnOpenLink(NodeId aNode, Lane aLane, const wire::PeerMessage& aMessage)
+{
+  std::string bytes = wire::encodePeerMessage(aMessage);
+  if (bytes.size() > mImpl->config.maxMessageBytes) {
+    return { SendStatus::TooLarge, 0 };
+  }
+  mImpl->sentBytes[aMessage.index()] += bytes.size();
+  const auto queued = mImpl->links.queueForOpenLink({ aNode, aLane }, std::move(bytes));
+  mImpl->notifyThread(queued);
+  return queued.result;
+}
+
 SendStatus PeerHub::reply(LinkId aLink, const wire::PeerMessage& aMessage)
 {
   return replyAll({ aLink }, aMessage).front();
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -3,9 +3,9 @@
 //
 // A link is one such connection, from the request to dial it until its loss is reported. Each lane
 // of a peer has a link of its own, so that large request bodies don't delay lease messages. A
-// daemon sends requests only on links that it dialed and replies on the link on which the request
-// arrived. Delivery is at most once: the messages accepted for a link are delivered in order, or
-// the loss of the link is reported.
+// daemon sends callers' requests only on links that it dialed and replies on the link on which the
+// request arrived. Delivery is at most once: the messages accepted for a link are delivered in
+// order, or the loss of the link is reported.
 //
 // Both sides ping a link every pingInterval while requests run on it. The side that dialed it also
 // does so while it has received nothing since it last sent a message. In a fleet of n daemons each
@@ -154,6 +154,11 @@
   /// blocks on the network. Thread-safe.
   SendResult send(NodeId aNode, Lane aLane, const wire::PeerMessage& aMessage);
 
+  /// Sends a message that expects a reply on the dialed link to the node or, if that isn't open, on
+  /// one that the node has dialed, which saves the dial. Dials if there is neither. The loss of the
+  /// message is reported only with that of the link, so the sender needs a time limit. Thread-safe.
+  SendResult sendOnOpenLink(NodeId aNode, Lane aLane, const wire::PeerMessage& aMessage);
+
   /// Sends a message on a link on which a message was received, or which send() returned.
   /// Thread-safe.
   SendStatus reply(LinkId aLink, const wire::PeerMessage& aMessage);
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -64,6 +64,21 @@
   return out;
 }
 
+PeerLinkTable::QueueResult PeerLinkTable::queueForOpenLink(const Key& aKey, std::string aBytes)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto dialed = mDialed.find(aKey);
+    const bool isDialed = dialed != mDialed.end() && dialed->second->isOpen;
+    const auto accepted = mAccepted.find(aKey);
+    if (!mIsClosed && !isDialed && accepted != mAccepted.end()) {
+      accepted->second->expectsReplies = true;
+      return queueLocked(accepted->second, std::move(aBytes), {});
+    }
+  }
+  return queueForPeer(aKey, std::move(aBytes));
+}
+
 PeerLinkTable::QueueResult PeerLinkTable::queueForLink(LinkId aLink, std::string aBytes,
                                                        const RequestEvent& aEvent)
 {
@@ -176,6 +191,8 @@
   aLink.isOpen = true;
   if (aLink.wasDialed) {
     mUnreachable.erase({ aPeer, aLink.lane });
+  } else {
+    mAccepted[{ aPeer, aLink.lane }] = mLinks.at(aLink.id);
   }
   return !aLink.outbox.empty();
 }
@@ -188,6 +205,10 @@
   }
   if (!aLink.wasDialed) {
     --mAcceptedCount;
+    const auto accepted = mAccepted.find({ aLink.peer, aLink.lane });
+    if (accepted != mAccepted.end() && accepted->second->id == aLink.id) {
+      mAccepted.erase(accepted);
+    }
     return;
   }
   const auto it = mDialed.find({ aLink.peer, aLink.lane });
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -3,6 +3,7 @@
 #ifndef CAMPHORCLEAT_TRANSPORT_PEERLINK_H_
 #define CAMPHORCLEAT_TRANSPORT_PEERLINK_H_
 
+#include <atomic>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -72,6 +73,8 @@
   std::size_t outboxBytes = 0;
   std::size_t socketBytes = 0;           ///< Passed to the connection and not written yet.
   std::unordered_set<RequestId> running; ///< Requests whose end hasn't been sent or received yet.
+  /// Messages that expect a reply were sent on this accepted link. Any thread.
+  std::atomic<bool> expectsReplies{ false };
 
   // Accessed on the hub's thread only.
   std::shared_ptr<PeerSocket> socket;
@@ -122,6 +125,10 @@
   /// have timers of their own.
   QueueResult queueForPeer(const Key& aKey, std::string aBytes, const RequestEvent& aEvent = {});
 
+  /// Queues a message that expects a reply for any open link of a peer and lane. If there is none,
+  /// same as queueForPeer().
+  QueueResult queueForOpenLink(const Key& aKey, std::string aBytes);
+
   /// Queues a message for a link that is open or being dialed; Unreachable if there is no such
   /// link.
   QueueResult queueForLink(LinkId aLink, std::string aBytes, const RequestEvent& aEvent = {});
@@ -184,6 +191,7 @@
   mutable std::mutex mMutex;
   std::map<NodeId, std::string> mAddresses;
   std::map<Key, std::shared_ptr<PeerLink>> mDialed;
+  std::map<Key, std::shared_ptr<PeerLink>> mAccepted; // The latest open one of each peer and lane.
   // Keys whose latest dial failed. At most two for each node that was ever dialed.
   std::set<Key> mUnreachable;
   std::map<LinkId, std::shared_ptr<PeerLink>> mLinks;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -223,6 +223,38 @@
   REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
 }
 
+// Guards against an account's home that is kept busy with connections (SHORT): all daemons of a
+// large fleet ask it for tokens at the same time, although it has dialed most of them before.
+TEST_CASE("a message that expects a reply uses an open link of either side instead of a dial")
+{
+  NodeFixture a(configOf(1));
+  NodeFixture b(configOf(2));
+  a.hub.setAddress(2, addressOf(b.hub));
+  b.hub.setAddress(1, addressOf(a.hub));
+  a.hub.send(2, Lane::Data, numbered(1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  const auto sent = b.hub.sendOnOpenLink(1, Lane::Data, numbered(2));
+  REQUIRE(sent.status == SendStatus::Accepted);
+  CHECK(sent.link == b.handler.lastLink());
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  CHECK_FALSE(b.hub.isConnected(1, Lane::Data));
+  b.hub.sendOnOpenLink(1, Lane::Control, numbered(3)); // The peer has no link of this lane.
+  REQUIRE(waitFor([&] { return a.handler.count() == 2; }));
+  CHECK(b.hub.isConnected(1, Lane::Control));
+}
+
+// Guards against token requests that are sent on a silent link for as long as nothing else uses it.
+TEST_CASE("a stalled link is detected by the side that accepted it after a message of its own")
+{
+  NodeFixture b(configOf(2));
+  RawPeer peer(b.hub, "/camphorcleat/data");
+  peer.sayHello();
+  REQUIRE(waitFor([&] {
+    return b.hub.sendOnOpenLink(9, Lane::Data, numbered(1)).status == SendStatus::Accepted;
+  }));
+  REQUIRE(waitFor([&] { return b.handler.losses().size() == 1; }));
+}
+
 // Guards against messages that are lost because their link is still being dialed.
 TEST_CASE("messages that follow the first one on a link that is being dialed arrive with it")
 {
