--- a/packages/daemon/Settings.h
+++ b/packages/daemon/Settings.h
@@ -72,7 +72,7 @@
   std::size_t maxQueuedRequests = 0;
   std::uint64_t maxBodyBytes = 0;
   std::uint64_t linkBytesPerSecond = 0; ///< Bandwidth of the VM's network link; 0: unknown.
-  double cpuShare = 1; ///< Processor cores that the VM gives the daemon.
+  double cpuShare = 1;                  ///< Processor cores that the VM gives the daemon.
   Millis defaultDeadline{};
   Millis drainLimit{};  ///< Longest duration of a planned stop, unless killAfter is set.
   Millis killAfter{};   ///< Time from SIGTERM until the process is killed; 0: never.
