--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -3,6 +3,7 @@
 #include "daemon/OwnerDuty.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -409,6 +410,20 @@
                            account->second.burstRequests, mView.leaseValidUntil(),
                            initialLevel(aRequest.account, account->second, now));
   mRouter.reply(aFrom.link, reply);
+  logPace(now, reply);
+}
+
+// Logs, once a second at most, that this node gets more token requests than it can handle.
+void OwnerDuty::logPace(TimePoint aNow, const wire::TokenReply& aReply)
+{
+  if (aReply.pace == Micros(0) || aNow < mNextPaceLog) {
+    return;
+  }
+  mNextPaceLog = aNow + std::chrono::seconds(1);
+  logEvent(LogLevel::Info, "token_requests_paced",
+           { { "account", aReply.account },
+             { "per_second", std::to_string(std::lround(mRateHome.requestsPerSecond(aNow))) },
+             { "pace_ms", std::to_string(toMillis(aReply.pace)) } });
 }
 
 // The bucket starts full if it would have been refilled since the grant was received, which takes
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -153,6 +153,7 @@
 
   void step(const traffic::OwnerEvent& aEvent);
   void logLimitDecrease();
+  void logPace(TimePoint aNow, const wire::TokenReply& aReply);
   void sendBodyCredit();
   void perform(traffic::OwnerAction& aAction);
   void dispatch(const traffic::Dispatch& aDispatch);
@@ -215,6 +216,7 @@
   TimePoint mNextLoadReport;
   TimePoint mTargetMayStartUntil; // An unresponsive target may start work until then.
   std::uint64_t mLoggedLimitDecreases = 0;
+  TimePoint mNextPaceLog;
   std::uint64_t mSeenResets = 0; // Connection losses of mClient that were passed to mLogic.
   std::atomic<std::size_t> mOpenRequests{ 0 };
 };
