Paced drawers without demand stop asking for tokens

A paced drawer rounded the tokens that it asks for up by one, also without demand; the token was returned unused, and the return was sent with a request for another. So all drawers went on asking after the traffic had ended, which kept the home's number of token requests up and with it the pace.

--- a/packages/traffic/TokenCache.cc
+++ b/packages/traffic/TokenCache.cc
@@ -22,6 +22,9 @@
 // An unused account keeps its counts for at least this time before it may be evicted.
 constexpr Millis kIdleTime{ 1'000 };
 
+// A paced account with fewer expected requests than this gets no token ahead of demand.
+constexpr double kMinExpected = 0.25;
+
 std::uint32_t tokensFor(double aDemand, Duration aTime)
 {
   return static_cast<std::uint32_t>(std::min(aDemand * toSeconds(aTime), 1e9));
@@ -245,8 +248,11 @@
   const Duration lookAhead = aAccount.pace + mConfig.lookAhead;
   std::uint32_t ahead =
     aNow >= aAccount.aheadAfter ? tokensFor(demandOf(aAccount, aNow), lookAhead) : 0;
-  if (aAccount.pace > Duration::zero()) {
-    ++ahead; // Rounds up, because a request that finds no token has to wait for the pace.
+  // Rounds up, because a request that finds no token has to wait for the pace. Without demand, the
+  // unused token would be returned and requested again without end.
+  const double expected = demandOf(aAccount, aNow) * toSeconds(lookAhead);
+  if (aAccount.pace > Duration::zero() && expected >= kMinExpected) {
+    ++ahead;
   }
   const std::uint32_t target = std::min(aAccount.waiting + ahead, mConfig.maxWanted);
   return target - std::min(target, aAccount.available);
--- a/packages/traffic/testing/RatePropertyTest.cc
+++ b/packages/traffic/testing/RatePropertyTest.cc
@@ -303,6 +303,11 @@
   CHECK(dispatches.size() >= 0.75 * kRate * kSeconds);
   CHECK(rateExcess(dispatches, kRate, kRate) <= kTolerance);
   CHECK(home.requestsPerSecond(end) <= kHandledPerSecond);
+  // Paced drawers without demand stop asking.
+  world.eventQueue.runUntil(end + std::chrono::seconds(5));
+  const unsigned asked = world.tokenRequests;
+  world.eventQueue.runUntil(end + std::chrono::seconds(10));
+  CHECK(world.tokenRequests == asked);
 }
 
 TEST_CASE("requests wait while there is no home instead of being refused")
