The bound of a link's opening expires if no newer one follows

An entry that doesn't know the owner's clock, such as one of an earlier version, sends no bound, and the one from the set-up of its link held as long as the link: a set-up of 400 ms made each later request count as one that had waited that long.

TransitTimesTest, 'the bound of a link's opening expires without newer ones'.

--- a/packages/traffic/TransitTimes.cc
+++ b/packages/traffic/TransitTimes.cc
@@ -3,9 +3,16 @@
 #include "traffic/TransitTimes.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace camphorcleat::traffic {
 
+namespace {
+
+constexpr double kNoBound = std::numeric_limits<double>::infinity();
+
+} // namespace
+
 void TransitTimes::addOpening(TimePoint aNow, std::uint64_t aLink, Duration aSentAt,
                               Duration aReceivedAt, Duration aMaxWait)
 {
@@ -27,12 +34,13 @@
   Link& link = linkOf(aNow, aLink);
   const double difference = toSeconds(aReceivedAt - aSentAt);
   link.smallest.add(aNow, difference);
-  if (aReceiverClock != Duration::zero()) {
-    link.minusBound.add(aNow, toSeconds(aSentAt - aReceiverClock));
-  }
+  // A message without a bound lets older ones expire, such as that of the opening.
+  const bool isClockKnown = aReceiverClock != Duration::zero();
+  link.minusBound.add(aNow, isClockKnown ? toSeconds(aSentAt - aReceiverClock) : kNoBound);
   const double smallest = *link.smallest.value();
-  const auto minusBound = link.minusBound.value();
-  return fromSeconds(difference - (minusBound ? std::min(smallest, -*minusBound) : smallest));
+  const double minusBound = *link.minusBound.value();
+  return fromSeconds(difference -
+                     (minusBound < kNoBound ? std::min(smallest, -minusBound) : smallest));
 }
 
 std::optional<Duration> TransitTimes::senderClock(std::uint64_t aLink,
--- a/packages/traffic/testing/TransitTimesTest.cc
+++ b/packages/traffic/testing/TransitTimesTest.cc
@@ -94,6 +94,19 @@
   CHECK(link.send(Millis(0), 1, Millis(5)) == Millis(6));
 }
 
+// Guards against requests that are refused for as long as their link is open, because its set-up
+// took long and their sender never says what it knows of the clock.
+TEST_CASE("the bound of a link's opening expires without newer ones")
+{
+  Link link;
+  link.open(Millis(0), Millis(400));
+  CHECK(link.send(Millis(0)) == Millis(400));
+  for (int i = 0; i < 700; ++i) { // 140 s
+    link.send(Millis(0));
+  }
+  CHECK(link.send(Millis(0)) == Millis(0));
+}
+
 TEST_CASE("messages from a peer show the least that its clock shows")
 {
   Link link;
