The end of a body releases the credit that it leaves unused

A long body of unknown length is granted more than it has; the rest counted as on its way for up to 2 s, and more was asked for when the target read an earlier part of it. OwnerExchangeTest checks that the owner is told of the end of the body.

--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -871,9 +871,13 @@
   sendBodyCredit();
 }
 
-void OwnerDuty::bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes)
+void OwnerDuty::bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes, bool aIsLast)
 {
-  mBodyCredit.received(Clock::now(), aExchange.head().id, aBytes);
+  if (aIsLast) {
+    mBodyCredit.remove(aExchange.head().id); // A body of unknown length leaves credit unused.
+  } else {
+    mBodyCredit.received(Clock::now(), aExchange.head().id, aBytes);
+  }
   sendBodyCredit();
 }
 
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -76,7 +76,7 @@
                      std::string aMessage,
                      std::optional<traffic::StoredResponse> aResponse) override;
   void askForBody(OwnerExchange& aExchange, std::uint64_t aBytes) override;
-  void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes) override;
+  void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes, bool aIsLast) override;
   void sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage) override;
   Micros expectedTime() override;
 
--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -32,10 +32,9 @@
   if (!isInOrder || !hasCorrectTotal || mReceivedBytes > mAskedBytes) {
     return false;
   }
+  mIsBodyComplete = aChunk.isLast;
   const bool wasUnsolicited = aChunk.sequence == 0;
-  if (!wasUnsolicited) {
-    mHost.bodyReceived(*this, aChunk.data.size());
-  }
+  mHost.bodyReceived(*this, wasUnsolicited ? 0 : aChunk.data.size(), aChunk.isLast);
   ++mNextBodyChunk;
   mBodyChunks.push_back(std::move(aChunk));
   if (mIsTargetWaiting) {
@@ -93,7 +92,7 @@
   const std::uint64_t wanted = mHead.contentLength
                                  ? std::min(mReceivedBytes + kWindowBytes, *mHead.contentLength)
                                  : mReceivedBytes + kWindowBytes;
-  if (!chunk.isLast && wanted > mAskedBytes) {
+  if (!mIsBodyComplete && wanted > mAskedBytes) {
     const std::uint64_t more = wanted - mAskedBytes;
     mAskedBytes = wanted;
     mHost.askForBody(*this, more);
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -61,8 +61,8 @@
   /// Asks for aBytes more of the request's body. The entry may send them when it gets the credit,
   /// which it does when the link has room for them.
   virtual void askForBody(OwnerExchange& aExchange, std::uint64_t aBytes) = 0;
-  /// Reports that bytes of the body have arrived that were asked for.
-  virtual void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes) = 0;
+  /// Reports that bytes of the body have arrived that were asked for. aIsLast: no more will.
+  virtual void bodyReceived(OwnerExchange& aExchange, std::uint64_t aBytes, bool aIsLast) = 0;
   /// Sends a message to the entry of the request.
   virtual void sendToEntry(OwnerExchange& aExchange, wire::PeerMessage aMessage) = 0;
   /// Returns the expected queueing and run time of a new request; 0 if unknown.
@@ -139,6 +139,7 @@
   std::deque<wire::BodyChunk> mBodyChunks;
   std::uint64_t mNextBodyChunk = 0;
   std::uint64_t mReceivedBytes = 0;
+  bool mIsBodyComplete = false;
   std::uint64_t mAskedBytes = kFirstCreditBytes; // Including those that the entry sends unasked.
   bool mIsTargetWaiting = false; // onWritable() was called while no chunk was buffered.
 
--- a/packages/daemon/testing/OwnerExchangeTest.cc
+++ b/packages/daemon/testing/OwnerExchangeTest.cc
@@ -51,7 +51,10 @@
   {
     creditBytes += aBytes;
   }
-  void bodyReceived(OwnerExchange& /*aExchange*/, std::uint64_t /*aBytes*/) override {}
+  void bodyReceived(OwnerExchange& /*aExchange*/, std::uint64_t /*aBytes*/, bool aIsLast) override
+  {
+    isBodyComplete = aIsLast;
+  }
   void sendToEntry(OwnerExchange& /*aExchange*/, wire::PeerMessage aMessage) override
   {
     if (const auto* chunk = std::get_if<wire::BodyChunk>(&aMessage)) {
@@ -75,6 +78,7 @@
   std::vector<wire::BodyChunk> chunks;
   std::uint64_t sentBytes = 0;
   std::uint64_t creditBytes = 0;
+  bool isBodyComplete = false;
   int heads = 0;
 };
 
@@ -180,6 +184,7 @@
   SECTION("agrees")
   {
     CHECK(exchange->addBody(chunkOf(1, 10, true, 20)));
+    CHECK(host.isBodyComplete); // Releases the credit that the body leaves unused.
   }
 }
 
