--- a/packages/traffic/BodyCredit.h
+++ b/packages/traffic/BodyCredit.h
@@ -79,9 +79,6 @@
   /// Returns the bytes that were granted and haven't arrived, including those of stalled senders.
   std::uint64_t outstandingBytes() const;
 
-  /// Returns the limit on the bytes on their way; 0: there is none.
-  std::uint64_t windowBytes() const { return mWindowBytes; }
-
 private:
   struct Request
   {
--- a/packages/traffic/FairQueue.cc
+++ b/packages/traffic/FairQueue.cc
@@ -29,7 +29,7 @@
 {
   assert(aRequest.weight > 0);
   aRequest.cost = std::clamp<std::uint32_t>(aRequest.cost, 1, kMaxCost);
-  forgetPassedFlows();
+  forgetIdleFlows();
   Entry& entry = mFlows.try_emplace(aRequest.account).first->second;
   Flow& flow = entry.flow;
   flow.account = aRequest.account;
@@ -236,8 +236,8 @@
   }
 }
 
-// Forgets the accounts without waiting requests whose start time has passed, if there are many.
-void FairQueue::forgetPassedFlows()
+// Forgets the start times of accounts without waiting requests if there are too many of them.
+void FairQueue::forgetIdleFlows()
 {
   if (mFlows.size() < 2 * mMaxRequests) {
     return;
--- a/packages/traffic/FairQueue.h
+++ b/packages/traffic/FairQueue.h
@@ -127,11 +127,11 @@
   void setSizeOrder(Flow& aFlow, double aOldSize);
   void enter(Entry& aEntry);
   void leave(Entry& aEntry);
-  void forgetPassedFlows();
+  void forgetIdleFlows();
 
   std::size_t mMaxRequests;
-  // Accounts with waiting requests, and others whose start time is later than mVirtualTime. All are
-  // forgotten when the queue is empty. At most 2 * mMaxRequests.
+  // Accounts with waiting requests, and others that had some since the queue was last empty. At
+  // most 2 * mMaxRequests.
   std::map<std::string, Entry> mFlows;
   Order mOrder;
   std::uint64_t mEntries = 0; // Number of times a flow entered mOrder.
