--- a/review/stand-3/Platform.cc
+++ b/review/stand-3/Platform.cc
@@ -492,6 +492,7 @@
     throw CannotRun{ "can't listen at " + mOptions.address };
   }
   mIsUp = true;
+  turnCold(mOptions.warmUpSeconds);
   record("server " + mOptions.id + " started at " + mOptions.address);
   mAcceptThread = std::thread([this] { acceptLoop(); });
   mBeatThread = std::thread([this] { beatLoop(); });
@@ -531,6 +532,11 @@
   mMustBeatSoon = true;
 }
 
+void Server::turnCold(double aSeconds)
+{
+  mColdUntil = now() + aSeconds;
+}
+
 bool Server::deregister(double aTimeout)
 {
   const Message out =
@@ -671,8 +677,7 @@
                     mOptions.address + "\",\"zone\":\"" + mOptions.zone +
                     "\",\"version\":\"v1\",\"slots\":" + std::to_string(mOptions.slots) +
                     ",\"state\":\"" + mState + "\",\"warmup_left_s\":" +
-                    std::to_string(std::max(0.0, mOptions.warmUpSeconds -
-                                                   (unixMillis() - mBorn) / 1000.0)) +
+                    std::to_string(std::max(0.0, mColdUntil - now())) +
                     ",\"sequence\":" + std::to_string(aSequence) +
                     ",\"born\":" + std::to_string(mBorn);
   if (mOptions.isKeyed) {
@@ -722,6 +727,7 @@
     return false;
   }
   mAcked = true;
+  mAckedAt = now();
   const std::lock_guard<std::mutex> lock(mMutex);
   mReleased.erase(mReleased.begin(), mReleased.begin() + static_cast<std::ptrdiff_t>(told));
   if (mOptions.isKeyed) {
--- a/review/stand-3/Platform.h
+++ b/review/stand-3/Platform.h
@@ -147,6 +147,8 @@
   Hold holdOf(unsigned aKey) const;
   std::size_t heldKeys() const;
   bool wasAcknowledged() const { return mAcked; }
+  double lastAcknowledged() const { return mAckedAt; } ///< When a heartbeat was acknowledged last.
+  void turnCold(double aSeconds); ///< Later heartbeats say how long the server stays cold.
   std::map<std::string, int> runs() const;
   std::string id() const { return mOptions.id; }
   std::int64_t born() const { return mBorn; }
@@ -173,6 +175,8 @@
   std::int64_t mBorn = 0;
   std::atomic<bool> mIsUp{ false };
   std::atomic<bool> mAcked{ false };
+  std::atomic<double> mAckedAt{ 0 };
+  std::atomic<double> mColdUntil{ 0 };
   int mListener = -1;
   std::thread mAcceptThread, mBeatThread;
   mutable std::mutex mMutex;
