The end of a response without a length is judged after the handlers of failed writes

Cause: the system reports a reset to one call only. A write that is started within a handler can take it and queue its own handler behind that of a read which the event loop had queued before; the read then sees a regular end. mWriteFailed wasn't set yet.

Evidence: the new test of TargetClientTest brings about this order.

Why it works: if a write is in progress at the end, the decision is posted, so it runs after all handlers that are queued by then; a write that took the reset ended before the read. A regular end while the upload is unfinished still completes the response (existing test).

--- a/packages/transport/HttpTargetExchange.cc
+++ b/packages/transport/HttpTargetExchange.cc
@@ -389,14 +389,9 @@
     return;
   }
   std::string data(mBodyBuffer.data(), mBodyBuffer.size() - mParser->get().body().size);
-  // The end of the connection says that the body is complete, unless the connection was reset. The
-  // system reports a reset to one call only. If a write got it, the read sees a regular end.
-  if (mParser->is_done() && mParser->need_eof() && mWriteFailed) {
-    reportFailure(true, ErrorCode::ResponseTruncated,
-                  "the connection failed before the end of a response without a length");
-    return;
-  }
-  if (mParser->is_done()) {
+  if (mParser->is_done() && mParser->need_eof()) {
+    onConnectionEnd(std::move(data));
+  } else if (mParser->is_done()) {
     complete(std::move(data));
   } else if (data.empty()) {
     readSome(); // Only framing bytes were read.
@@ -406,6 +401,32 @@
   }
 }
 
+// The end of the connection says that the body is complete, unless the connection was reset. The
+// system reports a reset to one call only. If a write got it, the read sees a regular end. That
+// write ended before the read, but its handler may still be queued, behind the handler of the read.
+void HttpTargetExchange::onConnectionEnd(std::string aData)
+{
+  if (!mWriter->isWriting()) {
+    finishUnframed(std::move(aData));
+    return;
+  }
+  asio::post(mPool->io, [self = shared_from_this(), data = std::move(aData)]() mutable {
+    if (!self->mIsDone) {
+      self->finishUnframed(std::move(data));
+    }
+  });
+}
+
+void HttpTargetExchange::finishUnframed(std::string aData)
+{
+  if (mWriteFailed) {
+    reportFailure(true, ErrorCode::ResponseTruncated,
+                  "the connection failed before the end of a response without a length");
+  } else {
+    complete(std::move(aData));
+  }
+}
+
 void HttpTargetExchange::onReadError(const boost::system::error_code& aEc)
 {
   if (isConnectionLoss(aEc)) {
--- a/packages/transport/HttpTargetExchange.h
+++ b/packages/transport/HttpTargetExchange.h
@@ -55,6 +55,8 @@
   void discardStaleResponse();
   void onStaleRead(const boost::system::error_code& aEc);
   void onBodyRead(const boost::system::error_code& aEc);
+  void onConnectionEnd(std::string aData);
+  void finishUnframed(std::string aData);
   void onReadError(const boost::system::error_code& aEc);
   void complete(std::string aData);
   void postFailure(bool aMayHaveRun, ErrorCode aCode, std::string aMessage);
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/ip/udp.hpp>
+
 #include "TransportFakes.h"
 #include "transport/Endpoint.h"
 #include "transport/HttpFrontend.h"
@@ -443,6 +445,50 @@
   CHECK(response->mayHaveRun);
 }
 
+// Guards against a part of a response that reaches the caller as complete (MIXED): the write that got
+// the reset had ended, but its handler was queued behind the handler of the read.
+TEST_CASE("a response without a length is truncated if the handler of a write that was reset runs "
+          "after the read")
+{
+  std::atomic<bool> mayReset{ false };
+  std::atomic<bool> isReset{ false };
+  ScriptedServer target([&](BlockingSocket& aSocket, int) {
+    aSocket.readUntil("\r\n\r\n");
+    aSocket.write("HTTP/1.1 200 OK\r\n\r\npart");
+    waitFor([&] { return mayReset.load(); });
+    aSocket.reset();
+    isReset = true;
+  });
+  ClientFixture client(target.address(), 100, true);
+  const auto response = std::make_shared<RecordingTargetHandler>();
+  boost::asio::ip::udp::socket signal(client.thread.context(),
+                                      { boost::asio::ip::address_v4::loopback(), 0 });
+  runOn(client.thread, [&] {
+    response->exchange = client.client->start(TargetRequest{ "POST", "/x", {}, 2000 }, response,
+                                              Clock::now() + Millis(5000));
+    signal.async_wait(boost::asio::socket_base::wait_read,
+                      [&](const boost::system::error_code&) {
+                        response->exchange->sendBody(std::string(1000, 'x'), false);
+                      });
+  });
+  REQUIRE(waitFor([&] {
+    bool hasRead = false;
+    runOn(client.thread, [&] { hasRead = response->received == "part"; });
+    return hasRead;
+  }));
+  runOn(client.thread, [&] {
+    // The signal arrives before the reset, so its handler, which writes, is queued first.
+    signal.send_to(boost::asio::buffer("x", 1), signal.local_endpoint());
+    mayReset = true;
+    waitFor([&] { return isReset.load(); });
+    std::this_thread::sleep_for(Millis(20));
+  });
+  REQUIRE(waitFor([&] { return response->isDone(); }));
+  CHECK(response->ends == 0);
+  CHECK(response->code == ErrorCode::ResponseTruncated);
+  runOn(client.thread, [&] { signal.close(); });
+}
+
 TEST_CASE("a response without a length that ends regularly during the upload is complete")
 {
   ScriptedServer target([&](BlockingSocket& aSocket, int) {
