ViewHistory limits the size of its changes, not only their number

Cause: the history kept 4,096 revisions or 65,536 changes. A version of the configuration is one change, whatever its size.

Change: 8 MiB of contents at most, measured over the members of all kinds of changes. updateSince() never sent several large configurations in one update, so such a history wasn't used.

--- a/packages/fleet/ViewHistory.cc
+++ b/packages/fleet/ViewHistory.cc
@@ -3,14 +3,18 @@
 #include "fleet/ViewHistory.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
+#include "base/FieldMemory.h"
+
 namespace camphorcleat::fleet {
 
 namespace {
 
 constexpr std::size_t kMaxRevisions = 4096;
 constexpr std::size_t kMaxChanges = 65536;
+constexpr std::size_t kMaxContentBytes = 8U << 20U;
 
 // Accounts and routes of all configurations in one update, if there are several. An entry takes
 // about 100 bytes.
@@ -88,19 +92,33 @@
   if (aChanges.empty()) {
     return;
   }
-  mChangeCount += aChanges.size();
-  mItems.emplace_back(aRevision, std::move(aChanges));
-  while (mItems.size() > kMaxRevisions || (mChangeCount > kMaxChanges && mItems.size() > 1)) {
-    mCompleteSince = mItems.front().first;
-    mChangeCount -= mItems.front().second.size();
+  Item item{ aRevision, std::move(aChanges), 0 };
+  for (const auto& it : item.changes) {
+    item.contentBytes += heapBytes(it);
+  }
+  mChangeCount += item.changes.size();
+  mContentBytes += item.contentBytes;
+  mItems.push_back(std::move(item));
+  while (mItems.size() > 1 && exceedsLimits()) {
+    const Item& oldest = mItems.front();
+    mCompleteSince = oldest.revision;
+    mChangeCount -= oldest.changes.size();
+    mContentBytes -= oldest.contentBytes;
     mItems.pop_front();
   }
 }
 
+bool ViewHistory::exceedsLimits() const
+{
+  return mItems.size() > kMaxRevisions || mChangeCount > kMaxChanges ||
+         mContentBytes > kMaxContentBytes;
+}
+
 void ViewHistory::reset(Revision aRevision)
 {
   mItems.clear();
   mChangeCount = 0;
+  mContentBytes = 0;
   mCompleteSince = aRevision;
   mRevision = aRevision;
 }
@@ -113,10 +131,10 @@
   wire::ViewUpdate update{ aFrom, mRevision, {}, {} };
   const auto first =
     std::upper_bound(mItems.begin(), mItems.end(), aFrom,
-                     [](Revision aValue, const auto& aItem) { return aValue < aItem.first; });
+                     [](Revision aValue, const Item& aItem) { return aValue < aItem.revision; });
   for (auto it = first; it != mItems.end(); ++it) {
-    update.changes.insert(update.changes.end(), it->second.begin(), it->second.end());
-    update.revisions.insert(update.revisions.end(), it->second.size(), it->first);
+    update.changes.insert(update.changes.end(), it->changes.begin(), it->changes.end());
+    update.revisions.insert(update.revisions.end(), it->changes.size(), it->revision);
   }
   if (hasTooLargeConfigurations(update.changes)) {
     return std::nullopt;
--- a/packages/fleet/ViewHistory.h
+++ b/packages/fleet/ViewHistory.h
@@ -4,9 +4,9 @@
 #ifndef CAMPHORCLEAT_FLEET_VIEWHISTORY_H_
 #define CAMPHORCLEAT_FLEET_VIEWHISTORY_H_
 
+#include <cstddef>
 #include <deque>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "fleet/FleetModel.h"
@@ -14,8 +14,9 @@
 
 namespace camphorcleat::fleet {
 
-/// Stores the changes of the last 4,096 revisions that had any, with a limit of 65,536 changes. The
-/// latest of these revisions is always stored, whatever its size. Not thread-safe.
+/// Stores the changes of the last 4,096 revisions that had any, with limits of 65,536 changes and
+/// 8 MiB of their contents. The latest of these revisions is always stored, whatever its size. Not
+/// thread-safe.
 class ViewHistory
 {
 public:
@@ -32,9 +33,22 @@
 
   Revision revision() const { return mRevision; }
 
+  /// Returns the heap memory of the stored changes, without the changes themselves.
+  std::size_t contentBytes() const { return mContentBytes; }
+
 private:
-  std::deque<std::pair<Revision, std::vector<wire::Change>>> mItems;
+  struct Item
+  {
+    Revision revision = 0;
+    std::vector<wire::Change> changes;
+    std::size_t contentBytes = 0;
+  };
+
+  bool exceedsLimits() const;
+
+  std::deque<Item> mItems;
   std::size_t mChangeCount = 0;
+  std::size_t mContentBytes = 0;
   Revision mCompleteSince = 0; // All changes after this revision are stored.
   Revision mRevision = 0;
 };
--- a/packages/fleet/testing/ViewHistoryTest.cc
+++ b/packages/fleet/testing/ViewHistoryTest.cc
@@ -103,6 +103,38 @@
   CHECK(history.updateSince(2));
 }
 
+// Guards against control members that exceed their memory as versions of a large configuration
+// come (Fault, review/13).
+TEST_CASE("the history keeps a bounded amount of the configurations' content")
+{
+  const bool renamesAll = GENERATE(false, true);
+  CAPTURE(renamesAll);
+  constexpr std::size_t kLimit = 8U << 20U;
+  const std::string name(60, 'r');
+  ViewHistory history;
+  for (Revision i = 1; i <= 200; ++i) {
+    wire::ConfigurationChanged change;
+    change.next.routes.resize(1000);
+    for (auto& it : change.next.routes) {
+      it.name = name;
+    }
+    if (renamesAll) {
+      change.removedRoutes.resize(1000);
+      for (auto& it : change.removedRoutes) {
+        it.pathPrefix = name;
+      }
+    }
+    history.add(i, { change });
+    CHECK(history.contentBytes() <= kLimit);
+  }
+  CHECK(history.contentBytes() > kLimit / 2);
+  CHECK_FALSE(history.updateSince(1));
+  REQUIRE(history.updateSince(199));
+  CHECK(history.updateSince(199)->changes.size() == 1);
+  history.reset(300);
+  CHECK(history.contentBytes() == 0);
+}
+
 TEST_CASE("snapshot parts are bounded in size and build the same model")
 {
   Member member;
