--- a/packages/agreement/LogNode.cc
+++ b/packages/agreement/LogNode.cc
@@ -114,9 +114,13 @@
   mSnapshot = std::make_shared<const Snapshot>(
     Snapshot{ aTaken.lastIndex, *term, mMembers.at(aTaken.lastIndex), aTaken.bytes });
   mPersist.snapshotTaken(mSnapshot);
-  const LogIndex retained = std::min(mConfig.retainedEntries, aTaken.lastIndex);
+  LogIndex base = aTaken.lastIndex - std::min(mConfig.retainedEntries, aTaken.lastIndex);
+  while (base < aTaken.lastIndex &&
+         mLog.bytesBetween(base, aTaken.lastIndex) > mConfig.retainedBytes) {
+    ++base;
+  }
   // Entries that are not in a batch yet must stay, so that the stored log has no gap.
-  mLog.compactTo(std::min(aTaken.lastIndex - retained, mPersist.firstPending() - 1));
+  mLog.compactTo(std::min(base, mPersist.firstPending() - 1));
   mMembers.compactTo(mLog.baseIndex());
 }
 
--- a/packages/agreement/LogNodeConfig.h
+++ b/packages/agreement/LogNodeConfig.h
@@ -73,6 +73,9 @@
   /// need no snapshot transfer. Must be more than kMaxInFlightEntries, or a member with a full
   /// window could need one.
   std::uint64_t retainedEntries = 2048;
+  /// Maximum bytes of these entries. Must be more than kMaxInFlightBytes for the same reason, and
+  /// far below kMaxLogBytes.
+  std::uint64_t retainedBytes = 8U << 20U;
 };
 
 } // namespace camphorcleat::agreement
--- a/packages/agreement/testing/LogNodeTest.cc
+++ b/packages/agreement/testing/LogNodeTest.cc
@@ -47,8 +47,9 @@
 class MemberFixture
 {
 public:
-  explicit MemberFixture(StoredState aStored = {}, bool aKnowsStores = true)
-    : mNode(config(aKnowsStores), withStore(std::move(aStored)), std::mt19937_64(1))
+  explicit MemberFixture(StoredState aStored = {}, bool aKnowsStores = true,
+                         std::uint64_t aRetainedEntries = 0)
+    : mNode(config(aKnowsStores, aRetainedEntries), withStore(std::move(aStored)), std::mt19937_64(1))
   {
     mLast = mNode.step(mNow, Tick{});
   }
@@ -126,11 +127,11 @@
   const std::vector<Action>& last() const { return mLast; }
 
 private:
-  static LogNodeConfig config(bool aKnowsStores)
+  static LogNodeConfig config(bool aKnowsStores, std::uint64_t aRetainedEntries)
   {
     LogNodeConfig out;
     out.self = 1;
-    out.retainedEntries = 0;
+    out.retainedEntries = aRetainedEntries;
     for (NodeId id = 1; id <= 3; ++id) {
       out.initialMembership.members.push_back({ id, aKnowsStores ? kStores[id] : 0 });
     }
@@ -336,6 +337,23 @@
   CHECK(batch.entries.at(0).index == noop + 2);
 }
 
+// Guards against a leader that refuses every proposal, as the entries that it retains behind its
+// snapshot fill the memory of the log (issue 59).
+TEST_CASE("Large entries behind a snapshot don't fill the log's memory")
+{
+  MemberFixture fixture({}, true, LogNodeConfig().retainedEntries);
+  const LogIndex noop = fixture.lead();
+  const std::string payload(kMaxPayloadBytes, 'p');
+  for (std::uint64_t i = 1; i <= 80; ++i) {
+    CHECK(actionsOf<ProposalRefused>(fixture.step(Propose{ i, payload })).empty());
+    fixture.sync();
+    fixture.ack(2, noop + i);
+    fixture.ack(3, noop + i);
+    fixture.step(SnapshotTaken{ noop + i, "state" });
+    fixture.sync();
+  }
+}
+
 // Guards against a restart that applies a long log again although the embedder asked for a
 // snapshot.
 TEST_CASE("A requested snapshot covers all applied entries and is taken once")
