A waiting request follows its account key to another account

Cause: the owner looked the key up under the account's name as of the arrival.

Change: the head carries the key's digest; an owner with a newer view finds the account by it and queues the waiting requests again under that account, so that its rate tokens are spent.

--- a/packages/base/Hash.cc
+++ b/packages/base/Hash.cc
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include <QByteArray>
 #include <QByteArrayView>
 #include <QCryptographicHash>
 
@@ -20,15 +21,24 @@
   return static_cast<PartitionId>(hash64(aKey, hash64(aService)) % aPartitionCount);
 }
 
-std::string sha256Hex(std::string_view aData)
+std::string sha256(std::string_view aData)
 {
   return QCryptographicHash::hash(
            QByteArrayView(aData.data(), static_cast<qsizetype>(aData.size())),
            QCryptographicHash::Sha256)
-    .toHex()
     .toStdString();
 }
 
+std::string toHex(std::string_view aBytes)
+{
+  return QByteArray(aBytes.data(), static_cast<qsizetype>(aBytes.size())).toHex().toStdString();
+}
+
+std::string sha256Hex(std::string_view aData)
+{
+  return toHex(sha256(aData));
+}
+
 bool equalConstantTime(std::string_view aLeft, std::string_view aRight)
 {
   if (aLeft.size() != aRight.size()) {
--- a/packages/base/Hash.h
+++ b/packages/base/Hash.h
@@ -19,6 +19,12 @@
 PartitionId partitionOf(std::string_view aService, std::string_view aKey,
                         std::uint32_t aPartitionCount);
 
+/// Returns the SHA-256 hash as 32 bytes. Thread-safe.
+std::string sha256(std::string_view aData);
+
+/// Returns bytes as lower-case hexadecimal digits. Thread-safe.
+std::string toHex(std::string_view aBytes);
+
 /// Returns the SHA-256 hash as 64 lower-case hexadecimal digits. Thread-safe.
 std::string sha256Hex(std::string_view aData);
 
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -366,7 +366,8 @@
     return rejection;
   }
   if (!aMetadata.accountKey.empty()) {
-    const std::string digest = sha256Hex(aMetadata.accountKey);
+    aHead.keyDigest = Bytes(sha256(aMetadata.accountKey));
+    const std::string digest = toHex(aHead.keyDigest.data);
     if (const wire::Account* account = model.accountOfDigest(digest)) {
       aHead.account = account->name;
       aHead.keyName = keyNameOf(*account, digest);
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -293,6 +293,17 @@
 void OwnerDuty::acceptRequest(OwnerExchange& aExchange, TimePoint aSentAt)
 {
   aExchange.setPartition(partitionOf(aExchange.head()));
+  updateAccount(aExchange);
+  const RequestId id = aExchange.head().id;
+  step(arrivalOf(aExchange, aSentAt));
+  if (OwnerExchange* accepted = find(id)) { // Removed if the request was refused.
+    accepted->askForFirstBytes();
+  }
+}
+
+traffic::RequestArrived OwnerDuty::arrivalOf(const OwnerExchange& aExchange,
+                                             TimePoint aSentAt) const
+{
   const wire::RequestHead& head = aExchange.head();
   traffic::RequestArrived event;
   event.id = head.id;
@@ -310,10 +321,7 @@
   event.requestDigest = head.idempotencyKey.empty() ? std::string() : requestDigest(head);
   event.deadline = aSentAt + head.deadline;
   event.isResend = head.isResend;
-  step(event);
-  if (OwnerExchange* accepted = find(event.id)) { // Removed if the request was refused.
-    accepted->askForFirstBytes();
-  }
+  return event;
 }
 
 // The partition is computed from this owner's view, because the key may have been pinned after the
@@ -492,12 +500,23 @@
   }
 }
 
+// Before anything else uses a new view: no request may start under an account that has lost its
+// key.
+void OwnerDuty::refreshView()
+{
+  const Revision before = mView.state().revision;
+  mView.refresh();
+  if (mView.state().revision != before) {
+    updateWaitingAccounts();
+  }
+}
+
 // A heartbeat may arrive before the view that contains the service's limits for cold targets. The
 // target is then reported again.
 void OwnerDuty::handleView()
 {
   const bool wasKnown = mHeartbeats.hasTarget() && isServiceKnown(mHeartbeats, mView);
-  mView.refresh();
+  refreshView();
   if (mHeartbeats.hasTarget() && !wasKnown && isServiceKnown(mHeartbeats, mView)) {
     reportTarget();
   }
@@ -602,7 +621,7 @@
 
 void OwnerDuty::handleStopPartition(const fleet::agent::StopPartition& aStop)
 {
-  mView.refresh();
+  refreshView();
   mStoppingPartitions[aStop.partition] = aStop.token;
   if (mDialect.hasHeartbeats() && aStop.partition.first != fleet::kAccountService) {
     return; // The response to the next heartbeat, or an order, withdraws the grant.
@@ -689,15 +708,68 @@
   exchange->begin(*mClient, mDialect.targetHeaders(call), aDispatch.cancelAt);
 }
 
+// Returns the account that has the caller's account key now, or nullptr.
+const wire::Account* OwnerDuty::accountOf(const wire::RequestHead& aHead) const
+{
+  const fleet::FleetModel& model = *mView.state().model;
+  if (!aHead.keyDigest.empty()) {
+    return model.accountOfDigest(toHex(aHead.keyDigest.data));
+  }
+  const auto it = model.accounts().find(aHead.account);
+  const bool hasKey =
+    it != model.accounts().end() && it->second.keyDigests.count(aHead.keyName) > 0;
+  return hasKey ? &it->second : nullptr;
+}
+
 // If the entry's view is newer than this one, it may contain an account key that is unknown here.
 bool OwnerDuty::isAccountKeyValid(const wire::RequestHead& aHead) const
 {
-  if (aHead.account.empty() || mView.state().revision < aHead.routeRevision) {
-    return true;
+  return aHead.account.empty() || mView.state().revision < aHead.routeRevision ||
+         accountOf(aHead) != nullptr;
+}
+
+// An account can be renamed, or a key be moved to another account, while a request waits. Returns
+// whether the request belongs to another account now.
+bool OwnerDuty::updateAccount(OwnerExchange& aExchange) const
+{
+  const wire::RequestHead& head = aExchange.head();
+  if (head.account.empty() || mView.state().revision < head.routeRevision) {
+    return false;
+  }
+  const wire::Account* account = accountOf(head);
+  if (account == nullptr || account->name == head.account) {
+    return false;
+  }
+  logEvent(LogLevel::Info, "request_changed_account",
+           { { "request", head.callerRequestId },
+             { "from", head.account },
+             { "to", account->name },
+             { "revision", std::to_string(mView.state().revision) } });
+  aExchange.setAccount(*account);
+  return true;
+}
+
+// Queues the waiting requests again whose account changed, in their order of arrival, so that they
+// take the rate tokens of their new account.
+void OwnerDuty::updateWaitingAccounts()
+{
+  std::vector<std::shared_ptr<OwnerExchange>> changed;
+  for (const auto& [id, exchange] : mExchanges) {
+    const bool isQueued = !exchange->hasBegun() && mAwaitingGrant.count(id) == 0;
+    if (isQueued && updateAccount(*exchange)) {
+      changed.push_back(exchange);
+    }
+  }
+  std::sort(changed.begin(), changed.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft->arrivedAt() < aRight->arrivedAt();
+  });
+  if (!changed.empty()) {
+    traffic::AccountsChanged event;
+    for (const auto& it : changed) {
+      event.requests.push_back(arrivalOf(*it, it->sentAt()));
+    }
+    step(event);
   }
-  const auto& accounts = mView.state().model->accounts();
-  const auto it = accounts.find(aHead.account);
-  return it != accounts.end() && it->second.keyDigests.count(aHead.keyName) > 0;
 }
 
 void OwnerDuty::refuse(const traffic::Refuse& aRefuse)
@@ -897,7 +969,7 @@
 
 void OwnerDuty::handleHeartbeat(const TargetHeartbeat& aHeartbeat)
 {
-  mView.refresh();
+  refreshView();
   const bool hadTarget = mHeartbeats.hasTarget();
   const HeartbeatTracker::Verdict verdict = mHeartbeats.record(aHeartbeat);
   if (verdict == HeartbeatTracker::Verdict::Stale) {
@@ -1038,7 +1110,7 @@
 
 void OwnerDuty::handleDeregistration(const TargetDeregistration& aDeregistration)
 {
-  mView.refresh();
+  refreshView();
   const auto process = processOf(aDeregistration);
   if (!process) {
     logEvent(LogLevel::Warning, "target_leaving_unknown",
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -107,6 +107,7 @@
   void handlePeerMessage(ReceivedMessage aMessage);
   void handleHead(transport::LinkId aLink, wire::RequestHead aHead);
   void acceptRequest(OwnerExchange& aExchange, TimePoint aSentAt);
+  traffic::RequestArrived arrivalOf(const OwnerExchange& aExchange, TimePoint aSentAt) const;
   PartitionId partitionOf(const wire::RequestHead& aHead) const;
   bool mayGetKey(const wire::RequestHead& aHead) const;
   void acceptAwaitingGrant();
@@ -116,12 +117,16 @@
   traffic::HomeStart initialLevel(const std::string& aAccount, const wire::Account& aSettings,
                                   TimePoint aNow) const;
   void handleLinkLost(const LinkLost& aLost);
+  void refreshView();
   void handleView();
   void updateHomes();
   void updateHeldGrants();
   void cancelRequest(const RequestId& aId);
   void withdrawRequest(const wire::WithdrawRequest& aWithdraw);
+  const wire::Account* accountOf(const wire::RequestHead& aHead) const;
   bool isAccountKeyValid(const wire::RequestHead& aHead) const;
+  bool updateAccount(OwnerExchange& aExchange) const;
+  void updateWaitingAccounts();
   void handleStopPartition(const fleet::agent::StopPartition& aStop);
 
   void startTarget();
--- a/packages/daemon/OwnerExchange.cc
+++ b/packages/daemon/OwnerExchange.cc
@@ -15,6 +15,12 @@
 {
 }
 
+void OwnerExchange::setAccount(const wire::Account& aAccount)
+{
+  mHead.account = aAccount.name;
+  mHead.priority = aAccount.priority.value_or(mHead.priority);
+}
+
 void OwnerExchange::askForFirstBytes()
 {
   const std::uint64_t wanted =
--- a/packages/daemon/OwnerExchange.h
+++ b/packages/daemon/OwnerExchange.h
@@ -80,6 +80,8 @@
 
   const wire::RequestHead& head() const { return mHead; }
   void setPartition(PartitionId aPartition) { mHead.partition = aPartition; }
+  /// Assigns the request to another account, which has the caller's account key now.
+  void setAccount(const wire::Account& aAccount);
   transport::LinkId link() const { return mLink; }
 
   /// Returns how long the request waited on its way from the entry, as set by setWaitingTime().
@@ -88,6 +90,9 @@
 
   TimePoint arrivedAt() const { return mArrivedAt; }
 
+  /// Returns when the entry sent the request, on this daemon's clock.
+  TimePoint sentAt() const { return mArrivedAt - mWaitingTime; }
+
   /// Asks for the body up to kFirstCreditBytes. Call when the request is accepted.
   void askForFirstBytes();
 
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -334,8 +334,9 @@
     owner.start();
   }
 
-  // Publishes a view with the service "intake" and the account "acme", whose only key is "known".
-  void publish(Revision aRevision)
+  // Publishes a view with the service "intake" and the account "acme", or another one, whose only
+  // key is "known".
+  void publish(Revision aRevision, const std::string& aAccount = "acme")
   {
     wire::Configuration configuration;
     configuration.version = 1;
@@ -345,7 +346,7 @@
     service.coldRequestsPerSecond = 5;
     configuration.services = { service };
     wire::Account account;
-    account.name = "acme";
+    account.name = aAccount;
     account.keyDigests["known"] = sha256Hex("secret");
     configuration.accounts = { account };
     auto model = std::make_shared<fleet::FleetModel>();
@@ -474,6 +475,7 @@
     head.service = aService;
     head.account = aKeyName.empty() ? "" : "acme";
     head.keyName = aKeyName;
+    head.keyDigest = aKeyName == "known" ? Bytes(sha256("secret")) : Bytes();
     head.method = "GET";
     head.path = "/";
     head.contentLength = 0;
@@ -576,6 +578,30 @@
   CHECK_FALSE(f.failure(Millis(50)));
 }
 
+// Guards against requests that are refused with "unknown account key" although their key is valid
+// before, during and after a change (DENIED, review/15).
+TEST_CASE("a request that waits while its account is renamed runs under the new name")
+{
+  const bool waitsAtOwner = GENERATE(true, false);
+  CAPTURE(waitsAtOwner);
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(3000)); // Nothing is sent to a cold target at first.
+  if (waitsAtOwner) {
+    f.sendRequest("intake", "known", 5);
+    CHECK_FALSE(f.failure(Millis(50)));
+  }
+  f.publish(6, "renamed");
+  if (!waitsAtOwner) {
+    f.sendRequest("intake", "known", 5); // By an entry with an older view.
+  }
+  REQUIRE(f.target.accept(Millis(1500)) == 1);
+  const std::string request = f.target.read(Millis(50));
+  CHECK(request.find("renamed") != std::string::npos);
+  CHECK(request.find("acme") == std::string::npos);
+  CHECK_FALSE(f.failure(Millis(50)));
+}
+
 // Guards against two processes of a target that have grants with the same token.
 TEST_CASE("a restarted target gets no grants of its previous process")
 {
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -209,6 +209,22 @@
   }
 }
 
+// All are removed before the first one is queued, since each would otherwise be refused for the
+// wait behind those that are yet to be moved.
+void OwnerLogic::on(TimePoint aNow, const AccountsChanged& aEvent)
+{
+  std::vector<const RequestArrived*> moved;
+  for (const auto& it : aEvent.requests) {
+    if (mWaiting.count(it.id) != 0) {
+      on(aNow, RequestCancelled{ it.id });
+      moved.push_back(&it);
+    }
+  }
+  for (const auto* it : moved) {
+    on(aNow, *it);
+  }
+}
+
 void OwnerLogic::on(TimePoint aNow, const RequestWithdrawn& aEvent)
 {
   if (mWaiting.count(aEvent.id) != 0) {
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -126,6 +126,7 @@
 
   void on(TimePoint aNow, const RequestArrived& aEvent);
   void on(TimePoint aNow, const RequestCancelled& aEvent);
+  void on(TimePoint aNow, const AccountsChanged& aEvent);
   void on(TimePoint aNow, const RequestWithdrawn& aEvent);
   void on(TimePoint aNow, const TokenReplyArrived& aEvent);
   void on(TimePoint aNow, const TokenHomeUnreachable& aEvent);
--- a/packages/traffic/OwnerMessages.h
+++ b/packages/traffic/OwnerMessages.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/Errors.h"
 #include "base/Ids.h"
@@ -46,6 +47,13 @@
   RequestId id;
 };
 
+/// The account keys of these requests belong to other accounts now, which are named here. Those
+/// that wait are queued again, in this order.
+struct AccountsChanged
+{
+  std::vector<RequestArrived> requests;
+};
+
 /// The daemon of the entry is stopping. The request is refused unless it was dispatched.
 struct RequestWithdrawn
 {
@@ -124,9 +132,9 @@
 {};
 
 using OwnerEvent =
-  std::variant<RequestArrived, RequestCancelled, RequestWithdrawn, TokenReplyArrived,
-               TokenHomeUnreachable, TargetReport, TargetConnectionReset, ResponseStarted,
-               RequestEnded, StopPartition, BeginDrain, Tick>;
+  std::variant<RequestArrived, RequestCancelled, AccountsChanged, RequestWithdrawn,
+               TokenReplyArrived, TokenHomeUnreachable, TargetReport, TargetConnectionReset,
+               ResponseStarted, RequestEnded, StopPartition, BeginDrain, Tick>;
 
 // Actions.
 
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -130,6 +130,42 @@
 }
 
 // Guards against requests that are cut because they start too late in a stop of their owner (LOST).
+// Guards against runs under an account that has given its key to another one, and against requests
+// that are refused because they change their account (DENIED, QUOTA, review/15).
+TEST_CASE(
+  "waiting requests that change their account need tokens of the new one and keep their order")
+{
+  OwnerConfig config;
+  config.refusesLate = true;
+  Fixture f(1, config);
+  f.step(f.request());
+  const RequestId running{ 1, f.counter };
+  REQUIRE(f.find<Dispatch>());
+  AccountsChanged change;
+  for (int i = 0; i < 50; ++i) {
+    RequestArrived request = f.request();
+    request.isOpenRoute = false;
+    request.account = "old";
+    request.accountRate = 100;
+    request.objective = f.now + Millis(1000);
+    f.step(request);
+    request.account = "new";
+    change.requests.push_back(request);
+  }
+  RequestArrived ended = f.request();
+  ended.id = running;
+  ended.account = "new";
+  change.requests.push_back(ended);
+  f.step(change);
+  CHECK_FALSE(f.find<Refuse>());
+  CHECK_FALSE(f.find<CancelAtTarget>());
+  CHECK(f.logic.queuedCount("old") == 0);
+  CHECK(f.logic.queuedCount("new") == 50);
+  const auto* tokens = f.find<SendTokenRequest>();
+  REQUIRE(tokens != nullptr);
+  CHECK(tokens->request.account == "new");
+}
+
 TEST_CASE("a stopping owner starts no request after the last start that may run for longer than it")
 {
   OwnerConfig config;
--- a/packages/transport/testing/TargetClientTest.cc
+++ b/packages/transport/testing/TargetClientTest.cc
@@ -445,8 +445,8 @@
   CHECK(response->mayHaveRun);
 }
 
-// Guards against a part of a response that reaches the caller as complete (MIXED): the write that got
-// the reset had ended, but its handler was queued behind the handler of the read.
+// Guards against a part of a response that reaches the caller as complete (MIXED): the write that
+// got the reset had ended, but its handler was queued behind the handler of the read.
 TEST_CASE("a response without a length is truncated if the handler of a write that was reset runs "
           "after the read")
 {
@@ -466,10 +466,9 @@
   runOn(client.thread, [&] {
     response->exchange = client.client->start(TargetRequest{ "POST", "/x", {}, 2000 }, response,
                                               Clock::now() + Millis(5000));
-    signal.async_wait(boost::asio::socket_base::wait_read,
-                      [&](const boost::system::error_code&) {
-                        response->exchange->sendBody(std::string(1000, 'x'), false);
-                      });
+    signal.async_wait(boost::asio::socket_base::wait_read, [&](const boost::system::error_code&) {
+      response->exchange->sendBody(std::string(1000, 'x'), false);
+    });
   });
   REQUIRE(waitFor([&] {
     bool hasRead = false;
--- a/packages/wire/PeerMessages.h
+++ b/packages/wire/PeerMessages.h
@@ -254,6 +254,9 @@
   /// The clock of the owner's VM since its boot showed at least this when the message was sent; 0:
   /// unknown.
   Micros ownerClock{ 0 };
+  /// SHA-256 of the caller's account key, which may belong to another account by the time the
+  /// request starts; empty if there is none.
+  Bytes keyDigest;
   static constexpr auto fields()
   {
     return std::make_tuple(
@@ -273,7 +276,8 @@
       field("route_revision", &RequestHead::routeRevision),
       field("sent_at_us", &RequestHead::sentAt),
       field("awaits_body_credit", &RequestHead::awaitsBodyCredit),
-      field("owner_clock_us", &RequestHead::ownerClock));
+      field("owner_clock_us", &RequestHead::ownerClock),
+      field("key_digest", &RequestHead::keyDigest));
   }
 };
 
