A warm target gets a bounded number of requests that no report covers

Cause: a daemon learned of cold targets from heartbeats only, up to 0.87 s late.

Change: at most 1.5 times the cold rate since the last report; from the cold rate on, the owner asks the target's health path, so that a warm target isn't slowed down.

An existing check sent 20 requests in 0.2 s to a target with a cold rate of 5 after one report, which is this fault; it reports between them now.

--- a/packages/daemon/Dialect.h
+++ b/packages/daemon/Dialect.h
@@ -137,6 +137,14 @@
   virtual bool namesRequest(const wire::RequestHead& aHead,
                             const std::vector<wire::Header>& aHeaders) const = 0;
 
+  /// Reads from the headers of a health response for how long the target stays cold; zero: it is
+  /// warm. Returns no value if they don't say so for the process aInstance.
+  virtual std::optional<Millis> parseColdTime(const std::vector<wire::Header>& /*aHeaders*/,
+                                              const std::string& /*aInstance*/) const
+  {
+    return std::nullopt;
+  }
+
   /// Returns whether requests are routed only by a configuration and are refused until one is set.
   /// If false, the path contains the service and the key until a configuration is set.
   virtual bool needsConfiguration() const = 0;
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -135,6 +135,8 @@
   if (mDialect.hasHeartbeats()) {
     config.idleTimeout = kTargetIdleTimeout;
     config.allowsCloseDelimited = true;
+    mColdTimeCheck =
+      std::make_unique<ColdTimeCheck>(mThread.context(), mSettings.targetAddress, mDialect);
   }
   mClient = std::make_unique<transport::TargetClient>(mThread.context(), config);
   if (const OrderProtocol* protocol = mDialect.orderProtocol()) {
@@ -193,6 +195,7 @@
   mExchanges.clear();
   mWatch.reset();
   mOrders.reset();
+  mColdTimeCheck.reset();
   mClient.reset();
 }
 
@@ -675,6 +678,8 @@
     refuse(*refusal);
   } else if (const auto* tokenRequest = std::get_if<traffic::SendTokenRequest>(&aAction)) {
     sendTokenRequest(*tokenRequest);
+  } else if (std::holds_alternative<traffic::CheckColdTime>(aAction)) {
+    checkColdTime();
   } else if (const auto* cancel = std::get_if<traffic::CancelAtTarget>(&aAction)) {
     if (OwnerExchange* exchange = find(cancel->id)) {
       exchange->cancel();
@@ -1298,6 +1303,28 @@
   mRings.agent.tryPush(std::move(message)); // If the ring is full, the next heartbeat repeats it.
 }
 
+void OwnerDuty::checkColdTime()
+{
+  const TimePoint sentAt = Clock::now();
+  const auto& services = mView.state().model->services();
+  const auto service = mHeartbeats.hasTarget()
+                         ? services.find(mHeartbeats.last().announcement.service)
+                         : services.end();
+  if (!mColdTimeCheck || service == services.end() || service->second.healthPath.empty()) {
+    mThread.post([this, sentAt] { step(traffic::ColdTimeChecked{ sentAt }); });
+    return;
+  }
+  mColdTimeCheck->start(
+    service->second.healthPath, mHeartbeats.last().announcement.instance,
+    [this, sentAt](std::optional<Millis> aColdFor) {
+      if (!aColdFor || *aColdFor > Millis(0)) {
+        logEvent(LogLevel::Info, "target_cold_time_checked",
+                 { { "cold_ms", aColdFor ? std::to_string(aColdFor->count()) : "unknown" } });
+      }
+      step(traffic::ColdTimeChecked{ sentAt, aColdFor });
+    });
+}
+
 // Reports to the agent which moving partitions the target has released.
 void OwnerDuty::releaseGrants()
 {
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -21,6 +21,7 @@
 
 #include "base/DutyThread.h"
 #include "base/LoopDelay.h"
+#include "daemon/ColdTimeCheck.h"
 #include "daemon/HeartbeatTracker.h"
 #include "daemon/Metrics.h"
 #include "daemon/OwnerExchange.h"
@@ -152,6 +153,7 @@
   void sendOrders();
   void handleOrderEnd();
   void reportTarget();
+  void checkColdTime();
   void releaseGrants();
   void probeTarget();
   void handleTargetEnd();
@@ -194,6 +196,7 @@
   std::map<PartitionId, FencingToken> mHeldAccountGrants;
   std::map<fleet::ServicePartition, FencingToken> mHeldGrants;
   std::unique_ptr<transport::TargetClient> mClient;
+  std::unique_ptr<ColdTimeCheck> mColdTimeCheck; // Null if the target sends no heartbeats.
   std::unique_ptr<TargetWatch> mWatch;
   HeartbeatTracker mHeartbeats; // Used in place of mWatch if the dialect has heartbeats.
   fleet::HeartbeatGrants mHeartbeatGrants;
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -17,6 +17,7 @@
 #include "base/Hash.h"
 #include "daemon/NativeDialect.h"
 #include "daemon/OwnerDuty.h"
+#include "transport/HttpHeaders.h"
 #include "transport/testing/TransportFakes.h"
 #include "wire/WireCodec.h"
 
@@ -30,6 +31,17 @@
   bool hasHeartbeats() const override { return true; }
 };
 
+class HealthDialect : public HeartbeatDialect
+{
+public:
+  std::optional<Millis> parseColdTime(const std::vector<wire::Header>& aHeaders,
+                                      const std::string& /*aInstance*/) const override
+  {
+    const std::string* text = transport::findHeader(aHeaders, "Cold-Ms");
+    return Millis(text == nullptr ? 0 : std::stoi(*text));
+  }
+};
+
 class CallDialect
   : public HeartbeatDialect
   , public OrderProtocol
@@ -344,6 +356,7 @@
     service.name = "intake";
     service.isKeyed = false;
     service.coldRequestsPerSecond = 5;
+    service.healthPath = "/health";
     configuration.services = { service };
     wire::Account account;
     account.name = aAccount;
@@ -578,6 +591,31 @@
   CHECK_FALSE(f.failure(Millis(50)));
 }
 
+// Guards against more requests than a cold target bears (FAILBACK, review/14), and against a warm
+// target that is taken for one that may be cold.
+TEST_CASE("a target under steady traffic is asked whether it is cold")
+{
+  const bool isCold = GENERATE(false, true);
+  CAPTURE(isCold);
+  FixtureOf<HealthDialect> f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  constexpr int kRequests = 5;
+  for (int i = 0; i < kRequests; ++i) {
+    f.sendRequest("intake", "", 5);
+  }
+  REQUIRE(f.target.accept(Millis(100)) == kRequests + 1);
+  const std::string check = f.target.read(Millis(50));
+  REQUIRE(check.substr(0, check.find("\r\n")) == "GET /health HTTP/1.1");
+  f.target.write(std::string("HTTP/1.1 200 OK\r\n") + (isCold ? "Cold-Ms: 500\r\n" : "") +
+                 "Content-Length: 0\r\n\r\n");
+  f.target.accept(Millis(50));
+  for (int i = 0; i < kRequests; ++i) {
+    f.sendRequest("intake", "", 5);
+  }
+  CHECK(f.target.accept(Millis(300)) == 1 + (isCold ? kRequests : 2 * kRequests));
+}
+
 // Guards against requests that are refused with "unknown account key" although their key is valid
 // before, during and after a change (DENIED, review/15).
 TEST_CASE("a request that waits while its account is renamed runs under the new name")
--- a/packages/traffic/AdmissionController.h
+++ b/packages/traffic/AdmissionController.h
@@ -38,6 +38,16 @@
   /// Processes a health report. The target is considered unreachable before the first one.
   void report(TimePoint aNow, const TargetReport& aReport);
 
+  /// Records a health response, whose request was sent at aAsOf: for how long the target stays
+  /// cold.
+  void coldTimeReported(TimePoint aNow, TimePoint aAsOf, Duration aColdFor)
+  {
+    mRateLimit.reportAsOf(aNow, aAsOf, aColdFor);
+  }
+
+  /// Returns whether the target should be asked whether it is cold.
+  bool needsColdTime(TimePoint aNow) const { return mRateLimit.needsReport(aNow); }
+
   /// Records that the target reset a connection.
   void connectionReset(TimePoint aNow);
 
@@ -61,7 +71,7 @@
   /// time.
   std::optional<TimePoint> nextStep(TimePoint aNow) const;
 
-  /// Returns whether the rate limit of a cold target allows another request now.
+  /// Returns whether the rate limit of a target that is or may be cold allows another request now.
   bool mayDispatch(TimePoint aNow) const { return mRateLimit.mayDispatch(aNow); }
 
   /// Records that a request is sent.
--- a/packages/traffic/ColdStartRateLimit.cc
+++ b/packages/traffic/ColdStartRateLimit.cc
@@ -20,6 +20,9 @@
 // normally arrives before.
 constexpr Millis kAssumedCold{ 4000 };
 
+// Share of the cold rate by which a target may exceed it for one second.
+constexpr double kExcess = 0.5;
+
 // Bounds the memory. A limit above this value has no effect.
 constexpr std::size_t kMaxDispatches = 4096;
 
@@ -30,9 +33,37 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(mRequestsPerSecond));
 }
 
+std::size_t ColdStartRateLimit::uncoveredLimit() const
+{
+  return std::max<std::size_t>(1, static_cast<std::size_t>(mRequestsPerSecond * (1 + kExcess)));
+}
+
+// Returns the number of dispatches of the last second that followed the latest report.
+std::size_t ColdStartRateLimit::uncoveredCount(TimePoint aNow) const
+{
+  const auto first = std::upper_bound(mDispatches.begin(), mDispatches.end(),
+                                      std::max<TimePoint>(mReportedAt, aNow - kWindow));
+  return static_cast<std::size_t>(mDispatches.end() - first);
+}
+
+void ColdStartRateLimit::reportAsOf(TimePoint aNow, TimePoint aAsOf, Duration aTime)
+{
+  if (aAsOf < mReportedAt) {
+    return;
+  }
+  mReportedAt = aAsOf;
+  mColdUntil = aNow + aTime;
+  mReportedColdUntil = mColdUntil;
+}
+
+bool ColdStartRateLimit::needsReport(TimePoint aNow) const
+{
+  return mRequestsPerSecond > 0 && aNow >= mReportedColdUntil && uncoveredCount(aNow) >= limit();
+}
+
 bool ColdStartRateLimit::mayDispatch(TimePoint aNow) const
 {
-  return !isCold(aNow) || !nextDispatch(aNow);
+  return !nextDispatch(aNow);
 }
 
 bool ColdStartRateLimit::wasIdle(TimePoint aNow) const
@@ -55,9 +86,14 @@
 
 std::optional<TimePoint> ColdStartRateLimit::nextDispatch(TimePoint aNow) const
 {
-  if (!isCold(aNow)) {
+  if (mRequestsPerSecond <= 0) {
     return std::nullopt;
   }
+  if (!isCold(aNow)) {
+    const std::size_t n = uncoveredLimit();
+    return uncoveredCount(aNow) < n ? std::nullopt
+                                    : std::optional(mDispatches[mDispatches.size() - n] + kWindow);
+  }
   const TimePoint earlierCounted = mProcessStart + kWindow;
   if (aNow < earlierCounted && aNow < mReportedColdUntil) {
     return std::min(earlierCounted, mReportedColdUntil);
--- a/packages/traffic/OwnerLogic.cc
+++ b/packages/traffic/OwnerLogic.cc
@@ -11,6 +11,9 @@
 // Retry advice to callers whose request was refused for lack of capacity.
 constexpr Millis kBusyRetryAfter{ 100 };
 
+// Time between two checks of a target that gives no usable response to them.
+constexpr Millis kFailedCheckPause{ 500 };
+
 // Weight of requests without an account or of accounts without a rate, in requests per second.
 constexpr double kUnlimitedWeight = 100;
 
@@ -259,6 +262,16 @@
   }
 }
 
+void OwnerLogic::on(TimePoint aNow, const ColdTimeChecked& aEvent)
+{
+  mIsCheckingColdTime = false;
+  if (aEvent.coldFor) {
+    mAdmission.coldTimeReported(aNow, aEvent.sentAt, *aEvent.coldFor);
+  } else {
+    mNextColdTimeCheck = aNow + kFailedCheckPause;
+  }
+}
+
 void OwnerLogic::on(TimePoint aNow, const TargetConnectionReset&)
 {
   mAdmission.connectionReset(aNow);
@@ -537,6 +550,7 @@
   cancelOverdue(aNow);
   dispatchAll(aNow);
   refuseLateWaiting(aNow);
+  checkColdTime(aNow);
   requestTokens(aNow);
   reportDrainComplete();
 }
@@ -649,6 +663,15 @@
   updateAccount(aNow, aQueued.account);
 }
 
+void OwnerLogic::checkColdTime(TimePoint aNow)
+{
+  if (!mIsCheckingColdTime && aNow >= mNextColdTimeCheck && mAdmission.isReachable() &&
+      mAdmission.needsColdTime(aNow)) {
+    mIsCheckingColdTime = true;
+    mActions.emplace_back(CheckColdTime{});
+  }
+}
+
 void OwnerLogic::requestTokens(TimePoint aNow)
 {
   for (auto& it : mTokens.due(aNow, mStep)) {
--- a/packages/traffic/OwnerLogic.h
+++ b/packages/traffic/OwnerLogic.h
@@ -131,6 +131,7 @@
   void on(TimePoint aNow, const TokenReplyArrived& aEvent);
   void on(TimePoint aNow, const TokenHomeUnreachable& aEvent);
   void on(TimePoint aNow, const TargetReport& aEvent);
+  void on(TimePoint aNow, const ColdTimeChecked& aEvent);
   void on(TimePoint aNow, const TargetConnectionReset& aEvent);
   void on(TimePoint aNow, const ResponseStarted& aEvent);
   void on(TimePoint aNow, const RequestEnded& aEvent);
@@ -166,6 +167,7 @@
   void cancelOverdue(TimePoint aNow);
   void dispatchAll(TimePoint aNow);
   void dispatchOne(TimePoint aNow, const QueuedRequest& aQueued);
+  void checkColdTime(TimePoint aNow);
   void requestTokens(TimePoint aNow);
   void reportDrainComplete();
   std::optional<TimePoint> wakeAt(TimePoint aNow) const;
@@ -190,6 +192,8 @@
   BeginDrain mStop;
   bool mIsDrainReported = false;
   std::optional<TimePoint> mDrainSince; // Start of a drain by BeginDrain or by the target.
+  bool mIsCheckingColdTime = false;     // ColdTimeChecked follows.
+  TimePoint mNextColdTimeCheck;
   std::uint64_t mDispatches = 0;
   std::uint64_t mStep = 0; // Number of the current step.
   std::optional<TimePoint> mNextWake;
--- a/packages/traffic/OwnerMessages.h
+++ b/packages/traffic/OwnerMessages.h
@@ -89,6 +89,13 @@
   Millis coldFor{ 0 }; ///< For how long the target stays cold, if a rate limits it.
 };
 
+/// The outcome of a CheckColdTime.
+struct ColdTimeChecked
+{
+  TimePoint sentAt;                ///< When the check was sent.
+  std::optional<Millis> coldFor{}; ///< For how long the target stays cold; no value: unknown.
+};
+
 /// The target closed or reset a connection unexpectedly.
 struct TargetConnectionReset
 {};
@@ -131,10 +138,10 @@
 struct Tick
 {};
 
-using OwnerEvent =
-  std::variant<RequestArrived, RequestCancelled, AccountsChanged, RequestWithdrawn,
-               TokenReplyArrived, TokenHomeUnreachable, TargetReport, TargetConnectionReset,
-               ResponseStarted, RequestEnded, StopPartition, BeginDrain, Tick>;
+using OwnerEvent = std::variant<RequestArrived, RequestCancelled, AccountsChanged, RequestWithdrawn,
+                                TokenReplyArrived, TokenHomeUnreachable, TargetReport,
+                                ColdTimeChecked, TargetConnectionReset, ResponseStarted,
+                                RequestEnded, StopPartition, BeginDrain, Tick>;
 
 // Actions.
 
@@ -163,6 +170,10 @@
   wire::TokenRequest request;
 };
 
+/// Ask the target for how long it stays cold; ColdTimeChecked follows.
+struct CheckColdTime
+{};
+
 /// Cancel the exchange with the target; RequestEnded follows.
 struct CancelAtTarget
 {
@@ -187,8 +198,8 @@
 struct DrainComplete
 {};
 
-using OwnerAction = std::variant<Dispatch, Refuse, SendTokenRequest, CancelAtTarget, ReplayResponse,
-                                 PartitionIdle, DrainComplete>;
+using OwnerAction = std::variant<Dispatch, Refuse, SendTokenRequest, CheckColdTime, CancelAtTarget,
+                                 ReplayResponse, PartitionIdle, DrainComplete>;
 
 } // namespace camphorcleat::traffic
 
--- a/packages/traffic/testing/PriorityQueueTest.cc
+++ b/packages/traffic/testing/PriorityQueueTest.cc
@@ -223,12 +223,72 @@
     now += Millis(10);
     CHECK(rateLimit.mayDispatch(now));
     rateLimit.recordDispatch(now);
+    rateLimit.report(now, Duration::zero());
   }
   now += Millis(2000);
   rateLimit.recordDispatch(now);
   CHECK(rateLimit.isCold(now));
 }
 
+// Guards against more requests than a cold target bears (FAILBACK, review/14): a target under
+// steady traffic turns cold and reports it only with its next heartbeat.
+TEST_CASE(
+  "a target that turns cold between two reports gets a bounded number of requests until then")
+{
+  constexpr Millis kReportInterval{ 870 };
+  constexpr std::size_t kMost = 30; // 1.5 times the cold rate.
+  const Millis coldAfter = GENERATE(Millis(0), Millis(5), Millis(300), Millis(600), Millis(869));
+  const bool isChecked = GENERATE(false, true);
+  CAPTURE(coldAfter.count(), isChecked);
+  ColdStartRateLimit rateLimit;
+  rateLimit.configure(20);
+  rateLimit.recordDispatch(kStart); // The target isn't idle.
+  const TimePoint coldFrom = kStart + 3 * kReportInterval + coldAfter;
+  const TimePoint coldUntil = coldFrom + Millis(3000);
+  const auto coldTime = [&](TimePoint aNow) {
+    return aNow >= coldFrom ? std::max(coldUntil - aNow, Duration::zero()) : Duration::zero();
+  };
+  std::vector<TimePoint> starts;
+  std::size_t warmStarts = 0;
+  std::optional<TimePoint> checkSentAt;
+  for (int i = 0; kStart + i * Millis(3) < coldUntil; ++i) {
+    const TimePoint now = kStart + i * Millis(3);
+    if (i % 290 == 0) {
+      rateLimit.report(now, coldTime(now));
+    }
+    if (checkSentAt && now - *checkSentAt >= Millis(9)) { // The target read it after 3 ms.
+      rateLimit.reportAsOf(now, *checkSentAt, coldTime(*checkSentAt + Millis(3)));
+      checkSentAt.reset();
+    }
+    if (isChecked && !checkSentAt && rateLimit.needsReport(now)) {
+      checkSentAt = now;
+    }
+    if (i % 4 == 0 && rateLimit.mayDispatch(now)) {
+      rateLimit.recordDispatch(now);
+      starts.push_back(now);
+      warmStarts += now < coldFrom ? 1 : 0;
+    } else if (i % 4 == 0) {
+      CHECK(rateLimit.nextDispatch(now) > now);
+    }
+  }
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    const auto end = std::lower_bound(starts.begin(), starts.end(), starts[i] + Millis(1000));
+    const auto inSecond = static_cast<std::size_t>(end - starts.begin()) - i;
+    CHECK((starts[i] < coldFrom || inSecond <= kMost));
+  }
+  const auto offered = static_cast<std::size_t>((coldFrom - kStart) / Millis(12));
+  CHECK((!isChecked || warmStarts + 1 >= offered));
+}
+
+TEST_CASE("a report that is older than the latest one is ignored")
+{
+  ColdStartRateLimit rateLimit;
+  rateLimit.configure(20);
+  rateLimit.report(kStart, Millis(3000));
+  rateLimit.reportAsOf(kStart + Millis(5), kStart - Millis(5), Duration::zero());
+  CHECK(rateLimit.isCold(kStart + Millis(5)));
+}
+
 TEST_CASE("a request ends early if no target has capacity or its key has no owner")
 {
   RetryBudget budget;
--- a/packages/wire/FleetMessages.h
+++ b/packages/wire/FleetMessages.h
@@ -35,13 +35,15 @@
   bool isRanged = false;
   double coldRequestsPerSecond = 0; ///< Rate limit of a cold target; 0: its slots are the limit.
   GrantMode grantMode = GrantMode::Heartbeat; ///< Has a meaning only if isRanged is set.
+  /// Path of the targets' health, which says for how long a target stays cold; empty if unknown.
+  std::string healthPath{};
   static constexpr auto fields()
   {
-    return std::make_tuple(field("name", &Service::name), field("keyed", &Service::isKeyed),
-                           field("open_routes", &Service::openRoutes),
-                           field("ranged", &Service::isRanged),
-                           field("cold_requests_per_second", &Service::coldRequestsPerSecond),
-                           field("grant_mode", &Service::grantMode));
+    return std::make_tuple(
+      field("name", &Service::name), field("keyed", &Service::isKeyed),
+      field("open_routes", &Service::openRoutes), field("ranged", &Service::isRanged),
+      field("cold_requests_per_second", &Service::coldRequestsPerSecond),
+      field("grant_mode", &Service::grantMode), field("health_path", &Service::healthPath));
   }
 };
 
