A silent data link is kept for the requests that run on it

Cause: silence closed the link on both sides; the entry failed what can't be repeated and the owner cancelled it.

Change: such a link is retired. New messages use another one; requests that may be repeated are cancelled and sent again; the others wait for their response on it. It is closed with its last request.

Evidence: the new test of PeerHubTest fails without the change (the link is lost) and passes with it; EntryExchangeTest has both kinds of requests. transport_test and daemon_test pass.

--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -37,6 +37,11 @@
 };
 
 /// A connection to a peer was closed. No more messages are sent or received on it.
+struct LinkSilent
+{
+  transport::LinkId link = 0;
+};
+
 struct LinkLost
 {
   transport::LinkId link = 0;
@@ -148,7 +153,7 @@
 using OwnerMessage =
   std::variant<ReceivedMessage, LinkOpened, LinkLost, ViewPublished, fleet::agent::StopPartition,
                TargetHeartbeat, TargetDeregistration, BeginStop>;
-using EntryMessage = std::variant<ReceivedMessage, LinkLost, ViewPublished>;
+using EntryMessage = std::variant<ReceivedMessage, LinkSilent, LinkLost, ViewPublished>;
 
 // Capacities in messages. docs/design.md, section 10, explains them.
 constexpr std::size_t kAgentRingSize = 4096;
--- a/packages/daemon/EntryDuty.cc
+++ b/packages/daemon/EntryDuty.cc
@@ -205,6 +205,10 @@
 {
   if (auto* peer = std::get_if<ReceivedMessage>(&aMessage)) {
     handlePeerMessage(std::move(*peer));
+  } else if (const auto* silent = std::get_if<LinkSilent>(&aMessage)) {
+    for (const auto& [id, exchange] : attemptsOn(silent->link)) {
+      exchange->linkSilent(id);
+    }
   } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
@@ -277,15 +281,21 @@
   if (clockLink != mClockLinks.end() && clockLink->second == aLost.link) {
     mClockLinks.erase(clockLink);
   }
-  std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> lost;
+  for (const auto& [id, exchange] : attemptsOn(aLost.link)) {
+    exchange->linkLost(id, aLost.isNotRun);
+  }
+}
+
+std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> EntryDuty::attemptsOn(
+  transport::LinkId aLink) const
+{
+  std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> out;
   for (const auto& [id, running] : mAttempts) {
-    if (running.exchange->linkOf(id) == aLost.link) {
-      lost.emplace_back(id, running.exchange);
+    if (running.exchange->linkOf(id) == aLink) {
+      out.emplace_back(id, running.exchange);
     }
   }
-  for (const auto& [id, exchange] : lost) {
-    exchange->linkLost(id, aLost.isNotRun);
-  }
+  return out;
 }
 
 void EntryDuty::onRequest(std::shared_ptr<transport::CallerStream> aStream)
--- a/packages/daemon/EntryDuty.h
+++ b/packages/daemon/EntryDuty.h
@@ -111,6 +111,9 @@
   std::vector<std::shared_ptr<EntryExchange>> openExchanges() const;
   TimePoint withdrawalTime(TimePoint aEndsBy) const;
   void handleLinkLost(const LinkLost& aLost);
+  /// Returns the attempts that use a link.
+  std::vector<std::pair<RequestId, std::shared_ptr<EntryExchange>>> attemptsOn(
+    transport::LinkId aLink) const;
   /// The reason why a request is not admitted.
   struct Rejection
   {
--- a/packages/daemon/EntryExchange.cc
+++ b/packages/daemon/EntryExchange.cc
@@ -381,13 +381,30 @@
                                aFailed.retryAfter, aFailed.revision });
 }
 
+void EntryExchange::linkSilent(const RequestId& aId)
+{
+  const auto it = mAttempts.find(aId);
+  const bool mayRepeat = mHead.isIdempotent || !mHead.idempotencyKey.empty();
+  if (it == mAttempts.end() || it->second.response || !mayRepeat || mIsBodyUnrepeatable) {
+    return;
+  }
+  mHost.replyTo(it->second.link, wire::CancelRequest{ aId });
+  failAttempt(aId, wire::Outcome::Unknown, "nothing arrives from the owner's daemon");
+}
+
 void EntryExchange::linkLost(const RequestId& aId, bool aIsNotRun)
+{
+  failAttempt(aId, aIsNotRun ? wire::Outcome::NotRun : wire::Outcome::Unknown,
+              "the connection to the owner's daemon was lost");
+}
+
+void EntryExchange::failAttempt(const RequestId& aId, wire::Outcome aOutcome, std::string aMessage)
 {
   wire::RequestFailed failed;
   failed.id = aId;
-  failed.outcome = aIsNotRun ? wire::Outcome::NotRun : wire::Outcome::Unknown;
+  failed.outcome = aOutcome;
   failed.code = ErrorCode::PeerUnreachable;
-  failed.message = "the connection to the owner's daemon was lost";
+  failed.message = std::move(aMessage);
   handle(aId, failed);
 }
 
--- a/packages/daemon/EntryExchange.h
+++ b/packages/daemon/EntryExchange.h
@@ -103,6 +103,10 @@
   void handle(const RequestId& aId, const wire::Credit& aCredit);
   void handle(const RequestId& aId, const wire::RequestFailed& aFailed);
 
+  /// Handles the silence of the connection that an attempt uses. A request that may be repeated is
+  /// sent on another one; any other waits, since its target may be at work on it.
+  void linkSilent(const RequestId& aId);
+
   /// Handles the loss of the connection that an attempt uses.
   void linkLost(const RequestId& aId, bool aIsNotRun);
 
@@ -144,6 +148,7 @@
   void perform(const traffic::EntryAction& aAction);
   void lookUpRoute(const traffic::LookUpRoute& aLookUp);
   void startAttempt(const traffic::StartAttempt& aStart);
+  void failAttempt(const RequestId& aId, wire::Outcome aOutcome, std::string aMessage);
   void cancelAttempt(unsigned aNumber);
   void withdrawAttempt(unsigned aNumber);
   void forwardResponse(unsigned aNumber);
--- a/packages/daemon/PeerRouter.h
+++ b/packages/daemon/PeerRouter.h
@@ -49,6 +49,7 @@
                     Duration aReceivedAt) override;
   void onMessage(transport::LinkId aLink, NodeId aFrom, transport::Lane aLane,
                  wire::PeerMessage aMessage) override;
+  void onLinkSilent(transport::LinkId aLink, NodeId aPeer) override;
   void onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane aLane, bool aWasDialed,
                   bool aIsNotRun) override;
 
--- a/packages/daemon/testing/EntryExchangeTest.cc
+++ b/packages/daemon/testing/EntryExchangeTest.cc
@@ -394,6 +394,30 @@
   CHECK(run.host.heads.size() == 1);
 }
 
+// Guards against 502 for requests whose targets are at work on them (LOST, issue 59).
+TEST_CASE("a POST waits for its response on a silent link")
+{
+  Run run("POST");
+  run.exchange->linkSilent(run.host.ids.back());
+  CHECK(run.caller->status == 0);
+  CHECK(run.host.heads.size() == 1);
+  CHECK(run.host.cancelled.empty());
+  run.sendResponseHead();
+  run.sendResponseBody(0, "ok", true, 2);
+  CHECK(run.caller->body == "ok");
+  CHECK(run.host.end == ErrorCode::None);
+}
+
+TEST_CASE("an idempotent request is cancelled on a silent link and sent again")
+{
+  Run run("GET");
+  const RequestId first = run.host.ids.back();
+  run.exchange->linkSilent(first);
+  CHECK(run.host.cancelled == std::vector<RequestId>{ first });
+  REQUIRE(run.runUntilAttempts(2));
+  CHECK(run.host.heads[1].isResend);
+}
+
 TEST_CASE("a POST on a link that never opened was not run and is attempted again")
 {
   Run run("POST", 0, Millis(400));
--- a/packages/transport/PeerHub.cc
+++ b/packages/transport/PeerHub.cc
@@ -487,11 +487,16 @@
     return std::max(config.pingInterval, boundedInterval);
   }
 
-  // Closes the link if nothing was received for too long; otherwise sends a ping if one is due.
+  // Closes or retires the link if nothing was received for too long; otherwise sends a ping if one
+  // is due.
   void checkLiveness(const LinkPtr& aLink, TimePoint aNow, Millis aIdleInterval)
   {
     const TimePoint lastReceived = aLink->socket->lastReceived();
     const Duration idleTime = aNow - lastReceived;
+    if (aLink->isRetired) {
+      closeIfDone(aLink, idleTime);
+      return;
+    }
     if (idleTime < config.pingInterval) {
       return;
     }
@@ -506,9 +511,12 @@
     const bool isLost = hasUnansweredPing
                           ? aNow - aLink->firstUnansweredPing >= responseTimeout
                           : !aLink->wasDialed && idleTime >= config.acceptedIdleTimeout;
+    if (isLost && aLink->lane == Lane::Data && links.hasRunningRequests(*aLink)) {
+      retire(aLink, idleTime);
+      return;
+    }
     if (isLost) {
-      closeLink(aLink, "nothing received for " + std::to_string(toMillis(idleTime)) + " ms",
-                LossReason::TimedOut);
+      closeLink(aLink, silenceText(idleTime), LossReason::TimedOut);
       return;
     }
     const bool isDue = expectsBytes || (aLink->wasDialed && idleTime >= aIdleInterval);
@@ -520,6 +528,37 @@
     }
   }
 
+  static std::string silenceText(Duration aIdleTime)
+  {
+    return "nothing received for " + std::to_string(toMillis(aIdleTime)) + " ms";
+  }
+
+  // Keeps a silent link for the requests that run on it: the peer may only be slow, and may be at
+  // work on them.
+  void retire(const LinkPtr& aLink, Duration aIdleTime)
+  {
+    aLink->isRetired = true;
+    doubleTimeouts(*aLink);
+    if (aLink->wasDialed) {
+      delayNextDial(*aLink);
+    }
+    links.retire(*aLink);
+    logEvent(LogLevel::Info, "peer_link_retired",
+             { { "peer", std::to_string(aLink->peer) },
+               { "dialed", aLink->wasDialed ? "yes" : "no" },
+               { "reason", silenceText(aIdleTime) } });
+    handler.onLinkSilent(aLink->id, aLink->peer);
+  }
+
+  void closeIfDone(const LinkPtr& aLink, Duration aIdleTime)
+  {
+    if (!links.hasRunningRequests(*aLink) && !hasUnwritten(*aLink->socket)) {
+      closeLink(aLink, "all requests on the retired link have ended");
+    } else if (aIdleTime >= config.acceptedIdleTimeout) {
+      closeLink(aLink, silenceText(aIdleTime));
+    }
+  }
+
   // Closes a link and reports its loss, whichever side closed the connection. Later events of the
   // connection are ignored.
   void closeLink(const LinkPtr& aLink, const std::string& aReason,
--- a/packages/transport/PeerHub.h
+++ b/packages/transport/PeerHub.h
@@ -44,15 +44,16 @@
   /// have an address from setAddress() are dialed.
   unsigned short derivedAddressPort = 0;
   Millis pingInterval{ 250 };
-  /// A link is lost if nothing is received for receiveTimeout - pingInterval after a ping. A link
-  /// that is pinged after pingInterval is thus lost this long after bytes were last received. Must
-  /// be greater than pingInterval.
+  /// A link is silent if nothing is received for receiveTimeout - pingInterval after a ping. A link
+  /// that is pinged after pingInterval is thus silent this long after bytes were last received. It
+  /// is closed, or retired if requests run on it: see PeerHandler::onLinkSilent(). Must be greater
+  /// than pingInterval.
   Millis receiveTimeout{ 750 };
   /// Limit of the pings per second on all idle links together. With the default, each of 80 dialed
   /// links is pinged every 2 s.
   unsigned idlePingsPerSecond = 40;
   /// An accepted link on which nothing is received for this time is lost even if no request runs on
-  /// it, since only the dialing side pings idle links.
+  /// it, since only the dialing side pings idle links. A retired link is lost after this time, too.
   Millis acceptedIdleTimeout{ 60000 };
   /// From the start of the dial to the peer's Hello. From accepting, it is four times as long.
   Millis connectTimeout{ 500 };
@@ -106,6 +107,12 @@
   /// were sent.
   virtual void onMessage(LinkId aLink, NodeId aFrom, Lane aLane, wire::PeerMessage aMessage) = 0;
 
+  /// Reports that nothing arrives on a data link on which requests run, without a sign that its
+  /// peer has ended. The link is kept until these requests have ended, because their responses may
+  /// still arrive; new messages to the peer use another one. Called once for a link, before it is
+  /// reported as lost.
+  virtual void onLinkSilent(LinkId /*aLink*/, NodeId /*aPeer*/) {}
+
   /// Reports that a link is lost. Called once, after the link's last message, for each link that
   /// was dialed or from which a Hello arrived. aIsNotRun: the peer has run none of the requests
   /// that it hasn't answered and won't, because the link never opened or the peer has said goodbye.
--- a/packages/transport/PeerLink.cc
+++ b/packages/transport/PeerLink.cc
@@ -197,6 +197,16 @@
   return !aLink.outbox.empty();
 }
 
+void PeerLinkTable::retire(const PeerLink& aLink)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  auto& byPeer = aLink.wasDialed ? mDialed : mAccepted;
+  const auto it = byPeer.find({ aLink.peer, aLink.lane });
+  if (it != byPeer.end() && it->second->id == aLink.id) {
+    byPeer.erase(it);
+  }
+}
+
 void PeerLinkTable::remove(PeerLink& aLink)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -88,6 +88,7 @@
   /// than PeerSocket::lastReceived().
   TimePoint firstUnansweredPing;
   bool isLost = false;
+  bool isRetired = false; ///< It was silent, and is kept for the requests that run on it.
   bool hasPeerSaidGoodbye = false;
   bool hasStoppedSending = false; ///< The sending side of its connection is shut down.
   /// From the first request that was read late until the bytes that arrived behind it are read.
@@ -155,6 +156,10 @@
   /// Marks a link as open and returns whether messages wait on it.
   bool markOpen(PeerLink& aLink, NodeId aPeer);
 
+  /// Excludes a link from the choice for new messages. Those for this link in particular are still
+  /// accepted.
+  void retire(const PeerLink& aLink);
+
   /// Removes a link together with its waiting messages. A dialed link that never opened marks its
   /// peer and lane as unreachable.
   void remove(PeerLink& aLink);
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -47,6 +47,11 @@
     mLastSender = aFrom;
     mMessages.push_back(std::move(aMessage));
   }
+  void onLinkSilent(LinkId aLink, NodeId) override
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mSilences.push_back(aLink);
+  }
   void onLinkLost(LinkId aLink, NodeId aPeer, Lane, bool aWasDialed, bool aIsNotRun) override
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -73,6 +78,11 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     return mLosses;
   }
+  std::vector<LinkId> silences() const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mSilences;
+  }
   LinkId lastLink() const
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -88,6 +98,7 @@
   mutable std::mutex mMutex;
   std::vector<wire::PeerMessage> mMessages;
   std::vector<Opening> mOpened;
+  std::vector<LinkId> mSilences;
   std::vector<Loss> mLosses;
   LinkId mLastLink = 0;
   NodeId mLastSender = 0;
@@ -413,6 +424,39 @@
 }
 
 // Guards against a stalled idle link that isn't detected: the next request on it would be lost.
+// Guards against requests that fail although their targets are at work on them (LOST, issue 59): a
+// link that was silent for a moment was closed with all that ran on it.
+TEST_CASE("a silent link is kept for the requests on it, and new ones use another link")
+{
+  NodeFixture b(configOf(2));
+  FreezingProxy proxy(b.hub.port());
+  NodeFixture a(configOf(1));
+  a.hub.setAddress(2, proxy.address());
+  const auto first = a.hub.send(2, Lane::Data, request(1));
+  REQUIRE(waitFor([&] { return b.handler.count() == 1; }));
+  const LinkId serving = b.handler.lastLink();
+  proxy.freeze();
+  REQUIRE(waitFor([&] { return a.handler.silences().size() == 1; }));
+  CHECK(a.handler.silences()[0] == first.link);
+  std::this_thread::sleep_for(Millis(1000)); // Until the accepting side has noticed it, too.
+  const auto second = a.hub.send(2, Lane::Data, numbered(2));
+  REQUIRE(second.status == SendStatus::Accepted);
+  CHECK(second.link != first.link);
+  REQUIRE(waitFor([&] { return b.handler.count() == 2; }));
+  wire::RequestFailed response;
+  response.id = request(1).id;
+  REQUIRE(b.hub.reply(serving, response) == SendStatus::Accepted);
+  CHECK(a.handler.losses().empty());
+  CHECK(b.handler.losses().empty());
+  proxy.thaw();
+  REQUIRE(waitFor([&] { return a.handler.count() == 1; }));
+  CHECK(a.handler.lastLink() == first.link);
+  // The link ends with its last request; the new one stays.
+  REQUIRE(waitFor([&] { return a.handler.losses().size() == 1; }));
+  CHECK(a.handler.losses()[0].link == first.link);
+  CHECK(a.hub.isConnected(2, Lane::Data));
+}
+
 TEST_CASE("a stalled idle link is detected by the side that dialed it, then by the other")
 {
   PeerHubConfig acceptor = configOf(2);
