An owner cancels the requests on a silent link that may be repeated

The entry sends these again by another way, and its cancellations may be stuck on the silent link; before the link was kept, the owner cancelled them when it closed it. Runs that can't be repeated go on. The entry gets a failure for each, in case that it hasn't noticed the silence.

Evidence: the new test of OwnerDutyTest passes for both kinds of requests.

--- a/packages/agreement/testing/LogNodeTest.cc
+++ b/packages/agreement/testing/LogNodeTest.cc
@@ -49,7 +49,8 @@
 public:
   explicit MemberFixture(StoredState aStored = {}, bool aKnowsStores = true,
                          std::uint64_t aRetainedEntries = 0)
-    : mNode(config(aKnowsStores, aRetainedEntries), withStore(std::move(aStored)), std::mt19937_64(1))
+    : mNode(config(aKnowsStores, aRetainedEntries), withStore(std::move(aStored)),
+            std::mt19937_64(1))
   {
     mLast = mNode.step(mNow, Tick{});
   }
--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -151,8 +151,8 @@
   std::variant<ReceivedMessage, LinkLost, StorageDone, OperatorRequest, StatusRequest,
                CommandRequest, DocumentRequest, SeedsChanged, BeginStop>;
 using OwnerMessage =
-  std::variant<ReceivedMessage, LinkOpened, LinkLost, ViewPublished, fleet::agent::StopPartition,
-               TargetHeartbeat, TargetDeregistration, BeginStop>;
+  std::variant<ReceivedMessage, LinkOpened, LinkSilent, LinkLost, ViewPublished,
+               fleet::agent::StopPartition, TargetHeartbeat, TargetDeregistration, BeginStop>;
 using EntryMessage = std::variant<ReceivedMessage, LinkSilent, LinkLost, ViewPublished>;
 
 // Capacities in messages. docs/design.md, section 10, explains them.
--- a/packages/daemon/OwnerDuty.cc
+++ b/packages/daemon/OwnerDuty.cc
@@ -206,6 +206,8 @@
   } else if (const auto* opened = std::get_if<LinkOpened>(&aMessage)) {
     mTransitTimes.addOpening(Clock::now(), opened->link, opened->sentAt, opened->receivedAt,
                              opened->maxWait);
+  } else if (const auto* silent = std::get_if<LinkSilent>(&aMessage)) {
+    handleLinkSilent(*silent);
   } else if (const auto* lost = std::get_if<LinkLost>(&aMessage)) {
     handleLinkLost(*lost);
   } else if (std::holds_alternative<ViewPublished>(aMessage)) {
@@ -452,18 +454,42 @@
            : traffic::HomeStart::AfterLoss;
 }
 
+// The entry sends requests that may be repeated again by another way, and its cancellations may not
+// arrive. If it hasn't noticed the silence, it gets a failure for each.
+void OwnerDuty::handleLinkSilent(const LinkSilent& aSilent)
+{
+  for (const auto& id : requestsOn(aSilent.link)) {
+    OwnerExchange* exchange = find(id);
+    const bool mayRepeat = exchange != nullptr && (exchange->head().isIdempotent ||
+                                                   !exchange->head().idempotencyKey.empty());
+    if (!mayRepeat) {
+      continue;
+    }
+    if (exchange->hasBegun()) {
+      cancelRequest(id);
+    } else {
+      withdrawRequest({ id, false });
+    }
+  }
+}
+
 void OwnerDuty::handleLinkLost(const LinkLost& aLost)
 {
   mTransitTimes.removeLink(aLost.link);
-  std::vector<RequestId> lost;
+  for (const auto& id : requestsOn(aLost.link)) {
+    cancelRequest(id);
+  }
+}
+
+std::vector<RequestId> OwnerDuty::requestsOn(transport::LinkId aLink) const
+{
+  std::vector<RequestId> out;
   for (const auto& [id, exchange] : mExchanges) {
-    if (exchange->link() == aLost.link) {
-      lost.push_back(id);
+    if (exchange->link() == aLink) {
+      out.push_back(id);
     }
   }
-  for (const auto& id : lost) {
-    cancelRequest(id);
-  }
+  return out;
 }
 
 void OwnerDuty::withdrawRequest(const wire::WithdrawRequest& aWithdraw)
--- a/packages/daemon/OwnerDuty.h
+++ b/packages/daemon/OwnerDuty.h
@@ -117,7 +117,9 @@
   void handleTokenRequest(const ReceivedMessage& aFrom, const wire::TokenRequest& aRequest);
   traffic::HomeStart initialLevel(const std::string& aAccount, const wire::Account& aSettings,
                                   TimePoint aNow) const;
+  void handleLinkSilent(const LinkSilent& aSilent);
   void handleLinkLost(const LinkLost& aLost);
+  std::vector<RequestId> requestsOn(transport::LinkId aLink) const;
   void refreshView();
   void handleView();
   void updateHomes();
--- a/packages/daemon/PeerRouter.cc
+++ b/packages/daemon/PeerRouter.cc
@@ -141,10 +141,15 @@
   reply(aLink, failed);
 }
 
-// If the entry isn't told, requests on the link wait for their responses until their deadlines.
+// If a ring is full, requests on the link wait for their responses until their deadlines.
 void PeerRouter::onLinkSilent(transport::LinkId aLink, NodeId /*aPeer*/)
 {
-  push<EntryMessage>(&mRings.entry, LinkSilent{ aLink });
+  if (!mRings.owner.isClosed()) {
+    push<OwnerMessage>(&mRings.owner, LinkSilent{ aLink });
+  }
+  if (!mRings.entry.isClosed()) {
+    push<EntryMessage>(&mRings.entry, LinkSilent{ aLink });
+  }
 }
 
 void PeerRouter::onLinkLost(transport::LinkId aLink, NodeId aPeer, transport::Lane /*aLane*/,
--- a/packages/daemon/testing/OwnerDutyTest.cc
+++ b/packages/daemon/testing/OwnerDutyTest.cc
@@ -1380,6 +1380,34 @@
   CHECK(failed->code == ErrorCode::Draining);
 }
 
+// Guards against runs that nobody waits for, and against the end of runs that can't be repeated
+// (GONE, LOST, issue 59).
+TEST_CASE("on a silent link, only runs of requests that may be repeated are cancelled")
+{
+  const bool isIdempotent = GENERATE(false, true);
+  CAPTURE(isIdempotent);
+  Fixture f;
+  f.publish(5);
+  f.exchangeHeartbeat(Millis(0));
+  wire::RequestHead head;
+  head.id = { 9, ++f.counter };
+  head.service = "intake";
+  head.method = "GET";
+  head.path = "/";
+  head.isIdempotent = isIdempotent;
+  head.contentLength = 0;
+  head.deadline = Millis(30'000);
+  head.routeRevision = 5;
+  f.send(head);
+  REQUIRE(f.target.accept(Millis(200)) == 1);
+  f.push(LinkSilent{ kLocalLink });
+  const auto failed = f.failure(isIdempotent ? Millis(2000) : Millis(200));
+  REQUIRE(failed.has_value() == isIdempotent);
+  if (failed) {
+    CHECK(failed->outcome == wire::Outcome::Unknown);
+  }
+}
+
 // Guards against runs that begin late in a stop, when the rest of a long body has arrived, and are
 // cut off at its end (LOST, issue 44).
 TEST_CASE("a withdrawn request is cancelled at its target only while its body is incomplete")
