--- a/packages/daemon/DutyMessages.h
+++ b/packages/daemon/DutyMessages.h
@@ -36,12 +36,13 @@
   Duration maxWait{ 0 }; ///< For how long the Hello may have waited.
 };
 
-/// A connection to a peer was closed. No more messages are sent or received on it.
+/// Nothing arrives on a connection to a peer on which requests run. It is kept for these requests.
 struct LinkSilent
 {
   transport::LinkId link = 0;
 };
 
+/// A connection to a peer was closed. No more messages are sent or received on it.
 struct LinkLost
 {
   transport::LinkId link = 0;
--- a/packages/traffic/testing/OwnerLogicTest.cc
+++ b/packages/traffic/testing/OwnerLogicTest.cc
@@ -129,7 +129,6 @@
   CHECK(f.actions.empty());
 }
 
-// Guards against requests that are cut because they start too late in a stop of their owner (LOST).
 // Guards against runs under an account that has given its key to another one, and against requests
 // that are refused because they change their account (DENIED, QUOTA, review/15).
 TEST_CASE(
@@ -166,6 +165,7 @@
   CHECK(tokens->request.account == "new");
 }
 
+// Guards against requests that are cut because they start too late in a stop of their owner (LOST).
 TEST_CASE("a stopping owner starts no request after the last start that may run for longer than it")
 {
   OwnerConfig config;
--- a/packages/transport/testing/PeerHubTest.cc
+++ b/packages/transport/testing/PeerHubTest.cc
@@ -423,7 +423,6 @@
   }
 }
 
-// Guards against a stalled idle link that isn't detected: the next request on it would be lost.
 // Guards against requests that fail although their targets are at work on them (LOST, issue 59): a
 // link that was silent for a moment was closed with all that ran on it.
 TEST_CASE("a silent link is kept for the requests on it, and new ones use another link")
@@ -457,6 +456,7 @@
   CHECK(a.hub.isConnected(2, Lane::Data));
 }
 
+// Guards against a stalled idle link that isn't detected: the next request on it would be lost.
 TEST_CASE("a stalled idle link is detected by the side that dialed it, then by the other")
 {
   PeerHubConfig acceptor = configOf(2);
